--- /dev/null
+++ b/include/snipevalve/core/time.hpp
@@ -0,0 +1,16 @@
+#ifndef SNIPEVALVE_CORE_TIME_HPP
+#define SNIPEVALVE_CORE_TIME_HPP
+
+#include <chrono>
+
+namespace snipevalve {
+
+/// @brief The clock of every decision: monotonic, never set back.
+using Clock = std::chrono::steady_clock;
+using TimePoint = Clock::time_point;
+using Duration = Clock::duration;
+using Milliseconds = std::chrono::milliseconds;
+
+} // namespace snipevalve
+
+#endif // SNIPEVALVE_CORE_TIME_HPP
--- /dev/null
+++ b/include/snipevalve/link/reporter.hpp
@@ -0,0 +1,37 @@
+#ifndef SNIPEVALVE_LINK_REPORTER_HPP
+#define SNIPEVALVE_LINK_REPORTER_HPP
+
+#include <string>
+
+#include "snipevalve/core/time.hpp"
+#include "snipevalve/link/link_hub.hpp"
+
+namespace snipevalve {
+
+/// @brief Reports to the relays which revision of the configuration this process has in force.
+///
+/// A report goes out as soon as the revision changes and, so that a lost process is noticed, every few seconds.
+class Reporter
+{
+public:
+    Reporter(asio::any_io_executor executor, LinkHub &hub, std::string node);
+
+    /// @brief Sends a report when the revision in force has changed.
+    void update();
+
+    Awaitable<void> run();
+
+private:
+    void send();
+
+    asio::any_io_executor m_executor;
+    LinkHub &m_hub;
+    std::string m_node;
+    std::uint64_t m_start;
+    std::uint64_t m_reports = 0;
+    std::uint64_t m_reportedRevision = 0;
+};
+
+} // namespace snipevalve
+
+#endif // SNIPEVALVE_LINK_REPORTER_HPP
--- /dev/null
+++ b/include/snipevalve/net/endpoint.hpp
@@ -0,0 +1,39 @@
+#ifndef SNIPEVALVE_NET_ENDPOINT_HPP
+#define SNIPEVALVE_NET_ENDPOINT_HPP
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "snipevalve/net/asio.hpp"
+
+namespace snipevalve {
+
+/// @brief An IP address in text form and a TCP port.
+struct Endpoint
+{
+    std::string address;
+    std::uint16_t port = 0;
+
+    auto operator<=>(const Endpoint &) const = default;
+};
+
+/// @brief Writes `address:port`.
+std::string toString(const Endpoint &endpoint);
+
+/// @brief Reads `address:port` with an IPv4 address; empty when the text is anything else.
+std::optional<Endpoint> parseEndpoint(std::string_view text);
+
+/// @param endpoint one that parseEndpoint() accepted
+Tcp::endpoint toTcp(const Endpoint &endpoint);
+
+/// @brief Opens a listening socket.
+/// @param sharePort lets several threads listen on the same port, each with its own socket (SO_REUSEPORT)
+/// @throws boost::system::system_error when the address can't be bound
+Tcp::acceptor listenOn(asio::any_io_executor executor, const Endpoint &endpoint, bool sharePort = false);
+
+} // namespace snipevalve
+
+#endif // SNIPEVALVE_NET_ENDPOINT_HPP
--- /dev/null
+++ b/include/snipevalve/net/http_server.hpp
@@ -0,0 +1,57 @@
+#ifndef SNIPEVALVE_NET_HTTP_SERVER_HPP
+#define SNIPEVALVE_NET_HTTP_SERVER_HPP
+
+#include <functional>
+#include <map>
+#include <string>
+
+#include "snipevalve/core/time.hpp"
+#include "snipevalve/net/endpoint.hpp"
+
+namespace snipevalve {
+
+using HttpRequest = http::request<http::string_body>;
+using HttpResponse = http::response<http::string_body>;
+
+/// @brief Limits of the control servers; a request beyond them is refused and the connection closed.
+struct HttpServerLimits
+{
+    std::uint32_t headerBytes = 16 << 10;
+    std::uint64_t bodyBytes = 2 << 20;
+    Milliseconds idleTimeout{60'000};
+};
+
+/// @brief Answers one request. A response with `http::status::unknown` closes the connection without an answer.
+using HttpHandler = std::function<Awaitable<HttpResponse>(const HttpRequest &)>;
+
+/// @brief Serves requests, each held whole, until the acceptor is closed. For administration and control.
+Awaitable<void> serveHttp(Tcp::acceptor &acceptor, HttpHandler handler, HttpServerLimits limits = {});
+
+/// @brief A response with a JSON body.
+HttpResponse jsonResponse(http::status status, std::string body);
+
+/// @brief The path and the decoded query parameters of a request target.
+class Target
+{
+public:
+    explicit Target(std::string_view target);
+
+    const std::string &path() const;
+
+    /// @return the parameter's value, or `fallback` when it is absent
+    std::string parameter(const std::string &name, const std::string &fallback = {}) const;
+
+    /// @return the parameter as a number, or `fallback` when it is absent or not a number
+    std::uint64_t number(const std::string &name, std::uint64_t fallback) const;
+
+private:
+    std::string m_path;
+    std::map<std::string, std::string> m_parameters;
+};
+
+/// @brief Encodes a text for use as a query parameter (RFC 3986, section 2.1).
+std::string encodeParameter(std::string_view text);
+
+} // namespace snipevalve
+
+#endif // SNIPEVALVE_NET_HTTP_SERVER_HPP
--- /dev/null
+++ b/include/snipevalve/placement/detail/group_authority_impl.hpp
@@ -0,0 +1,575 @@
+#ifndef SNIPEVALVE_PLACEMENT_DETAIL_GROUP_AUTHORITY_IMPL_HPP
+#define SNIPEVALVE_PLACEMENT_DETAIL_GROUP_AUTHORITY_IMPL_HPP
+
+#include <algorithm>
+
+#include "snipevalve/placement/group_authority.hpp"
+
+namespace snipevalve {
+
+namespace detail {
+
+/// A slot that nobody asked for still counts a little, so that idle slots spread evenly.
+inline constexpr double IdleSlotLoad = 1.0;
+
+} // namespace detail
+
+template <typename Rules>
+BasicGroupAuthority<Rules>::BasicGroupAuthority(GroupId group, GroupPlan plan, std::uint32_t slots,
+                                                AuthorityTimes times, TimePoint now)
+    : m_group(std::move(group))
+    , m_plan(std::move(plan))
+    , m_times(times)
+    , m_slots(slots)
+    , m_loads(slots, detail::IdleSlotLoad)
+    , m_termStart(now)
+    , m_writtenVersion(m_plan.version)
+    , m_writtenWitnesses(m_plan.witnesses)
+    , m_writtenServers(m_plan.servers.size())
+{
+    m_plan.targets.resize(slots, NoServer);
+    m_members.resize(m_plan.servers.size());
+    if (m_plan.witnesses.empty()) {
+        m_predecessorGone = true;
+        for (Slot &slot : m_slots) {
+            slot.holder = Holder::None;
+        }
+    }
+}
+
+template <typename Rules>
+std::vector<AuthorityAction> BasicGroupAuthority<Rules>::onMembers(const std::vector<GroupMember> &members,
+                                                                   TimePoint now)
+{
+    for (Member &member : m_members) {
+        member.configured = false;
+    }
+    for (const GroupMember &member : members) {
+        Member &known = m_members[indexOf(member.name)];
+        known.configured = true;
+        known.draining = member.draining;
+    }
+    return advance(now);
+}
+
+template <typename Rules>
+void BasicGroupAuthority<Rules>::onLoads(const std::vector<double> &loads)
+{
+    for (std::size_t slot = 0; slot < m_loads.size() && slot < loads.size(); ++slot) {
+        m_loads[slot] = loads[slot] + detail::IdleSlotLoad;
+    }
+}
+
+template <typename Rules>
+std::vector<AuthorityAction> BasicGroupAuthority<Rules>::onAnswer(const std::string &server, const Token &token,
+                                                                  const GrantAnswer &answer, TimePoint now)
+{
+    const ServerIndex index = indexOf(server);
+    Member &member = m_members[index];
+    if (m_resigned || !member.orderInFlight || member.inFlight != token) {
+        return {};
+    }
+    member.orderInFlight = false;
+    if (!answer.accepted) {
+        if (answer.highest.term > m_plan.term) {
+            m_resigned = true;
+            return {Resign{server + " knows the higher term " + std::to_string(answer.highest.term)}};
+        }
+        m_sequence = std::max(m_sequence, answer.highest.sequence);
+        return advance(now);
+    }
+    Actions actions;
+    const bool isFirst = !member.fenced;
+    member.fenced = true;
+    member.anchor = answer.clock;
+    member.anchorAt = now;
+    member.confirmedAt = member.inFlightSentAt;
+    if (member.lost) {
+        member.lost = false;
+        note(actions, server + " answers again");
+    }
+    takeHeld(index, answer.held, isFirst, now);
+    Actions more = advance(now);
+    actions.insert(actions.end(), more.begin(), more.end());
+    return actions;
+}
+
+template <typename Rules>
+std::vector<AuthorityAction> BasicGroupAuthority<Rules>::onNoAnswer(const std::string &server, const Token &token,
+                                                                    TimePoint now)
+{
+    Member &member = m_members[indexOf(server)];
+    if (m_resigned || !member.orderInFlight || member.inFlight != token) {
+        return {};
+    }
+    member.orderInFlight = false;
+    return advance(now);
+}
+
+template <typename Rules>
+std::vector<AuthorityAction> BasicGroupAuthority<Rules>::onPlanWritten(std::uint64_t version, TimePoint now)
+{
+    m_planInFlight = false;
+    m_writtenVersion = std::max(m_writtenVersion, version);
+    m_writtenWitnesses = m_inFlightWitnesses;
+    m_writtenServers = m_inFlightServers;
+    m_tableDirty = true;
+    return advance(now);
+}
+
+template <typename Rules>
+std::vector<AuthorityAction> BasicGroupAuthority<Rules>::onPlanNotWritten(bool superseded, TimePoint now)
+{
+    m_planInFlight = false;
+    m_planDirty = true;
+    if (superseded && !m_resigned) {
+        m_resigned = true;
+        return {Resign{"another leader's plan stands in the store"}};
+    }
+    return advance(now);
+}
+
+template <typename Rules>
+std::vector<AuthorityAction> BasicGroupAuthority<Rules>::onTermRead(TimePoint sentAt, std::optional<std::uint64_t> term,
+                                                                    TimePoint now)
+{
+    m_storeReadInFlight = false;
+    if (m_resigned || !term) {
+        return {};
+    }
+    if (*term != m_plan.term) {
+        m_resigned = true;
+        return {Resign{"the store has the term " + std::to_string(*term)}};
+    }
+    m_storeConfirmedAt = sentAt;
+    return advance(now);
+}
+
+template <typename Rules>
+std::vector<AuthorityAction> BasicGroupAuthority<Rules>::onTick(TimePoint now)
+{
+    return advance(now);
+}
+
+template <typename Rules>
+bool BasicGroupAuthority<Rules>::isResigned() const
+{
+    return m_resigned;
+}
+
+template <typename Rules>
+std::uint64_t BasicGroupAuthority<Rules>::term() const
+{
+    return m_plan.term;
+}
+
+template <typename Rules>
+bool BasicGroupAuthority<Rules>::hasAuthority(TimePoint now) const
+{
+    if (m_resigned || m_writtenWitnesses.empty()) {
+        return false;
+    }
+    if (!Rules::NeedEvidence) {
+        return true;
+    }
+    const TimePoint since = now - m_times.evidenceLifetime;
+    return (m_storeConfirmedAt && *m_storeConfirmedAt >= since) || majorityConfirmedSince(since);
+}
+
+template <typename Rules>
+std::string BasicGroupAuthority<Rules>::holderOf(std::uint32_t slot) const
+{
+    const Slot &state = m_slots.at(slot);
+    return state.holder == Holder::Known && state.accepted ? m_plan.servers[state.server] : std::string();
+}
+
+template <typename Rules>
+const GroupPlan &BasicGroupAuthority<Rules>::plan() const
+{
+    return m_plan;
+}
+
+template <typename Rules>
+Duration BasicGroupAuthority<Rules>::withClockError(Duration duration) const
+{
+    const double factor = Rules::AllowForClockRate ? 1.0 + m_times.clockRateError : 1.0;
+    const double scaled = static_cast<double>(duration.count()) * factor;
+    return Duration(static_cast<Duration::rep>(scaled) + 1);
+}
+
+template <typename Rules>
+ServerIndex BasicGroupAuthority<Rules>::indexOf(const std::string &server)
+{
+    const auto position = std::find(m_plan.servers.begin(), m_plan.servers.end(), server);
+    if (position != m_plan.servers.end()) {
+        return static_cast<ServerIndex>(position - m_plan.servers.begin());
+    }
+    m_plan.servers.push_back(server);
+    m_members.emplace_back();
+    m_planDirty = true;
+    return static_cast<ServerIndex>(m_plan.servers.size() - 1);
+}
+
+template <typename Rules>
+Token BasicGroupAuthority<Rules>::nextToken()
+{
+    return {m_plan.term, ++m_sequence};
+}
+
+template <typename Rules>
+bool BasicGroupAuthority<Rules>::majorityConfirmedSince(TimePoint since) const
+{
+    std::size_t confirmed = 0;
+    for (std::size_t index = 0; index < m_members.size(); ++index) {
+        const bool isWitness = std::count(m_writtenWitnesses.begin(), m_writtenWitnesses.end(), m_plan.servers[index]);
+        const auto &at = m_members[index].confirmedAt;
+        confirmed += isWitness && at && *at >= since ? 1 : 0;
+    }
+    return confirmed * 2 > m_writtenWitnesses.size();
+}
+
+template <typename Rules>
+bool BasicGroupAuthority<Rules>::majorityFenced() const
+{
+    return majorityConfirmedSince(TimePoint::min());
+}
+
+template <typename Rules>
+bool BasicGroupAuthority<Rules>::isFit(const Member &member) const
+{
+    return member.configured && !member.draining && member.fenced && !member.lost;
+}
+
+template <typename Rules>
+void BasicGroupAuthority<Rules>::note(Actions &actions, std::string text) const
+{
+    actions.push_back(Note{toString(m_group) + " term " + std::to_string(m_plan.term) + ": " + text});
+}
+
+template <typename Rules>
+std::vector<AuthorityAction> BasicGroupAuthority<Rules>::advance(TimePoint now)
+{
+    Actions actions;
+    if (m_resigned) {
+        return actions;
+    }
+    updateFence(now, actions);
+    expireHolders(now);
+    updateLost(now, actions);
+    updateTargets(now, actions);
+    updateWitnesses();
+    confirmFromStore(now, actions);
+    sendOrders(now, actions);
+    writePlan(actions);
+    publish(actions);
+    return actions;
+}
+
+/// Finds out when no grant of an earlier term can be in force any more.
+template <typename Rules>
+void BasicGroupAuthority<Rules>::updateFence(TimePoint now, Actions &actions)
+{
+    if (m_predecessorGone) {
+        return;
+    }
+    if (!m_predecessorGoneAt && majorityFenced()) {
+        const Duration wait = withClockError(m_times.evidenceLifetime) + withClockError(m_times.grantLifetime);
+        m_predecessorGoneAt = Rules::WaitForPredecessor ? now + wait : now;
+        note(actions, "a majority of the witnesses follows this term");
+    }
+    bool allFenced = true;
+    for (std::size_t index = 0; index < m_members.size(); ++index) {
+        allFenced = allFenced && m_members[index].fenced;
+    }
+    const bool allowed = allFenced && majorityFenced();
+    if (allowed || (m_predecessorGoneAt && now >= *m_predecessorGoneAt)) {
+        m_predecessorGone = true;
+        for (std::size_t at = 0; at < m_slots.size(); ++at) {
+            if (m_slots[at].holder == Holder::Unknown) {
+                setFree(at);
+            }
+        }
+        note(actions, "no grant of an earlier term is in force");
+    }
+}
+
+template <typename Rules>
+void BasicGroupAuthority<Rules>::expireHolders(TimePoint now)
+{
+    for (std::size_t at = 0; at < m_slots.size(); ++at) {
+        Slot &slot = m_slots[at];
+        const bool isOver = slot.holder == Holder::Known && now > slot.expiry;
+        const bool isTaken =
+            !Rules::WaitForOldGrant && slot.holder == Holder::Known && m_plan.targets[at] != slot.server;
+        if (isOver || isTaken) {
+            setFree(at);
+        }
+    }
+}
+
+/// Marks a slot as nobody's and has its target served soon.
+template <typename Rules>
+void BasicGroupAuthority<Rules>::setFree(std::size_t at)
+{
+    m_slots[at].holder = Holder::None;
+    m_slots[at].accepted = false;
+    m_tableDirty = true;
+    const ServerIndex target = m_plan.targets[at];
+    if (target < m_members.size()) {
+        m_members[target].changed = true;
+    }
+}
+
+template <typename Rules>
+bool BasicGroupAuthority<Rules>::holdsAny(ServerIndex server) const
+{
+    const auto isItsOwn = [&](const Slot &slot) {
+        return slot.holder == Holder::Known && slot.server == server;
+    };
+    return std::any_of(m_slots.begin(), m_slots.end(), isItsOwn);
+}
+
+template <typename Rules>
+void BasicGroupAuthority<Rules>::updateLost(TimePoint now, Actions &actions)
+{
+    for (std::size_t index = 0; index < m_members.size(); ++index) {
+        Member &member = m_members[index];
+        const TimePoint heardAt = member.confirmedAt.value_or(m_termStart);
+        const bool isSilent = now - heardAt > m_times.lostAfter;
+        if (isSilent && !member.lost) {
+            member.lost = true;
+            note(actions, m_plan.servers[index] + " does not answer");
+        }
+    }
+}
+
+template <typename Rules>
+void BasicGroupAuthority<Rules>::updateTargets(TimePoint now, Actions &actions)
+{
+    const bool isDue = !m_balancedAt || now - *m_balancedAt >= m_times.balanceInterval;
+    bool hasOrphans = false;
+    std::vector<BalanceServer> servers(m_members.size());
+    for (std::size_t index = 0; index < m_members.size(); ++index) {
+        const Member &member = m_members[index];
+        servers[index].fit = isFit(member);
+        servers[index].drained = member.configured && member.draining && !member.lost;
+        // A server that has not answered yet keeps its slots until it is taken as lost.
+        const bool isAwaited = member.configured && !member.draining && !member.fenced && !member.lost;
+        servers[index].fit = servers[index].fit || isAwaited;
+    }
+    for (const ServerIndex target : m_plan.targets) {
+        hasOrphans = hasOrphans || target >= servers.size() || (!servers[target].fit && !servers[target].drained);
+    }
+    if (!isDue && !hasOrphans) {
+        return;
+    }
+    const bool hasFenced = std::any_of(m_members.begin(), m_members.end(), [&](const Member &m) {
+        return isFit(m);
+    });
+    if (!hasFenced) {
+        return;
+    }
+    m_balancedAt = now;
+    std::vector<ServerIndex> targets = balance(m_plan.targets, m_loads, servers);
+    if (targets == m_plan.targets) {
+        return;
+    }
+    std::size_t moved = 0;
+    for (std::size_t slot = 0; slot < targets.size(); ++slot) {
+        const ServerIndex from = m_plan.targets[slot];
+        if (from == targets[slot]) {
+            continue;
+        }
+        ++moved;
+        m_members[targets[slot]].changed = true;
+        if (from < m_members.size()) {
+            m_members[from].changed = true;
+        }
+    }
+    m_plan.targets = std::move(targets);
+    m_planDirty = true;
+    note(actions, "moves " + std::to_string(moved) + " slots");
+}
+
+/// Brings the witnesses towards the configured servers, one server in each plan, so that majorities overlap.
+template <typename Rules>
+void BasicGroupAuthority<Rules>::updateWitnesses()
+{
+    if (m_planInFlight || m_plan.witnesses != m_writtenWitnesses) {
+        return;
+    }
+    std::vector<std::string> wanted;
+    for (std::size_t index = 0; index < m_members.size(); ++index) {
+        if (m_members[index].configured) {
+            wanted.push_back(m_plan.servers[index]);
+        }
+    }
+    std::sort(wanted.begin(), wanted.end());
+    std::vector<std::string> &witnesses = m_plan.witnesses;
+    if (witnesses.empty() && !wanted.empty()) {
+        witnesses = wanted;
+        m_planDirty = true;
+        return;
+    }
+    const auto isNew = [&](const std::string &name) {
+        return !std::count(witnesses.begin(), witnesses.end(), name);
+    };
+    const auto isGone = [&](const std::string &name) {
+        return !std::count(wanted.begin(), wanted.end(), name);
+    };
+    const auto added = std::find_if(wanted.begin(), wanted.end(), isNew);
+    const auto gone = std::find_if(witnesses.begin(), witnesses.end(), isGone);
+    if (gone != witnesses.end() && witnesses.size() > 1) {
+        witnesses.erase(gone);
+        m_planDirty = true;
+    } else if (added != wanted.end()) {
+        witnesses.push_back(*added);
+        m_planDirty = true;
+    }
+}
+
+template <typename Rules>
+void BasicGroupAuthority<Rules>::sendOrders(TimePoint now, Actions &actions)
+{
+    const bool authority = hasAuthority(now);
+    for (std::size_t index = 0; index < m_members.size(); ++index) {
+        const Member &member = m_members[index];
+        const bool isRetired = !member.configured && m_predecessorGone;
+        if (member.orderInFlight || (isRetired && !holdsAny(static_cast<ServerIndex>(index)))) {
+            continue;
+        }
+        const bool isDue = !member.lastSentAt || now - *member.lastSentAt >= m_times.renewInterval;
+        const bool hasNews = authority && member.fenced && member.changed && !member.lost;
+        if (isDue || hasNews) {
+            sendOrder(static_cast<ServerIndex>(index), authority, now, actions);
+        }
+    }
+}
+
+template <typename Rules>
+void BasicGroupAuthority<Rules>::sendOrder(ServerIndex server, bool authority, TimePoint now, Actions &actions)
+{
+    Member &member = m_members[server];
+    GrantOrder order;
+    order.group = m_group;
+    order.token = nextToken();
+    const bool isWritten = server < m_writtenServers;
+    order.probe = !authority || !member.fenced || !member.anchor || !isWritten;
+    if (!order.probe) {
+        order.slots = grantable(server);
+        order.anchor = *member.anchor;
+        order.lifetime = m_times.grantLifetime;
+        const TimePoint expiry = member.anchorAt + withClockError(m_times.grantLifetime);
+        for (const std::uint32_t slot : order.slots) {
+            Slot &state = m_slots[slot];
+            state.accepted = state.accepted && state.holder == Holder::Known && state.server == server;
+            state.holder = Holder::Known;
+            state.server = server;
+            state.expiry = std::max(state.expiry, expiry);
+        }
+        member.changed = false;
+    }
+    member.orderInFlight = true;
+    member.inFlight = order.token;
+    member.inFlightSentAt = now;
+    member.lastSentAt = now;
+    actions.push_back(SendOrder{m_plan.servers[server], std::move(order)});
+}
+
+template <typename Rules>
+std::vector<std::uint32_t> BasicGroupAuthority<Rules>::grantable(ServerIndex server) const
+{
+    std::vector<std::uint32_t> slots;
+    for (std::uint32_t at = 0; at < m_slots.size(); ++at) {
+        const Slot &slot = m_slots[at];
+        const bool isFree = slot.holder == Holder::None || (slot.holder == Holder::Known && slot.server == server);
+        if (m_plan.targets[at] == server && isFree) {
+            slots.push_back(at);
+        }
+    }
+    return slots;
+}
+
+/// Takes in what a server says it holds; what it does not name, it surely does not hold.
+template <typename Rules>
+void BasicGroupAuthority<Rules>::takeHeld(ServerIndex server, const std::vector<std::uint32_t> &held, bool isFirst,
+                                          TimePoint now)
+{
+    std::vector<bool> isHeld(m_slots.size(), false);
+    for (const std::uint32_t slot : held) {
+        if (slot < m_slots.size()) {
+            isHeld[slot] = true;
+        }
+    }
+    for (std::uint32_t at = 0; at < m_slots.size(); ++at) {
+        Slot &slot = m_slots[at];
+        const bool isOurs = slot.holder == Holder::Known && slot.server == server;
+        if (isHeld[at] && slot.holder != Holder::Known) {
+            slot.holder = Holder::Known;
+            slot.server = server;
+            slot.expiry = now + withClockError(m_times.grantLifetime);
+            slot.accepted = true;
+            m_tableDirty = true;
+            if (isFirst && m_plan.targets[at] != server) {
+                m_plan.targets[at] = server;
+                m_planDirty = true;
+            }
+        } else if (isHeld[at] && isOurs && !slot.accepted) {
+            slot.accepted = true;
+            m_tableDirty = true;
+        } else if (!isHeld[at] && isOurs) {
+            setFree(at);
+        }
+    }
+}
+
+/// Reads the term from the store while the witnesses alone do not confirm it.
+template <typename Rules>
+void BasicGroupAuthority<Rules>::confirmFromStore(TimePoint now, Actions &actions)
+{
+    const TimePoint since = now - m_times.evidenceLifetime + m_times.renewInterval;
+    const bool isDue = !m_storeReadAt || now - *m_storeReadAt >= m_times.renewInterval;
+    if (m_storeReadInFlight || !isDue || majorityConfirmedSince(since)) {
+        return;
+    }
+    m_storeReadInFlight = true;
+    m_storeReadAt = now;
+    actions.push_back(ConfirmTerm{});
+}
+
+template <typename Rules>
+void BasicGroupAuthority<Rules>::writePlan(Actions &actions)
+{
+    if (!m_planDirty || m_planInFlight) {
+        return;
+    }
+    m_planDirty = false;
+    m_planInFlight = true;
+    ++m_plan.version;
+    m_inFlightWitnesses = m_plan.witnesses;
+    m_inFlightServers = m_plan.servers.size();
+    actions.push_back(WritePlan{m_plan});
+}
+
+template <typename Rules>
+void BasicGroupAuthority<Rules>::publish(Actions &actions)
+{
+    if (!m_tableDirty) {
+        return;
+    }
+    m_tableDirty = false;
+    PublishTable table;
+    table.version = nextToken();
+    table.servers = m_plan.servers;
+    table.committed = !m_planDirty && !m_planInFlight;
+    table.owners.reserve(m_slots.size());
+    for (const Slot &slot : m_slots) {
+        const bool isHeld = slot.holder == Holder::Known && slot.accepted;
+        table.owners.push_back(isHeld ? slot.server : NoServer);
+    }
+    actions.push_back(std::move(table));
+}
+
+} // namespace snipevalve
+
+#endif // SNIPEVALVE_PLACEMENT_DETAIL_GROUP_AUTHORITY_IMPL_HPP
--- /dev/null
+++ b/src/snipevalve/admin/access.cpp
@@ -0,0 +1,74 @@
+#include "snipevalve/admin/access.hpp"
+
+namespace snipevalve {
+
+namespace {
+
+constexpr std::string_view BearerPrefix = "Bearer ";
+
+Right parseRight(std::string_view text)
+{
+    if (text == "read") {
+        return Right::Read;
+    }
+    if (text == "write") {
+        return Right::Write;
+    }
+    return text == "admin" ? Right::Admin : Right::None;
+}
+
+/// Takes the same time wherever the texts differ, so that a token can't be guessed byte by byte.
+bool isEqual(std::string_view expected, std::string_view given)
+{
+    unsigned difference = expected.size() == given.size() ? 0 : 1;
+    for (std::size_t at = 0; at < expected.size(); ++at) {
+        const char other = given.empty() ? '\0' : given[at % given.size()];
+        difference |= static_cast<unsigned char>(expected[at]) ^ static_cast<unsigned char>(other);
+    }
+    return difference == 0;
+}
+
+} // namespace
+
+AccessList::AccessList(const std::vector<std::string> &tokens, Findings &findings)
+{
+    for (std::size_t index = 0; index < tokens.size(); ++index) {
+        const std::string &text = tokens[index];
+        const auto first = text.find(':');
+        const auto second = first == std::string::npos ? first : text.find(':', first + 1);
+        const std::string place = "admin.tokens[" + std::to_string(index) + "]";
+        if (second == std::string::npos || second + 1 == text.size()) {
+            findings.add(place, "must be team:rights:token");
+            continue;
+        }
+        const Right right = parseRight(text.substr(first + 1, second - first - 1));
+        if (right == Right::None) {
+            findings.add(place, "the rights must be read, write or admin");
+            continue;
+        }
+        m_entries.push_back({{text.substr(0, first), right}, text.substr(second + 1)});
+    }
+}
+
+Identity AccessList::identify(std::string_view authorization) const
+{
+    if (m_entries.empty()) {
+        return {"anyone", Right::Admin};
+    }
+    const bool isBearer = authorization.starts_with(BearerPrefix);
+    const std::string_view token = isBearer ? authorization.substr(BearerPrefix.size()) : std::string_view();
+    Identity identity;
+    for (const Entry &entry : m_entries) {
+        if (isEqual(entry.token, token)) {
+            identity = entry.identity;
+        }
+    }
+    return identity;
+}
+
+bool mayChange(const Identity &identity, const std::string &team)
+{
+    return identity.right == Right::Admin || (identity.right == Right::Write && identity.team == team);
+}
+
+} // namespace snipevalve
--- /dev/null
+++ b/src/snipevalve/admin/admin_process.hpp
@@ -0,0 +1,64 @@
+#ifndef SNIPEVALVE_ADMIN_ADMIN_PROCESS_HPP
+#define SNIPEVALVE_ADMIN_ADMIN_PROCESS_HPP
+
+#include "snipevalve/admin/access.hpp"
+#include "snipevalve/admin/resource_service.hpp"
+#include "snipevalve/app/program.hpp"
+#include "snipevalve/hosts/host_watcher.hpp"
+#include "snipevalve/net/http_server.hpp"
+#include "snipevalve/supervisor/supervisor.hpp"
+
+namespace snipevalve {
+
+/// @brief The administration API over HTTP and JSON; docs/API.md describes it.
+class AdminProcess
+{
+public:
+    /// @throws std::runtime_error when the owner tokens of the settings can't be read
+    AdminProcess(asio::io_context &context, const Settings &settings);
+
+    /// @brief Runs until a planned stop. @return the exit code
+    ExitCode run();
+
+private:
+    /// One call, taken apart.
+    struct Call
+    {
+        const HttpRequest &request;
+        Target target;
+        Identity identity;
+        std::string kind; ///< `service`, `server` or `route`
+        std::string name;
+    };
+
+    Awaitable<HttpResponse> handle(const HttpRequest &request);
+    Awaitable<HttpResponse> handleResource(const Call &call);
+    Awaitable<HttpResponse> handleRead(const Call &call);
+    Awaitable<HttpResponse> handleList(const Call &call);
+    Awaitable<HttpResponse> handleWrite(const Call &call);
+    Awaitable<HttpResponse> handleDelete(const Call &call);
+    Awaitable<HttpResponse> handleWatch(const Call &call);
+    Awaitable<HttpResponse> handleStatus(std::string path);
+    Awaitable<HttpResponse> handleHosts();
+    Awaitable<HttpResponse> handleWhere(const Call &call);
+    Awaitable<std::map<std::string, std::uint64_t>> readReports();
+    Awaitable<absl::StatusOr<HttpReply>> askPlacement(Endpoint endpoint, std::string target);
+    Awaitable<HttpResponse> apply(const Call &call, Change change);
+    Endpoint localPlacement() const;
+
+    asio::io_context &m_context;
+    const Settings &m_settings;
+    HttpStore m_store;
+    HttpClient m_client;
+    ResourceService m_resources;
+    HostWatcher m_hostWatcher;
+    AccessList m_access;
+    Tcp::acceptor m_acceptor;
+    Supervisor m_supervisor;
+    std::size_t m_callsInFlight = 0;
+    ExitCode m_exitCode = ExitCode::Ok;
+};
+
+} // namespace snipevalve
+
+#endif // SNIPEVALVE_ADMIN_ADMIN_PROCESS_HPP
--- /dev/null
+++ b/src/snipevalve/admin/force_status.cpp
@@ -0,0 +1,23 @@
+#include "snipevalve/admin/force_status.hpp"
+
+namespace snipevalve {
+
+ForceStatus forceStatus(const HostList &hosts, const std::map<std::string, std::uint64_t> &reports,
+                        std::uint64_t revision)
+{
+    ForceStatus status;
+    for (const Host &host : hosts) {
+        if (host.leaving) {
+            continue;
+        }
+        for (const char *program : {"/entry", "/placement"}) {
+            const std::string node = host.name + program;
+            const auto report = reports.find(node);
+            const bool isInForce = report != reports.end() && report->second >= revision;
+            (isInForce ? status.inForce : status.lagging).push_back(node);
+        }
+    }
+    return status;
+}
+
+} // namespace snipevalve
--- /dev/null
+++ b/src/snipevalve/ctl/main.cpp
@@ -0,0 +1,6 @@
+#include "snipevalve/ctl/commands.hpp"
+
+int main(int argc, char **argv)
+{
+    return snipevalve::runCtl(argc, argv);
+}
--- /dev/null
+++ b/src/snipevalve/entry/caller_request.cpp
@@ -0,0 +1,103 @@
+#include "snipevalve/entry/caller_request.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+namespace snipevalve {
+
+namespace {
+
+std::string keyFromPath(std::string_view path, const Route &route)
+{
+    const std::string_view rest = path.substr(route.pathPrefix.size());
+    return std::string(rest.substr(0, rest.find('/')));
+}
+
+bool isIdempotent(http::verb method, const Route &route)
+{
+    switch (method) {
+    case http::verb::get:
+    case http::verb::head:
+    case http::verb::options:
+    case http::verb::put:
+    case http::verb::delete_:
+        return true;
+    case http::verb::post:
+        return route.postIsIdempotent;
+    default:
+        return false;
+    }
+}
+
+/// The caller's time limit; empty when its header is not a number of ms.
+std::optional<Milliseconds> timeLimit(beast::string_view text, Milliseconds fallback)
+{
+    if (text.empty()) {
+        return fallback;
+    }
+    constexpr std::int64_t MaxMs = 3'600'000;
+    std::int64_t number = 0;
+    const auto result = std::from_chars(text.data(), text.data() + text.size(), number);
+    const bool isWhole = result.ec == std::errc() && result.ptr == text.data() + text.size();
+    if (!isWhole || number <= 0 || number > MaxMs) {
+        return std::nullopt;
+    }
+    return Milliseconds(number);
+}
+
+} // namespace
+
+std::optional<RequestFault> classify(CallerRequest &request)
+{
+    const auto &header = *request.header;
+    const beast::string_view target = header.target();
+    const std::string_view path = std::string_view(target.data(), target.size());
+    const std::string_view bare = path.substr(0, path.find('?'));
+    request.route = request.routing->routeFor(bare);
+    if (request.route == nullptr) {
+        return RequestFault{http::status::not_found, "no route fits this path"};
+    }
+    request.service = request.routing->service(request.route->service);
+    if (request.service == nullptr) {
+        return RequestFault{http::status::service_unavailable, "the route's service is unknown"};
+    }
+    if (request.service->service.mode == ServiceMode::Keyed) {
+        const Route &route = *request.route;
+        request.key = route.keyHeader.empty() ? keyFromPath(bare, route) : std::string(header[route.keyHeader]);
+        if (request.key.empty()) {
+            return RequestFault{http::status::bad_request, "the request names no key"};
+        }
+    }
+    const auto limit = timeLimit(header[headers::DeadlineMs], request.route->deadline);
+    if (!limit) {
+        return RequestFault{http::status::bad_request, "snipevalve-deadline-ms must be from 1 to 3600000"};
+    }
+    request.deadline = request.arrivedAt + *limit;
+    request.idempotent = isIdempotent(header.method(), *request.route);
+    if (request.contentLength && *request.contentLength > request.route->maxBodyBytes) {
+        return RequestFault{http::status::payload_too_large, "the body is longer than the route allows"};
+    }
+    return std::nullopt;
+}
+
+bool isHopByHop(http::field field, beast::string_view name)
+{
+    switch (field) {
+    case http::field::connection:
+    case http::field::keep_alive:
+    case http::field::te:
+    case http::field::trailer:
+    case http::field::transfer_encoding:
+    case http::field::upgrade:
+    case http::field::proxy_connection:
+    case http::field::proxy_authenticate:
+    case http::field::proxy_authorization:
+    case http::field::content_length:
+    case http::field::expect:
+        return true;
+    default:
+        return name.starts_with("snipevalve-");
+    }
+}
+
+} // namespace snipevalve
--- /dev/null
+++ b/src/snipevalve/entry/entry_process.hpp
@@ -0,0 +1,83 @@
+#ifndef SNIPEVALVE_ENTRY_ENTRY_PROCESS_HPP
+#define SNIPEVALVE_ENTRY_ENTRY_PROCESS_HPP
+
+#include <deque>
+#include <memory>
+#include <thread>
+
+#include "snipevalve/app/program.hpp"
+#include "snipevalve/entry/session.hpp"
+#include "snipevalve/hosts/host_watcher.hpp"
+#include "snipevalve/link/reporter.hpp"
+#include "snipevalve/net/http_server.hpp"
+#include "snipevalve/supervisor/supervisor.hpp"
+
+namespace snipevalve {
+
+/// @brief One traffic thread: its own listening socket, connections and limits.
+class TrafficThread
+{
+public:
+    TrafficThread(const Settings &settings, std::uint64_t seed);
+    ~TrafficThread();
+
+    void start();
+    void setRouting(std::shared_ptr<const RoutingState> routing);
+
+    /// @brief Answers from now on end their connections.
+    void beginStop();
+
+    /// @brief Takes no more connections.
+    void closeListener();
+
+    /// @brief Closes the connections that have waited for a request for at least `idle`.
+    void closeIdle(Duration idle);
+    std::size_t sessions() const;
+    const EntryMetrics &metrics() const;
+
+private:
+    Awaitable<void> accept();
+
+    asio::io_context m_context{1};
+    Traffic m_traffic;
+    Tcp::acceptor m_acceptor;
+    std::thread m_thread;
+};
+
+/// @brief The entry process: serves callers, follows configuration and tables, stops gracefully.
+class EntryProcess
+{
+public:
+    EntryProcess(asio::io_context &context, const Settings &settings);
+
+    /// @brief Runs until a planned stop. @return the exit code
+    ExitCode run();
+
+private:
+    void onItem(const Item &item);
+    void rebuild();
+    void onHosts(const HostList &hosts);
+    Awaitable<void> reportLoads();
+    Awaitable<void> stop();
+    Awaitable<HttpResponse> handle(const HttpRequest &request);
+
+    asio::io_context &m_context;
+    const Settings &m_settings;
+    HttpClient m_client;
+    LinkHub m_hub;
+    HostWatcher m_hostWatcher;
+    Reporter m_reporter;
+    RoutingBuilder m_builder;
+    std::deque<TrafficThread> m_threads;
+    Tcp::acceptor m_opsAcceptor;
+    Supervisor m_supervisor;
+    std::uint64_t m_loadReports = 0;
+    std::uint64_t m_startTime = 0;
+    bool m_rebuildQueued = false;
+    bool m_ready = false;
+    ExitCode m_exitCode = ExitCode::Ok;
+};
+
+} // namespace snipevalve
+
+#endif // SNIPEVALVE_ENTRY_ENTRY_PROCESS_HPP
--- /dev/null
+++ b/src/snipevalve/entry/forwarder.cpp
@@ -0,0 +1,261 @@
+#include "snipevalve/entry/forwarder.hpp"
+
+#include <charconv>
+
+namespace snipevalve {
+
+namespace {
+
+constexpr std::size_t PartBytes = 64 << 10;
+constexpr Milliseconds ConnectTimeout(1000);
+constexpr std::chrono::seconds IdleUse(10); ///< how long an idle connection may serve idempotent requests
+constexpr std::chrono::seconds ProvenUse(1); ///< and non-idempotent ones
+
+std::string remainingMs(TimePoint deadline)
+{
+    const auto remaining = std::chrono::duration_cast<Milliseconds>(deadline - Clock::now());
+    return std::to_string(std::max<std::int64_t>(0, remaining.count()));
+}
+
+AttemptEnd classifyAnswer(const ResponseParser &parser)
+{
+    const auto refused = parser.get()[headers::Refused];
+    if (refused == "not-owner") {
+        return AttemptEnd::NotOwner;
+    }
+    return refused == "not-run" ? AttemptEnd::Refused : AttemptEnd::Answered;
+}
+
+} // namespace
+
+Forwarder::Forwarder(Traffic &traffic, CallerRequest &request, BodySource &bodySource)
+    : m_traffic(traffic)
+    , m_request(request)
+    , m_bodySource(bodySource)
+{
+}
+
+/// Looks the owner up in the newest table, which may have changed since the request came in.
+Destination Forwarder::findDestination() const
+{
+    Destination destination;
+    const ServiceRouting *service = m_traffic.routing->service(m_request.route->service);
+    if (service == nullptr) {
+        return destination;
+    }
+    if (service->service.mode == ServiceMode::Pool) {
+        destination.server = m_traffic.choose(*service);
+        return destination;
+    }
+    const KeyPlace place = placeOf(m_request.key, service->service.groups, service->service.slots);
+    const auto &group = service->groups[place.group];
+    if (!group || place.slot >= group->owners.size()) {
+        return destination;
+    }
+    destination.group = group.get();
+    destination.slot = place.slot;
+    const ServerIndex owner = group->owners[place.slot];
+    if (owner < group->servers.size()) {
+        destination.server = group->servers[owner];
+    }
+    return destination;
+}
+
+Awaitable<Attempt> Forwarder::attempt(TimePoint until)
+{
+    // The state is kept for the whole attempt, since the destination points into it.
+    const std::shared_ptr<const RoutingState> routing = m_traffic.routing;
+    Attempt attempt;
+    attempt.destination = findDestination();
+    if (!attempt.destination.server) {
+        co_return attempt;
+    }
+    if (attempt.destination.group != nullptr) {
+        attempt.destination.group->counter->count(attempt.destination.slot);
+    }
+    ServerState &state = m_traffic.stateOf(*attempt.destination.server);
+    if (!co_await m_traffic.enter(state, until)) {
+        attempt.end = AttemptEnd::QueueFull;
+        co_return attempt;
+    }
+    const TimePoint enteredAt = Clock::now();
+    co_await exchange(attempt, until);
+    const TimePoint now = Clock::now();
+    m_traffic.leave(state, now - enteredAt);
+    const bool isFailure = attempt.end == AttemptEnd::Lost || attempt.end == AttemptEnd::NotConnected;
+    if (isFailure) {
+        state.outlier.onFailure(now);
+    } else {
+        state.outlier.onSuccess();
+        const auto load = attempt.parser->get()[headers::Load];
+        std::from_chars(load.data(), load.data() + load.size(), state.reportedLoad);
+        state.reportedAt = now;
+    }
+    // After a refusal before the body, the server may still expect that body on this connection.
+    const bool isClean = attempt.bodyIsWhole && (m_request.bodyIsWhole || attempt.bodySent);
+    if (attempt.connection && isClean && attempt.parser->get().keep_alive() && !isFailure) {
+        m_traffic.pool.putBack(attempt.destination.server->endpoint, std::move(attempt.connection), now);
+    }
+    attempt.destination.group = nullptr;
+    co_return attempt;
+}
+
+Awaitable<void> Forwarder::exchange(Attempt &attempt, TimePoint until)
+{
+    const Endpoint &endpoint = attempt.destination.server->endpoint;
+    const Duration provenWithin = m_request.idempotent ? Duration(IdleUse) : Duration(ProvenUse);
+    attempt.connection = m_traffic.pool.takeIdle(endpoint, provenWithin, Clock::now());
+    if (!attempt.connection) {
+        const auto remaining = std::chrono::duration_cast<Milliseconds>(until - Clock::now());
+        attempt.connection = co_await m_traffic.pool.connect(endpoint, std::min(remaining, ConnectTimeout));
+    }
+    if (!attempt.connection) {
+        attempt.end = AttemptEnd::NotConnected;
+        co_return;
+    }
+    attempt.connection->stream.expires_at(until);
+    ErrorCode error;
+    attempt.end = AttemptEnd::Lost;
+    bool mustRead = false;
+    if (m_request.bodyIsWhole) {
+        mustRead = co_await sendWhole(attempt, error);
+    } else {
+        mustRead = co_await sendStreamed(attempt, error);
+    }
+    if (mustRead && !error) {
+        co_await readAnswer(attempt, error);
+    }
+    if (error) {
+        attempt.end = AttemptEnd::Lost;
+        attempt.connection.reset();
+    }
+}
+
+template <typename Message>
+void Forwarder::fillHeader(Message &message, const Destination &destination) const
+{
+    const auto &header = *m_request.header;
+    message.method_string(header.method_string());
+    message.target(header.target());
+    message.version(11);
+    for (const auto &field : header) {
+        if (!isHopByHop(field.name(), field.name_string())) {
+            message.insert(field.name(), field.name_string(), field.value());
+        }
+    }
+    message.set(headers::RequestId, m_request.id);
+    message.set(headers::DeadlineMs, remainingMs(m_request.deadline));
+    if (destination.group != nullptr) {
+        message.set(headers::Group, destination.group->name);
+        message.set(headers::Slot, std::to_string(destination.slot));
+        message.set(headers::Token, toString(destination.group->version));
+    }
+}
+
+Awaitable<bool> Forwarder::sendWhole(Attempt &attempt, ErrorCode &error)
+{
+    http::request<http::string_body> message;
+    fillHeader(message, attempt.destination);
+    message.body() = m_request.body;
+    if (!m_request.body.empty() || m_request.contentLength) {
+        message.content_length(m_request.body.size());
+    }
+    co_await http::async_write(attempt.connection->stream, message, awaitInto(error));
+    co_return true;
+}
+
+/// Sends the header, waits for the server's 100 Continue, then passes the body on part by part. A server that refuses
+/// does so before any of the body is used up.
+Awaitable<bool> Forwarder::sendStreamed(Attempt &attempt, ErrorCode &error)
+{
+    UpstreamConnection &connection = *attempt.connection;
+    http::request<http::buffer_body> message;
+    fillHeader(message, attempt.destination);
+    message.set(http::field::expect, "100-continue");
+    if (m_request.contentLength) {
+        message.content_length(*m_request.contentLength);
+    } else {
+        message.chunked(true);
+    }
+    message.body().data = nullptr;
+    message.body().more = true;
+    http::request_serializer<http::buffer_body> serializer(message);
+    co_await http::async_write_header(connection.stream, serializer, awaitInto(error));
+    if (error) {
+        co_return false;
+    }
+    attempt.parser = std::make_unique<ResponseParser>();
+    attempt.parser->body_limit(UINT64_MAX);
+    co_await http::async_read_header(connection.stream, connection.buffer, *attempt.parser, awaitInto(error));
+    if (error || attempt.parser->get().result() != http::status::continue_) {
+        co_return true;
+    }
+    attempt.parser.reset();
+    attempt.bodySent = true;
+    std::string part = m_request.body;
+    while (!error) {
+        message.body().data = part.data();
+        message.body().size = part.size();
+        message.body().more = !part.empty();
+        co_await http::async_write(connection.stream, serializer, awaitInto(error));
+        if (error == http::error::need_buffer) {
+            error = {};
+        }
+        if (part.empty()) {
+            break;
+        }
+        if (!co_await m_bodySource.next(part)) {
+            error = http::error::partial_message;
+        }
+    }
+    co_return true;
+}
+
+Awaitable<void> Forwarder::readAnswer(Attempt &attempt, ErrorCode &error)
+{
+    UpstreamConnection &connection = *attempt.connection;
+    if (!attempt.parser) {
+        attempt.parser = std::make_unique<ResponseParser>();
+        attempt.parser->body_limit(UINT64_MAX);
+        attempt.parser->skip(m_request.header->method() == http::verb::head);
+        co_await http::async_read_header(connection.stream, connection.buffer, *attempt.parser, awaitInto(error));
+        if (error) {
+            co_return;
+        }
+    }
+    if (attempt.parser->need_eof() && !attempt.parser->is_done()) {
+        // Where the end of the body is the end of the connection, nothing shows whether the answer is whole.
+        error = http::error::partial_message;
+        co_return;
+    }
+    std::string part;
+    while (!attempt.parser->is_done() && attempt.body.size() < m_traffic.settings.entryReplayBytes) {
+        if (!co_await readPart(attempt, part, m_request.deadline)) {
+            error = http::error::partial_message;
+            co_return;
+        }
+        attempt.body += part;
+    }
+    attempt.bodyIsWhole = attempt.parser->is_done();
+    attempt.end = classifyAnswer(*attempt.parser);
+}
+
+Awaitable<bool> Forwarder::readPart(Attempt &attempt, std::string &part, TimePoint until)
+{
+    UpstreamConnection &connection = *attempt.connection;
+    connection.stream.expires_at(until);
+    part.resize(std::min<std::uint64_t>(PartBytes, attempt.parser->content_length_remaining().value_or(PartBytes)));
+    const std::size_t capacity = part.size();
+    auto &body = attempt.parser->get().body();
+    body.data = part.data();
+    body.size = part.size();
+    ErrorCode error;
+    co_await http::async_read_some(connection.stream, connection.buffer, *attempt.parser, awaitInto(error));
+    if (error == http::error::need_buffer) {
+        error = {};
+    }
+    part.resize(capacity - body.size);
+    co_return !error;
+}
+
+} // namespace snipevalve
--- /dev/null
+++ b/src/snipevalve/entry/metrics.cpp
@@ -0,0 +1,56 @@
+#include "snipevalve/entry/metrics.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace snipevalve {
+
+namespace {
+
+namespace acc = boost::accumulators;
+
+constexpr double Median = 0.5;
+constexpr double HighQuantile = 0.99;
+
+} // namespace
+
+EntryMetrics::EntryMetrics()
+    : m_median(acc::quantile_probability = Median)
+    , m_p99(acc::quantile_probability = HighQuantile)
+{
+}
+
+void EntryMetrics::onRequest(Outcome outcome, Duration took, int retries)
+{
+    const std::chrono::duration<double, std::micro> micros = took;
+    const std::lock_guard lock(m_mutex);
+    m_median(micros.count());
+    m_p99(micros.count());
+    m_answered += outcome == Outcome::Answered ? 1 : 0;
+    m_notRun += outcome == Outcome::NotRun ? 1 : 0;
+    m_unknown += outcome == Outcome::Unknown ? 1 : 0;
+    m_retries += static_cast<std::uint64_t>(retries);
+}
+
+void EntryMetrics::onBadRequest()
+{
+    const std::lock_guard lock(m_mutex);
+    ++m_badRequests;
+}
+
+std::string EntryMetrics::toJson() const
+{
+    const std::lock_guard lock(m_mutex);
+    const bool any = acc::count(m_median) > 0;
+    return nlohmann::json({{"answered", m_answered},
+                           {"notRun", m_notRun},
+                           {"unknown", m_unknown},
+                           {"badRequests", m_badRequests},
+                           {"retries", m_retries},
+                           {"meanUs", any ? acc::mean(m_median) : 0.0},
+                           {"maxUs", any ? acc::max(m_median) : 0.0},
+                           {"p50Us", any ? acc::p_square_quantile(m_median) : 0.0},
+                           {"p99Us", any ? acc::p_square_quantile(m_p99) : 0.0}})
+        .dump();
+}
+
+} // namespace snipevalve
--- /dev/null
+++ b/src/snipevalve/entry/metrics.hpp
@@ -0,0 +1,51 @@
+#ifndef SNIPEVALVE_ENTRY_METRICS_HPP
+#define SNIPEVALVE_ENTRY_METRICS_HPP
+
+#include <cstdint>
+#include <mutex>
+#include <string>
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/max.hpp>
+#include <boost/accumulators/statistics/mean.hpp>
+#include <boost/accumulators/statistics/p_square_quantile.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+
+#include "snipevalve/core/time.hpp"
+#include "snipevalve/request/request_life.hpp"
+
+namespace snipevalve {
+
+/// @brief Counts and times of one traffic thread; read by the control thread.
+class EntryMetrics
+{
+public:
+    EntryMetrics();
+
+    /// @param took from the first byte of the request to the last byte of the answer
+    void onRequest(Outcome outcome, Duration took, int retries);
+    void onBadRequest();
+
+    /// @brief The metrics as a JSON object; times in microseconds.
+    std::string toJson() const;
+
+private:
+    using Times = boost::accumulators::accumulator_set<
+        double,
+        boost::accumulators::stats<boost::accumulators::tag::count, boost::accumulators::tag::mean,
+                                   boost::accumulators::tag::max, boost::accumulators::tag::p_square_quantile>>;
+
+    mutable std::mutex m_mutex;
+    Times m_median;
+    Times m_p99;
+    std::uint64_t m_answered = 0;
+    std::uint64_t m_notRun = 0;
+    std::uint64_t m_unknown = 0;
+    std::uint64_t m_badRequests = 0;
+    std::uint64_t m_retries = 0;
+};
+
+} // namespace snipevalve
+
+#endif // SNIPEVALVE_ENTRY_METRICS_HPP
--- /dev/null
+++ b/src/snipevalve/entry/session.cpp
@@ -0,0 +1,342 @@
+#include "snipevalve/entry/session.hpp"
+
+#include <spdlog/spdlog.h>
+
+namespace snipevalve {
+
+namespace {
+
+constexpr std::size_t PartBytes = 64 << 10;
+constexpr Milliseconds ShortestAttempt(50);
+constexpr int IdempotentTries = 3; ///< attempts among which an idempotent request divides its time
+
+std::string_view describe(AttemptEnd end)
+{
+    switch (end) {
+    case AttemptEnd::Answered:
+        return "answered";
+    case AttemptEnd::NoServer:
+        return "no server holds the key or is fit";
+    case AttemptEnd::QueueFull:
+        return "the server's queue is too long for the deadline";
+    case AttemptEnd::NotConnected:
+        return "no connection to the server";
+    case AttemptEnd::NotOwner:
+        return "the server does not hold the key";
+    case AttemptEnd::Refused:
+        return "the server refused it as not run";
+    case AttemptEnd::Lost:
+        return "no whole answer came";
+    }
+    return "";
+}
+
+/// An idempotent request keeps time for further attempts; another one uses all of its time for one.
+TimePoint attemptEndTime(const RequestLife &life)
+{
+    const TimePoint now = Clock::now();
+    if (!life.traits().idempotent || !life.traits().replayable) {
+        return life.traits().deadline;
+    }
+    const Duration share = std::max<Duration>((life.traits().deadline - now) / IdempotentTries, ShortestAttempt);
+    return std::min(life.traits().deadline, now + share);
+}
+
+} // namespace
+
+/// Reads the rest of the caller's body while it is being sent on.
+class Session::CallerBody : public BodySource
+{
+public:
+    explicit CallerBody(Session &session)
+        : m_session(session)
+    {
+    }
+
+    Awaitable<bool> next(std::string &part) override
+    {
+        RequestParser &parser = *m_session.m_parser;
+        part.clear();
+        if (parser.is_done()) {
+            co_return true;
+        }
+        m_session.m_stream.expires_after(m_session.m_traffic.settings.entryIdleTimeout);
+        part.resize(PartBytes);
+        parser.get().body().data = part.data();
+        parser.get().body().size = part.size();
+        ErrorCode error;
+        co_await http::async_read(m_session.m_stream, m_session.m_buffer, parser, awaitInto(error));
+        if (error == http::error::need_buffer) {
+            error = {};
+        }
+        part.resize(PartBytes - parser.get().body().size);
+        co_return !error;
+    }
+
+private:
+    Session &m_session;
+};
+
+Session::Session(Traffic &traffic, Tcp::socket socket)
+    : m_traffic(traffic)
+    , m_stream(std::move(socket))
+{
+    m_traffic.sessions.insert(this);
+    ++m_traffic.sessionCount;
+}
+
+Session::~Session()
+{
+    m_traffic.sessions.erase(this);
+    --m_traffic.sessionCount;
+}
+
+Awaitable<void> Session::run()
+{
+    ErrorCode error;
+    m_stream.socket().set_option(Tcp::no_delay(true), error);
+    while (co_await serveOne()) {
+    }
+}
+
+void Session::closeIfIdle(TimePoint now, Duration idle)
+{
+    if (m_idleSince && now - *m_idleSince >= idle && m_buffer.size() == 0) {
+        m_stream.close();
+    }
+}
+
+bool Session::mayKeepConnection() const
+{
+    return !m_traffic.stopping && m_parser->get().keep_alive() && m_parser->is_done();
+}
+
+Awaitable<bool> Session::readHead(ErrorCode &error)
+{
+    m_parser = std::make_unique<RequestParser>();
+    m_parser->header_limit(static_cast<std::uint32_t>(m_traffic.settings.entryMaxHeaderBytes));
+    m_parser->body_limit(UINT64_MAX);
+    m_stream.expires_after(m_traffic.settings.entryIdleTimeout);
+    m_idleSince = Clock::now();
+    co_await http::async_read_header(m_stream, m_buffer, *m_parser, awaitInto(error));
+    m_idleSince.reset();
+    co_return !error;
+}
+
+Awaitable<bool> Session::serveOne()
+{
+    ErrorCode error;
+    if (!co_await readHead(error)) {
+        const bool isSilent = error == http::error::end_of_stream || error == beast::error::timeout
+            || error.category() != http::make_error_code(http::error::bad_version).category();
+        if (isSilent) {
+            co_return false;
+        }
+        m_traffic.metrics.onBadRequest();
+        const bool isTooLong = error == http::error::header_limit || error == http::error::buffer_overflow;
+        const auto status = isTooLong ? http::status::request_header_fields_too_large : http::status::bad_request;
+        co_return co_await refuse(status, "the request can't be read: " + error.message());
+    }
+    CallerRequest request;
+    request.header = &m_parser->get().base();
+    request.arrivedAt = Clock::now();
+    request.routing = m_traffic.routing;
+    if (const auto length = m_parser->content_length()) {
+        request.contentLength = *length;
+    }
+    const auto fault = classify(request);
+    if (fault) {
+        m_traffic.metrics.onBadRequest();
+        co_return co_await refuse(fault->status, fault->reason);
+    }
+    const auto id = m_parser->get()[headers::RequestId];
+    request.id = id.empty() ? m_traffic.nextRequestId() : std::string(id);
+    if (!co_await readBodyStart(request)) {
+        co_return false;
+    }
+    RequestTraits traits;
+    traits.idempotent = request.idempotent;
+    traits.deadline = request.deadline;
+    RequestLife life(traits);
+    Outcome outcome = Outcome::NotRun;
+    Attempt attempt = co_await runRequest(request, life, outcome);
+    bool keep = false;
+    if (outcome == Outcome::Answered) {
+        keep = co_await answer(request, attempt);
+    } else {
+        keep = co_await answerFailure(request, outcome, attempt.end);
+    }
+    logRequest(request, attempt, outcome, life);
+    co_return keep;
+}
+
+Awaitable<bool> Session::readBodyStart(CallerRequest &request)
+{
+    ErrorCode error;
+    if (beast::iequals(m_parser->get()[http::field::expect], "100-continue")) {
+        const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+        co_await asio::async_write(m_stream, asio::buffer(interim), awaitInto(error));
+    }
+    CallerBody body(*this);
+    std::string part;
+    while (!error && !m_parser->is_done() && request.body.size() < m_traffic.settings.entryReplayBytes) {
+        const std::uint64_t length = request.contentLength.value_or(UINT64_MAX);
+        if (length > m_traffic.settings.entryReplayBytes && request.contentLength) {
+            break;
+        }
+        if (!co_await body.next(part)) {
+            co_return false;
+        }
+        request.body += part;
+    }
+    request.bodyIsWhole = m_parser->is_done();
+    co_return !error;
+}
+
+Awaitable<Attempt> Session::runRequest(CallerRequest &request, RequestLife &life, Outcome &outcome)
+{
+    CallerBody body(*this);
+    Forwarder forwarder(m_traffic, request, body);
+    RetryBudget &budget = m_traffic.budgetOf(request.route->service);
+    budget.earn();
+    asio::steady_timer timer(m_traffic.executor);
+    while (true) {
+        Attempt attempt = co_await forwarder.attempt(attemptEndTime(life));
+        if (attempt.bodySent) {
+            life.loseBody();
+        }
+        const NextStep step = life.onAttemptEnd(attempt.end, Clock::now(), budget);
+        if (const auto *finish = std::get_if<Finish>(&step)) {
+            outcome = finish->outcome;
+            co_return attempt;
+        }
+        const Duration delay = std::get<RetryAfter>(step).delay;
+        if (delay > Duration::zero()) {
+            timer.expires_after(delay);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+    }
+}
+
+Awaitable<bool> Session::answer(const CallerRequest &request, Attempt &attempt)
+{
+    http::response<http::buffer_body> message;
+    const auto &header = attempt.parser->get();
+    message.result(header.result_int());
+    message.version(11);
+    for (const auto &field : header) {
+        if (!isHopByHop(field.name(), field.name_string())) {
+            message.insert(field.name(), field.name_string(), field.value());
+        }
+    }
+    message.set(headers::Outcome, "answered");
+    message.set(headers::Server, attempt.destination.server->name);
+    message.set(headers::RequestId, request.id);
+    if (!attempt.bodyIsWhole) {
+        co_return co_await stream(request, attempt, message);
+    }
+    const bool isHead = request.header->method() == http::verb::head;
+    message.keep_alive(mayKeepConnection());
+    const auto length = header[http::field::content_length];
+    if (isHead && !length.empty()) {
+        message.set(http::field::content_length, length);
+    } else {
+        message.content_length(attempt.body.size());
+    }
+    message.body().data = attempt.body.data();
+    message.body().size = attempt.body.size();
+    message.body().more = false;
+    m_stream.expires_after(m_traffic.settings.entryIdleTimeout);
+    ErrorCode error;
+    http::response_serializer<http::buffer_body> serializer(message);
+    serializer.split(false);
+    if (isHead) {
+        co_await http::async_write_header(m_stream, serializer, awaitInto(error));
+    } else {
+        co_await http::async_write(m_stream, serializer, awaitInto(error));
+    }
+    co_return !error && message.keep_alive();
+}
+
+/// Passes a long answer on part by part; each part is read only after the one before it has gone out.
+Awaitable<bool> Session::stream(const CallerRequest &request, Attempt &attempt,
+                                http::response<http::buffer_body> &message)
+{
+    const auto length = attempt.parser->content_length();
+    if (length) {
+        message.content_length(*length);
+    } else {
+        message.chunked(true);
+    }
+    message.keep_alive(mayKeepConnection());
+    http::response_serializer<http::buffer_body> serializer(message);
+    std::string part = std::move(attempt.body);
+    ErrorCode error;
+    while (!error) {
+        message.body().data = part.data();
+        message.body().size = part.size();
+        message.body().more = !part.empty();
+        m_stream.expires_after(m_traffic.settings.entryIdleTimeout);
+        co_await http::async_write(m_stream, serializer, awaitInto(error));
+        if (error == http::error::need_buffer) {
+            error = {};
+        }
+        if (part.empty()) {
+            break;
+        }
+        const TimePoint until = std::max(request.deadline, Clock::now() + m_traffic.settings.entryIdleTimeout);
+        const bool isDone = attempt.parser->is_done();
+        part.clear();
+        if (!isDone && !co_await Forwarder::readPart(attempt, part, until)) {
+            // The answer broke off: the caller has to see that it is not whole.
+            spdlog::warn("entry: {} the answer of {} broke off", request.id, attempt.destination.server->name);
+            m_stream.close();
+            co_return false;
+        }
+    }
+    co_return !error && message.keep_alive();
+}
+
+Awaitable<bool> Session::answerFailure(const CallerRequest &request, Outcome outcome, AttemptEnd last)
+{
+    const bool isNotRun = outcome == Outcome::NotRun;
+    const auto status = isNotRun ? http::status::service_unavailable : http::status::gateway_timeout;
+    http::response<http::string_body> response(status, 11);
+    response.set(headers::Outcome, std::string(toString(outcome)));
+    response.set(headers::Reason, std::string(describe(last)));
+    response.set(headers::RequestId, request.id);
+    response.keep_alive(mayKeepConnection());
+    co_return co_await send(std::move(response));
+}
+
+Awaitable<bool> Session::refuse(http::status status, const std::string &reason)
+{
+    http::response<http::string_body> response(status, 11);
+    response.set(headers::Outcome, std::string(toString(Outcome::NotRun)));
+    response.set(http::field::content_type, "text/plain");
+    response.body() = reason + "\n";
+    response.keep_alive(m_parser->is_header_done() && mayKeepConnection());
+    co_return co_await send(std::move(response));
+}
+
+Awaitable<bool> Session::send(http::response<http::string_body> response)
+{
+    response.prepare_payload();
+    m_stream.expires_after(m_traffic.settings.entryIdleTimeout);
+    ErrorCode error;
+    co_await http::async_write(m_stream, response, awaitInto(error));
+    co_return !error && response.keep_alive();
+}
+
+void Session::logRequest(const CallerRequest &request, const Attempt &attempt, Outcome outcome, const RequestLife &life)
+{
+    const Duration took = Clock::now() - request.arrivedAt;
+    m_traffic.metrics.onRequest(outcome, took, life.attempts() > 1 ? life.attempts() - 1 : 0);
+    const std::string_view server =
+        attempt.destination.server ? std::string_view(attempt.destination.server->name) : std::string_view("no server");
+    const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(took).count();
+    spdlog::info("entry: {} {} key '{}' slot {} goes to {}, {} after {} us", request.id, request.route->service,
+                 request.key, attempt.destination.slot, server, toString(outcome), micros);
+}
+
+} // namespace snipevalve
--- /dev/null
+++ b/src/snipevalve/entry/session.hpp
@@ -0,0 +1,48 @@
+#ifndef SNIPEVALVE_ENTRY_SESSION_HPP
+#define SNIPEVALVE_ENTRY_SESSION_HPP
+
+#include <memory>
+
+#include "snipevalve/entry/forwarder.hpp"
+
+namespace snipevalve {
+
+/// @brief Serves the requests of one caller's connection, one after the other.
+class Session
+{
+public:
+    Session(Traffic &traffic, Tcp::socket socket);
+    ~Session();
+
+    /// @brief Serves until the caller leaves, a fault makes the connection unusable, or a planned stop ends it.
+    Awaitable<void> run();
+
+    /// @brief Closes the connection when it has waited for a request for at least `idle`.
+    void closeIfIdle(TimePoint now, Duration idle);
+
+private:
+    class CallerBody;
+
+    /// @return false when the connection ends here
+    Awaitable<bool> serveOne();
+    Awaitable<bool> readHead(ErrorCode &error);
+    Awaitable<bool> readBodyStart(CallerRequest &request);
+    Awaitable<Attempt> runRequest(CallerRequest &request, RequestLife &life, Outcome &outcome);
+    Awaitable<bool> answer(const CallerRequest &request, Attempt &attempt);
+    Awaitable<bool> answerFailure(const CallerRequest &request, Outcome outcome, AttemptEnd last);
+    Awaitable<bool> refuse(http::status status, const std::string &reason);
+    Awaitable<bool> stream(const CallerRequest &request, Attempt &attempt, http::response<http::buffer_body> &message);
+    Awaitable<bool> send(http::response<http::string_body> response);
+    void logRequest(const CallerRequest &request, const Attempt &attempt, Outcome outcome, const RequestLife &life);
+    bool mayKeepConnection() const;
+
+    Traffic &m_traffic;
+    beast::tcp_stream m_stream;
+    beast::flat_buffer m_buffer;
+    std::unique_ptr<RequestParser> m_parser;
+    std::optional<TimePoint> m_idleSince; ///< set while waiting for a request
+};
+
+} // namespace snipevalve
+
+#endif // SNIPEVALVE_ENTRY_SESSION_HPP
--- /dev/null
+++ b/src/snipevalve/entry/upstream_pool.cpp
@@ -0,0 +1,81 @@
+#include "snipevalve/entry/upstream_pool.hpp"
+
+#include <netinet/tcp.h>
+
+namespace snipevalve {
+
+namespace {
+
+/// True when the server has closed the connection or sent bytes that nobody asked for.
+bool isSpoiled(UpstreamConnection &connection)
+{
+    char byte = 0;
+    ErrorCode error;
+    connection.stream.socket().receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+    return error != asio::error::would_block || connection.buffer.size() > 0;
+}
+
+/// Has the kernel give up a connection whose bytes nobody acknowledges (TCP_USER_TIMEOUT, RFC 5482).
+void limitUnacknowledged(Tcp::socket &socket, Milliseconds timeout)
+{
+    const auto value = static_cast<unsigned>(timeout.count());
+    ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &value, sizeof(value));
+}
+
+} // namespace
+
+UpstreamPool::UpstreamPool(asio::any_io_executor executor, std::string sourceAddress, std::size_t idleLimit)
+    : m_executor(std::move(executor))
+    , m_sourceAddress(std::move(sourceAddress))
+    , m_idleLimit(idleLimit)
+{
+}
+
+std::unique_ptr<UpstreamConnection> UpstreamPool::takeIdle(const Endpoint &endpoint, Duration provenWithin,
+                                                           TimePoint now)
+{
+    auto &idle = m_idle[endpoint];
+    while (!idle.empty()) {
+        std::unique_ptr<UpstreamConnection> connection = std::move(idle.back());
+        idle.pop_back();
+        if (now - connection->answeredAt > provenWithin) {
+            // The rest were idle for longer still.
+            idle.clear();
+            return nullptr;
+        }
+        if (!isSpoiled(*connection)) {
+            return connection;
+        }
+    }
+    return nullptr;
+}
+
+Awaitable<std::unique_ptr<UpstreamConnection>> UpstreamPool::connect(Endpoint endpoint, Milliseconds timeout)
+{
+    constexpr Milliseconds UnacknowledgedLimit(5000);
+    ErrorCode error;
+    auto connection = std::make_unique<UpstreamConnection>(m_executor);
+    beast::tcp_stream &stream = connection->stream;
+    stream.expires_after(timeout);
+    stream.socket().open(Tcp::v4(), error);
+    stream.socket().bind(Tcp::endpoint(asio::ip::make_address_v4(m_sourceAddress), 0), error);
+    co_await stream.async_connect(toTcp(endpoint), awaitInto(error));
+    if (error) {
+        co_return nullptr;
+    }
+    stream.socket().set_option(Tcp::no_delay(true), error);
+    stream.socket().non_blocking(true, error);
+    limitUnacknowledged(stream.socket(), UnacknowledgedLimit);
+    co_return connection;
+}
+
+void UpstreamPool::putBack(const Endpoint &endpoint, std::unique_ptr<UpstreamConnection> connection, TimePoint now)
+{
+    auto &idle = m_idle[endpoint];
+    connection->answeredAt = now;
+    if (idle.size() < m_idleLimit) {
+        idle.push_back(std::move(connection));
+    }
+}
+
+} // namespace snipevalve
--- /dev/null
+++ b/src/snipevalve/link/item_exchange.cpp
@@ -0,0 +1,116 @@
+#include "snipevalve/link/item_exchange.hpp"
+
+namespace snipevalve {
+
+namespace {
+
+constexpr std::uint64_t NoStream = 0;
+
+} // namespace
+
+ItemDelivery ItemExchange::onOpened(std::uint64_t stream, LinkDirection direction, const std::string &role,
+                                    TimePoint now)
+{
+    const Peer peer = {direction, role, now};
+    m_peers[stream] = peer;
+    ItemDelivery delivery;
+    delivery.stream = stream;
+    for (Item &item : m_items.all()) {
+        if (wants(peer, item.key.kind)) {
+            delivery.items.push_back(std::move(item));
+        }
+    }
+    return delivery;
+}
+
+void ItemExchange::onClosed(std::uint64_t stream)
+{
+    m_peers.erase(stream);
+}
+
+std::vector<ItemDelivery> ItemExchange::onItems(std::uint64_t stream, const std::vector<Item> &items, TimePoint now)
+{
+    const auto peer = m_peers.find(stream);
+    if (peer != m_peers.end()) {
+        peer->second.heardAt = now;
+    }
+    return take(items, stream);
+}
+
+std::vector<ItemDelivery> ItemExchange::add(const std::vector<Item> &items)
+{
+    return take(items, NoStream);
+}
+
+std::vector<std::uint64_t> ItemExchange::silentSince(TimePoint now, Duration silence) const
+{
+    std::vector<std::uint64_t> silent;
+    for (const auto &[stream, peer] : m_peers) {
+        if (now - peer.heardAt > silence) {
+            silent.push_back(stream);
+        }
+    }
+    return silent;
+}
+
+void ItemExchange::setListener(std::function<void(const Item &)> listener)
+{
+    m_listener = std::move(listener);
+}
+
+const ItemSet &ItemExchange::items() const
+{
+    return m_items;
+}
+
+std::vector<std::uint64_t> ItemExchange::streams() const
+{
+    std::vector<std::uint64_t> streams;
+    for (const auto &[stream, peer] : m_peers) {
+        streams.push_back(stream);
+    }
+    return streams;
+}
+
+bool ItemExchange::wants(const Peer &peer, ItemKind kind)
+{
+    const bool isUpwards = peer.direction == LinkDirection::Up || peer.role == "relay";
+    if (kind == ItemKind::Report) {
+        return isUpwards;
+    }
+    if (kind == ItemKind::Load) {
+        return isUpwards || peer.role == "placement";
+    }
+    return true;
+}
+
+std::vector<ItemDelivery> ItemExchange::take(const std::vector<Item> &items, std::uint64_t source)
+{
+    std::vector<Item> fresh;
+    for (const Item &item : items) {
+        if (m_items.merge(item)) {
+            fresh.push_back(item);
+        }
+    }
+    std::vector<ItemDelivery> deliveries;
+    for (const auto &[stream, peer] : m_peers) {
+        ItemDelivery delivery;
+        delivery.stream = stream;
+        for (const Item &item : fresh) {
+            if (stream != source && wants(peer, item.key.kind)) {
+                delivery.items.push_back(item);
+            }
+        }
+        if (!delivery.items.empty()) {
+            deliveries.push_back(std::move(delivery));
+        }
+    }
+    if (m_listener) {
+        for (const Item &item : fresh) {
+            m_listener(item);
+        }
+    }
+    return deliveries;
+}
+
+} // namespace snipevalve
--- /dev/null
+++ b/src/snipevalve/link/link_client.cpp
@@ -0,0 +1,109 @@
+#include <grpcpp/grpcpp.h>
+
+#include "snipevalve/link/frame_codec.hpp"
+#include "snipevalve/link/frame_writer.hpp"
+#include "snipevalve/link/generated/link.grpc.pb.h"
+#include "snipevalve/link/link.hpp"
+
+namespace snipevalve {
+
+class LinkClient::Implementation : public grpc::ClientBidiReactor<proto::Frame, proto::Frame>
+{
+public:
+    Implementation(const Endpoint &endpoint, std::uint64_t stream, LinkEvents events)
+        : m_stream(stream)
+        , m_events(std::move(events))
+    {
+        grpc::ChannelArguments arguments;
+        arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+        arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+        const auto credentials = grpc::InsecureChannelCredentials();
+        const auto channel = grpc::CreateCustomChannel(toString(endpoint), credentials, arguments);
+        m_stub = proto::Link::NewStub(channel);
+    }
+
+    /// @param self kept until the stream is over
+    void begin(std::shared_ptr<Implementation> self)
+    {
+        m_self = std::move(self);
+        m_stub->async()->Exchange(&m_context, this);
+        AddHold();
+        StartRead(&m_incoming);
+        m_events.onOpened(m_stream);
+        StartCall();
+    }
+
+    void send(const LinkFrame &frame)
+    {
+        m_writer.push(detail::toProto(frame), [this](const proto::Frame *next) {
+            StartWrite(next);
+        });
+    }
+
+    void cancel()
+    {
+        m_context.TryCancel();
+    }
+
+    void OnReadDone(bool ok) override // NOLINT(readability-identifier-naming)
+    {
+        if (!ok) {
+            finish();
+            return;
+        }
+        m_events.onFrame(m_stream, detail::fromProto(m_incoming));
+        StartRead(&m_incoming);
+    }
+
+    void OnWriteDone(bool ok) override // NOLINT(readability-identifier-naming)
+    {
+        if (!ok) {
+            finish();
+            return;
+        }
+        m_writer.pop([this](const proto::Frame *next) {
+            StartWrite(next);
+        });
+    }
+
+    void OnDone(const grpc::Status &) override // NOLINT(readability-identifier-naming)
+    {
+        m_events.onClosed(m_stream);
+        const std::shared_ptr<Implementation> self = std::move(m_self);
+    }
+
+private:
+    void finish()
+    {
+        if (m_writer.close()) {
+            m_context.TryCancel();
+            RemoveHold();
+        }
+    }
+
+    std::uint64_t m_stream;
+    LinkEvents m_events;
+    std::unique_ptr<proto::Link::Stub> m_stub;
+    grpc::ClientContext m_context;
+    proto::Frame m_incoming;
+    detail::FrameWriter m_writer;
+    std::shared_ptr<Implementation> m_self;
+};
+
+LinkClient::LinkClient(const Endpoint &endpoint, std::uint64_t stream, LinkEvents events)
+    : m_implementation(std::make_shared<Implementation>(endpoint, stream, std::move(events)))
+{
+    m_implementation->begin(m_implementation);
+}
+
+LinkClient::~LinkClient()
+{
+    m_implementation->cancel();
+}
+
+void LinkClient::send(const LinkFrame &frame)
+{
+    m_implementation->send(frame);
+}
+
+} // namespace snipevalve
--- /dev/null
+++ b/src/snipevalve/link/link_hub.cpp
@@ -0,0 +1,197 @@
+#include "snipevalve/link/link_hub.hpp"
+
+#include <algorithm>
+
+#include <spdlog/spdlog.h>
+
+namespace snipevalve {
+
+namespace {
+
+/// Outgoing streams have numbers above all incoming ones.
+constexpr std::uint64_t FirstOutgoing = 1ULL << 62;
+
+} // namespace
+
+LinkHub::LinkHub(asio::any_io_executor executor, LinkHubOptions options)
+    : m_executor(std::move(executor))
+    , m_options(std::move(options))
+    , m_lastOutgoing(FirstOutgoing)
+{
+}
+
+LinkHub::~LinkHub()
+{
+    m_outgoing.clear();
+    m_server.reset();
+}
+
+void LinkHub::listen(const Endpoint &endpoint)
+{
+    m_server = std::make_unique<LinkServer>(endpoint, eventsFor(LinkDirection::Down));
+}
+
+void LinkHub::setCandidates(std::vector<Endpoint> candidates, std::size_t count)
+{
+    if (candidates != m_candidates) {
+        m_nextCandidate = 0;
+    }
+    m_candidates = std::move(candidates);
+    m_wanted = std::min(count, m_candidates.size());
+}
+
+void LinkHub::setRole(const std::string &role)
+{
+    m_options.role = role;
+}
+
+void LinkHub::publish(const std::vector<Item> &items)
+{
+    sendAll(m_exchange.add(items));
+}
+
+void LinkHub::setListener(std::function<void(const Item &)> listener)
+{
+    m_exchange.setListener(std::move(listener));
+}
+
+const ItemSet &LinkHub::items() const
+{
+    return m_exchange.items();
+}
+
+std::size_t LinkHub::openLinks() const
+{
+    return m_exchange.streams().size();
+}
+
+Awaitable<void> LinkHub::run()
+{
+    asio::steady_timer timer(m_executor);
+    while (true) {
+        keepOutgoing();
+        for (const std::uint64_t stream : m_exchange.silentSince(Clock::now(), m_options.silence)) {
+            spdlog::warn("link: stream {} is silent and is closed", stream);
+            drop(stream);
+        }
+        for (const std::uint64_t stream : m_exchange.streams()) {
+            send(stream, {});
+        }
+        timer.expires_after(m_options.heartbeat);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
+LinkEvents LinkHub::eventsFor(LinkDirection direction)
+{
+    const auto onThread = [this, alive = std::weak_ptr<bool>(m_alive)](auto work) {
+        asio::post(m_executor, [alive, work = std::move(work)]() mutable {
+            if (alive.lock()) {
+                work();
+            }
+        });
+    };
+    LinkEvents events;
+    events.onOpened = [this, onThread, direction](std::uint64_t stream) {
+        if (direction == LinkDirection::Up) {
+            onThread([this, stream]() {
+                onOpened(stream);
+            });
+        }
+    };
+    events.onFrame = [this, onThread, direction](std::uint64_t stream, LinkFrame frame) {
+        onThread([this, stream, direction, frame = std::move(frame)]() {
+            onFrame(stream, direction, frame);
+        });
+    };
+    events.onClosed = [this, onThread](std::uint64_t stream) {
+        onThread([this, stream]() {
+            onClosed(stream);
+        });
+    };
+    return events;
+}
+
+void LinkHub::onOpened(std::uint64_t stream)
+{
+    if (m_outgoing.contains(stream)) {
+        ItemDelivery first = m_exchange.onOpened(stream, LinkDirection::Up, {}, Clock::now());
+        send(stream, std::move(first.items));
+    }
+}
+
+void LinkHub::onFrame(std::uint64_t stream, LinkDirection direction, const LinkFrame &frame)
+{
+    if (direction == LinkDirection::Down && m_known.insert(stream).second) {
+        spdlog::info("link: {} ({}) has linked up", frame.node, frame.role);
+        ItemDelivery first = m_exchange.onOpened(stream, LinkDirection::Down, frame.role, Clock::now());
+        send(stream, std::move(first.items));
+    }
+    sendAll(m_exchange.onItems(stream, frame.items, Clock::now()));
+}
+
+void LinkHub::onClosed(std::uint64_t stream)
+{
+    m_exchange.onClosed(stream);
+    m_known.erase(stream);
+    m_outgoing.erase(stream);
+}
+
+void LinkHub::send(std::uint64_t stream, std::vector<Item> items)
+{
+    const LinkFrame frame = {m_options.node, m_options.role, std::move(items)};
+    const auto outgoing = m_outgoing.find(stream);
+    if (outgoing != m_outgoing.end()) {
+        outgoing->second.client->send(frame);
+    } else if (m_server) {
+        m_server->send(stream, frame);
+    }
+}
+
+void LinkHub::sendAll(std::vector<ItemDelivery> deliveries)
+{
+    for (ItemDelivery &delivery : deliveries) {
+        send(delivery.stream, std::move(delivery.items));
+    }
+}
+
+void LinkHub::drop(std::uint64_t stream)
+{
+    if (m_server && stream < FirstOutgoing) {
+        m_server->close(stream);
+    }
+    onClosed(stream);
+}
+
+void LinkHub::keepOutgoing()
+{
+    std::vector<std::uint64_t> unwanted;
+    for (const auto &[stream, outgoing] : m_outgoing) {
+        if (std::count(m_candidates.begin(), m_candidates.end(), outgoing.endpoint) == 0) {
+            unwanted.push_back(stream);
+        }
+    }
+    for (const std::uint64_t stream : unwanted) {
+        drop(stream);
+    }
+    for (std::size_t tries = 0; tries < m_candidates.size() && m_outgoing.size() < m_wanted; ++tries) {
+        const Endpoint endpoint = m_candidates[m_nextCandidate++ % m_candidates.size()];
+        if (isLinkedTo(endpoint)) {
+            continue;
+        }
+        const std::uint64_t stream = ++m_lastOutgoing;
+        Outgoing &outgoing = m_outgoing[stream];
+        outgoing.endpoint = endpoint;
+        outgoing.client = std::make_unique<LinkClient>(endpoint, stream, eventsFor(LinkDirection::Up));
+    }
+}
+
+bool LinkHub::isLinkedTo(const Endpoint &endpoint) const
+{
+    const auto isSame = [&](const auto &entry) {
+        return entry.second.endpoint == endpoint;
+    };
+    return std::any_of(m_outgoing.begin(), m_outgoing.end(), isSame);
+}
+
+} // namespace snipevalve
--- /dev/null
+++ b/src/snipevalve/net/boost_sources.cpp
@@ -0,0 +1,5 @@
+/// @file The compiled part of Boost.Asio and Boost.Beast, built once for all targets.
+#include <utility>
+
+#include <boost/asio/impl/src.hpp>
+#include <boost/beast/src.hpp>
--- /dev/null
+++ b/src/snipevalve/net/http_client.cpp
@@ -0,0 +1,108 @@
+#include "snipevalve/net/http_client.hpp"
+
+namespace snipevalve {
+
+namespace {
+
+constexpr std::uint64_t MaxReplyBytes = 16 << 20;
+
+http::request<http::string_body> toRequest(HttpCall &call)
+{
+    http::request<http::string_body> request(call.method, call.target, 11);
+    request.set(http::field::host, toString(call.endpoint));
+    if (!call.authorization.empty()) {
+        request.set(http::field::authorization, call.authorization);
+    }
+    if (!call.ifMatch.empty()) {
+        request.set(http::field::if_match, call.ifMatch);
+    }
+    request.body() = std::move(call.body);
+    request.prepare_payload();
+    return request;
+}
+
+/// True when the peer has closed the connection or sent bytes that nobody asked for.
+bool isSpoiled(beast::tcp_stream &stream)
+{
+    char byte = 0;
+    ErrorCode error;
+    stream.socket().non_blocking(true, error);
+    stream.socket().receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+    return error != asio::error::would_block;
+}
+
+} // namespace
+
+HttpClient::HttpClient(asio::any_io_executor executor, std::string sourceAddress)
+    : m_executor(std::move(executor))
+    , m_sourceAddress(std::move(sourceAddress))
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+HttpClient::Stream HttpClient::takeIdle(const Endpoint &endpoint)
+{
+    std::vector<Stream> &streams = m_idle[endpoint];
+    while (!streams.empty()) {
+        Stream stream = std::move(streams.back());
+        streams.pop_back();
+        if (!isSpoiled(*stream)) {
+            return stream;
+        }
+    }
+    return nullptr;
+}
+
+Awaitable<absl::StatusOr<HttpClient::Stream>> HttpClient::connect(const HttpCall &call)
+{
+    ErrorCode error;
+    auto stream = std::make_unique<beast::tcp_stream>(m_executor);
+    stream->expires_after(call.timeout);
+    if (!m_sourceAddress.empty()) {
+        stream->socket().open(Tcp::v4());
+        stream->socket().bind(Tcp::endpoint(asio::ip::make_address_v4(m_sourceAddress), 0), error);
+    }
+    co_await stream->async_connect(toTcp(call.endpoint), awaitInto(error));
+    if (error) {
+        co_return absl::FailedPreconditionError("no connection to " + toString(call.endpoint) + ": " + error.message());
+    }
+    stream->socket().set_option(Tcp::no_delay(true), error);
+    co_return stream;
+}
+
+Awaitable<absl::StatusOr<HttpReply>> HttpClient::call(HttpCall call)
+{
+    const Endpoint endpoint = call.endpoint;
+    Stream stream = takeIdle(endpoint);
+    if (!stream) {
+        auto connected = co_await connect(call);
+        if (!connected.ok()) {
+            co_return connected.status();
+        }
+        stream = std::move(*connected);
+    }
+    stream->expires_after(call.timeout);
+    const http::request<http::string_body> request = toRequest(call);
+    ErrorCode error;
+    co_await http::async_write(*stream, request, awaitInto(error));
+    if (error) {
+        co_return absl::UnavailableError("no answer from " + toString(endpoint) + ": " + error.message());
+    }
+    beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(MaxReplyBytes);
+    co_await http::async_read(*stream, buffer, parser, awaitInto(error));
+    if (error) {
+        co_return absl::UnavailableError("no answer from " + toString(endpoint) + ": " + error.message());
+    }
+    HttpReply reply;
+    reply.status = parser.get().result_int();
+    reply.body = std::move(parser.get().body());
+    if (parser.get().keep_alive()) {
+        m_idle[endpoint].push_back(std::move(stream));
+    }
+    co_return reply;
+}
+
+} // namespace snipevalve
--- /dev/null
+++ b/src/snipevalve/placement/balancer.cpp
@@ -0,0 +1,169 @@
+#include "snipevalve/placement/balancer.hpp"
+
+#include <algorithm>
+#include <numeric>
+
+namespace snipevalve {
+
+namespace {
+
+/// Loads by server while slots are being moved.
+class Loads
+{
+public:
+    Loads(const std::vector<ServerIndex> &targets, const std::vector<double> &loads,
+          const std::vector<BalanceServer> &servers)
+        : m_servers(servers)
+        , m_loads(servers.size(), 0.0)
+    {
+        for (std::size_t slot = 0; slot < targets.size(); ++slot) {
+            if (targets[slot] < servers.size()) {
+                m_loads[targets[slot]] += loads[slot];
+            }
+        }
+    }
+
+    ServerIndex emptiest() const
+    {
+        return best([](double left, double right) {
+            return left < right;
+        });
+    }
+
+    ServerIndex fullest() const
+    {
+        return best([](double left, double right) {
+            return left > right;
+        });
+    }
+
+    double of(ServerIndex server) const
+    {
+        return m_loads[server];
+    }
+
+    void move(double load, ServerIndex from, ServerIndex to)
+    {
+        if (from < m_loads.size()) {
+            m_loads[from] -= load;
+        }
+        m_loads[to] += load;
+    }
+
+private:
+    template <typename Better>
+    ServerIndex best(Better better) const
+    {
+        ServerIndex found = NoServer;
+        for (std::size_t server = 0; server < m_loads.size(); ++server) {
+            if (m_servers[server].fit && (found == NoServer || better(m_loads[server], m_loads[found]))) {
+                found = static_cast<ServerIndex>(server);
+            }
+        }
+        return found;
+    }
+
+    const std::vector<BalanceServer> &m_servers;
+    std::vector<double> m_loads;
+};
+
+double meanLoad(const std::vector<double> &loads, const std::vector<BalanceServer> &servers)
+{
+    const auto isFit = [](const BalanceServer &server) {
+        return server.fit;
+    };
+    const auto count = std::count_if(servers.begin(), servers.end(), isFit);
+    return count == 0 ? 0.0 : std::accumulate(loads.begin(), loads.end(), 0.0) / static_cast<double>(count);
+}
+
+bool mustMove(ServerIndex target, const std::vector<BalanceServer> &servers)
+{
+    return target >= servers.size() || !servers[target].fit;
+}
+
+/// The slot of the fullest server whose move lowers the higher of the two loads the most.
+std::size_t bestSlot(const std::vector<ServerIndex> &targets, const std::vector<double> &slotLoads, ServerIndex from,
+                     double gap)
+{
+    std::size_t found = targets.size();
+    double foundDistance = gap / 2;
+    for (std::size_t slot = 0; slot < targets.size(); ++slot) {
+        if (targets[slot] != from || slotLoads[slot] >= gap) {
+            continue;
+        }
+        const double distance = std::abs(gap / 2 - slotLoads[slot]);
+        if (distance < foundDistance) {
+            found = slot;
+            foundDistance = distance;
+        }
+    }
+    return found;
+}
+
+void placeOrphans(std::vector<ServerIndex> &targets, const std::vector<double> &slotLoads,
+                  const std::vector<BalanceServer> &servers, const BalanceOptions &options, Loads &loads)
+{
+    std::vector<std::size_t> orphans;
+    std::size_t drainedMoves = 0;
+    for (std::size_t slot = 0; slot < targets.size(); ++slot) {
+        if (!mustMove(targets[slot], servers)) {
+            continue;
+        }
+        const bool isDrained = targets[slot] < servers.size() && servers[targets[slot]].drained;
+        if (isDrained && ++drainedMoves > options.maxMoves) {
+            continue;
+        }
+        orphans.push_back(slot);
+    }
+    const auto isHeavier = [&](std::size_t left, std::size_t right) {
+        return slotLoads[left] > slotLoads[right];
+    };
+    std::stable_sort(orphans.begin(), orphans.end(), isHeavier);
+    for (const std::size_t slot : orphans) {
+        const ServerIndex to = loads.emptiest();
+        loads.move(slotLoads[slot], targets[slot], to);
+        targets[slot] = to;
+    }
+}
+
+} // namespace
+
+std::vector<ServerIndex> balance(const std::vector<ServerIndex> &targets, const std::vector<double> &loads,
+                                 const std::vector<BalanceServer> &servers, const BalanceOptions &options)
+{
+    std::vector<ServerIndex> result = targets;
+    Loads serverLoads(targets, loads, servers);
+    if (serverLoads.emptiest() == NoServer) {
+        return result;
+    }
+    placeOrphans(result, loads, servers, options, serverLoads);
+    const double mean = meanLoad(loads, servers);
+    if (serverLoads.of(serverLoads.fullest()) <= mean * options.startRatio) {
+        return result;
+    }
+    for (std::size_t moves = 0; moves < options.maxMoves; ++moves) {
+        const ServerIndex from = serverLoads.fullest();
+        const ServerIndex to = serverLoads.emptiest();
+        if (serverLoads.of(from) <= mean * options.goalRatio) {
+            break;
+        }
+        const std::size_t slot = bestSlot(result, loads, from, serverLoads.of(from) - serverLoads.of(to));
+        if (slot == result.size()) {
+            break;
+        }
+        serverLoads.move(loads[slot], from, to);
+        result[slot] = to;
+    }
+    return result;
+}
+
+double imbalanceOf(const std::vector<ServerIndex> &targets, const std::vector<double> &loads,
+                   const std::vector<BalanceServer> &servers)
+{
+    const Loads serverLoads(targets, loads, servers);
+    const ServerIndex fullest = serverLoads.fullest();
+    const double mean = meanLoad(loads, servers);
+    return fullest == NoServer || mean == 0.0 ? 0.0 : serverLoads.of(fullest) / mean;
+}
+
+} // namespace snipevalve
--- /dev/null
+++ b/src/snipevalve/placement_app/leadership.cpp
@@ -0,0 +1,219 @@
+#include "snipevalve/placement_app/leadership.hpp"
+
+#include <random>
+
+#include <nlohmann/json.hpp>
+#include <spdlog/spdlog.h>
+
+namespace snipevalve {
+
+namespace {
+
+constexpr Milliseconds WatchInterval(25);
+constexpr Milliseconds FirstDelay(75); ///< of the first candidate, after the leader key went
+constexpr Milliseconds NextDelay(200); ///< more for each further candidate
+constexpr std::size_t MaxDelayRank = 5;
+
+Awaitable<void> sleepFor(asio::any_io_executor executor, Milliseconds duration)
+{
+    asio::steady_timer timer(std::move(executor), duration);
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+std::string leaderKey(const GroupId &group)
+{
+    return std::string(LeaderPrefix) + toString(group);
+}
+
+} // namespace
+
+Leadership::Leadership(PlacementContext &context)
+    : m_context(context)
+{
+}
+
+void Leadership::setHosts(const HostList &hosts)
+{
+    m_hosts = hosts;
+}
+
+const std::map<GroupId, std::shared_ptr<GroupRunner>> &Leadership::runners() const
+{
+    return m_runners;
+}
+
+void Leadership::updateMembers()
+{
+    for (const auto &[group, runner] : m_runners) {
+        runner->updateMembers();
+    }
+}
+
+void Leadership::updateLoads(const std::string &group, const std::vector<double> &loads)
+{
+    const auto id = parseGroupId(group);
+    const auto runner = id ? m_runners.find(*id) : m_runners.end();
+    if (runner != m_runners.end()) {
+        runner->second->updateLoads(loads);
+    }
+}
+
+bool Leadership::hasLeader(const GroupId &group) const
+{
+    const Item *item = m_context.hub.items().find({ItemKind::Leader, toString(group)});
+    return item != nullptr && !item->removed;
+}
+
+Milliseconds Leadership::candidateDelay(const GroupId &group) const
+{
+    const HostList ranked = rankHosts(m_hosts, toString(group));
+    std::size_t rank = 0;
+    while (rank < ranked.size() && ranked[rank].name != m_context.settings.hostName) {
+        ++rank;
+    }
+    return FirstDelay + NextDelay * static_cast<int>(std::min(rank, MaxDelayRank));
+}
+
+Awaitable<void> Leadership::watchGroups()
+{
+    while (!m_stopping) {
+        const TimePoint now = Clock::now();
+        for (const GroupId &group : m_context.catalog.groups()) {
+            if (hasLeader(group) || m_runners.contains(group)) {
+                m_vacancies.erase(group);
+                continue;
+            }
+            const auto [vacancy, isNew] = m_vacancies.try_emplace(group, Vacancy{now});
+            const bool isDue = now - vacancy->second.since >= candidateDelay(group);
+            if (isDue && m_acquiring.insert(group).second) {
+                m_vacancies.erase(vacancy);
+                asio::co_spawn(m_context.executor, acquire(group), asio::detached);
+            }
+        }
+        co_await sleepFor(m_context.executor, WatchInterval);
+    }
+    co_await sleepFor(m_context.executor, m_context.settings.entryStopTimeout);
+}
+
+Awaitable<absl::Status> Leadership::writeLeaderKey(GroupId group)
+{
+    if (m_lease == 0) {
+        const auto lease = co_await m_context.store.createLease(m_context.settings.leaderLease);
+        if (!lease.ok()) {
+            co_return lease.status();
+        }
+        m_lease = *lease;
+    }
+    StoreWrite write;
+    write.key = leaderKey(group);
+    const nlohmann::json value = {{"host", m_context.settings.hostName}, {"attempt", ++m_attempts}};
+    write.value = value.dump();
+    write.lease = m_lease;
+    const auto result = co_await writeSurely(m_context.store, write, Clock::now() + m_context.settings.leaderLease);
+    if (!result.ok()) {
+        if (absl::IsNotFound(result.status())) {
+            m_lease = 0;
+        }
+        co_return result.status();
+    }
+    const auto standing = nlohmann::json::parse(result->current.value, nullptr, false);
+    const bool isOurs = standing.is_object() && standing.value("host", "") == m_context.settings.hostName;
+    co_return result->committed || isOurs ? absl::OkStatus() : absl::AbortedError("another host leads");
+}
+
+Awaitable<void> Leadership::acquire(GroupId group)
+{
+    const absl::Status status = co_await writeLeaderKey(group);
+    if (status.ok() && !m_stopping) {
+        co_await takeTerm(group);
+    }
+    m_acquiring.erase(group);
+}
+
+Awaitable<void> Leadership::takeTerm(GroupId group)
+{
+    const Service *service = m_context.catalog.service(group.service);
+    const std::uint32_t slots = service == nullptr ? 0 : service->slots;
+    const std::string key = std::string(PlanPrefix) + toString(group);
+    const auto standing = co_await m_context.store.read(key);
+    if (!standing.ok() || slots == 0) {
+        co_return;
+    }
+    GroupPlan plan = parsePlan(standing->value).value_or(GroupPlan());
+    ++plan.term;
+    plan.leader = m_context.settings.hostName;
+    plan.version = 0;
+    plan.writeId = plan.leader + "-takes-" + std::to_string(std::random_device()());
+    StoreWrite write;
+    write.key = key;
+    write.value = toJson(plan);
+    write.expectedRevision = standing->revision;
+    const auto result = co_await writeSurely(m_context.store, write, Clock::now() + m_context.settings.leaderLease);
+    if (!result.ok() || !result->committed) {
+        co_return;
+    }
+    spdlog::info("placement: {} leads {} in term {}", plan.leader, toString(group), plan.term);
+    auto runner = std::make_shared<GroupRunner>(m_context, group, plan, result->current.revision, slots);
+    m_runners[group] = runner;
+    asio::co_spawn(m_context.executor, lead(runner), asio::detached);
+}
+
+Awaitable<void> Leadership::lead(std::shared_ptr<GroupRunner> runner)
+{
+    co_await runner->run();
+    const auto position = m_runners.find(runner->group());
+    if (position != m_runners.end() && position->second == runner) {
+        m_runners.erase(position);
+    }
+}
+
+Awaitable<void> Leadership::keepLease()
+{
+    while (true) {
+        co_await sleepFor(m_context.executor, m_context.settings.leaderLease / 4);
+        if (m_runners.empty() || m_stopping) {
+            continue;
+        }
+        if (m_lease != 0) {
+            const absl::Status status = co_await m_context.store.renewLease(m_lease);
+            if (!absl::IsNotFound(status)) {
+                continue;
+            }
+            spdlog::warn("placement: the leader lease has lapsed");
+            m_lease = 0;
+        }
+        std::vector<GroupId> groups;
+        for (const auto &[group, runner] : m_runners) {
+            groups.push_back(group);
+        }
+        for (const GroupId &group : groups) {
+            const absl::Status status = co_await writeLeaderKey(group);
+            if (!status.ok()) {
+                spdlog::warn("placement: {} has no leader key: {}", toString(group), std::string(status.message()));
+            }
+        }
+    }
+}
+
+Awaitable<void> Leadership::handOver()
+{
+    constexpr Milliseconds LongestWait(2000);
+    m_stopping = true;
+    for (const auto &[group, runner] : m_runners) {
+        const auto standing = co_await m_context.store.read(leaderKey(group));
+        if (!standing.ok() || standing->revision == 0) {
+            continue;
+        }
+        StoreWrite write;
+        write.key = leaderKey(group);
+        write.expectedRevision = standing->revision;
+        write.remove = true;
+        co_await m_context.store.write(write);
+    }
+    const TimePoint deadline = Clock::now() + LongestWait;
+    while (!m_runners.empty() && Clock::now() < deadline) {
+        co_await sleepFor(m_context.executor, WatchInterval);
+    }
+}
+
+} // namespace snipevalve
--- /dev/null
+++ b/src/snipevalve/placement_app/placement_process.cpp
@@ -0,0 +1,234 @@
+#include "snipevalve/placement_app/placement_process.hpp"
+
+#include <algorithm>
+
+#include <nlohmann/json.hpp>
+#include <spdlog/spdlog.h>
+
+#include "snipevalve/core/hash.hpp"
+#include "snipevalve/routing/slot_table.hpp"
+
+namespace snipevalve {
+
+namespace {
+
+using Json = nlohmann::json;
+
+LinkHubOptions linkOptions(const Settings &settings)
+{
+    LinkHubOptions options;
+    options.node = settings.hostName + "/placement";
+    options.role = "placement";
+    return options;
+}
+
+Endpoint linkEndpoint(const Settings &settings, const std::string &address)
+{
+    return {address, static_cast<std::uint16_t>(settings.linkPort)};
+}
+
+} // namespace
+
+PlacementProcess::PlacementProcess(asio::io_context &context, const Settings &settings)
+    : m_context(context)
+    , m_settings(settings)
+    , m_store(context.get_executor(), settings.storeEndpoint, settings.storeTimeout, settings.hostAddress)
+    , m_client(context.get_executor(), settings.hostAddress)
+    , m_hub(context.get_executor(), linkOptions(settings))
+    , m_shared{context.get_executor(), settings, m_store, m_client, m_hub, m_catalog}
+    , m_leadership(m_shared)
+    , m_storeWatcher(m_shared)
+    , m_hostWatcher(context.get_executor(), m_client, settings.hostListEndpoint, settings.hostListInterval,
+                    [this](const HostList &hosts) {
+                        onHosts(hosts);
+                    })
+    , m_reporter(context.get_executor(), m_hub, settings.hostName + "/placement")
+    , m_acceptor(listenOn(context.get_executor(),
+                          {settings.hostAddress, static_cast<std::uint16_t>(settings.placementOpsPort)}))
+    , m_supervisor(context.get_executor(), "placement", {}, [this]() {
+        m_exitCode = ExitCode::Failure;
+        m_context.stop();
+    })
+{
+    m_hub.setListener([this](const Item &item) {
+        onItem(item);
+    });
+    m_hub.listen(linkEndpoint(settings, settings.hostAddress));
+}
+
+ExitCode PlacementProcess::run()
+{
+    Supervisor &control = m_supervisor.addSupervisor("control");
+    control.add("links", [this]() {
+        return m_hub.run();
+    });
+    control.add("hosts", [this]() {
+        return m_hostWatcher.run();
+    });
+    control.add("store", [this]() {
+        return m_storeWatcher.run();
+    });
+    control.add("reports", [this]() {
+        return m_reporter.run();
+    });
+    Supervisor &groups = m_supervisor.addSupervisor("groups");
+    groups.add("vacancies", [this]() {
+        return m_leadership.watchGroups();
+    });
+    groups.add("lease", [this]() {
+        return m_leadership.keepLease();
+    });
+    groups.add("loads", [this]() {
+        return applyLoads();
+    });
+    m_supervisor.add("status", [this]() {
+        return serveHttp(m_acceptor, [this](const HttpRequest &request) {
+            return handle(request);
+        });
+    });
+    m_supervisor.start();
+    const StopSignals signals(m_context.get_executor(), [this]() {
+        asio::co_spawn(m_context, stop(), asio::detached);
+    });
+    m_context.run();
+    return m_exitCode;
+}
+
+Awaitable<void> PlacementProcess::stop()
+{
+    spdlog::info("placement: a planned stop begins");
+    co_await m_leadership.handOver();
+    spdlog::info("placement: stopped");
+    m_context.stop();
+}
+
+void PlacementProcess::onItem(const Item &item)
+{
+    if (item.key.kind == ItemKind::Resource) {
+        m_catalog.apply(item);
+        m_leadership.updateMembers();
+        asio::post(m_context, [this]() {
+            m_reporter.update();
+        });
+    } else if (item.key.kind == ItemKind::Load) {
+        m_loadBook.apply(item);
+    }
+}
+
+void PlacementProcess::onHosts(const HostList &hosts)
+{
+    m_leadership.setHosts(hosts);
+    m_relays = chooseRelays(hosts, m_settings.relayCount);
+    const auto isSelf = [this](const Host &host) {
+        return host.name == m_settings.hostName;
+    };
+    const bool isRelay = std::any_of(m_relays.begin(), m_relays.end(), isSelf);
+    std::vector<Endpoint> candidates;
+    for (const Host &relay : m_relays) {
+        // Of two relays, the one with the lower name opens the link.
+        if (!isSelf(relay) && (!isRelay || m_settings.hostName < relay.name)) {
+            candidates.push_back(linkEndpoint(m_settings, relay.address));
+        }
+    }
+    const std::size_t count = isRelay ? candidates.size() : 1;
+    if (!isRelay && !candidates.empty()) {
+        const std::size_t first = hashOf(m_settings.hostName) % candidates.size();
+        std::rotate(candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(first), candidates.end());
+    }
+    m_storeWatcher.setActive(isRelay);
+    m_hub.setRole(isRelay ? "relay" : "placement");
+    m_hub.setCandidates(std::move(candidates), count);
+}
+
+Awaitable<void> PlacementProcess::applyLoads()
+{
+    asio::steady_timer timer(m_context);
+    while (true) {
+        timer.expires_after(m_settings.balanceInterval);
+        co_await timer.async_wait(asio::use_awaitable);
+        for (const auto &[group, loads] : m_loadBook.loads()) {
+            m_leadership.updateLoads(group, loads);
+        }
+    }
+}
+
+Awaitable<HttpResponse> PlacementProcess::handle(const HttpRequest &request)
+{
+    const Target target(std::string(request.target()));
+    if (target.path() == "/status") {
+        co_return jsonResponse(http::status::ok, status());
+    }
+    if (target.path() == "/where") {
+        co_return jsonResponse(http::status::ok, where(target.parameter("service"), target.parameter("key")));
+    }
+    co_return jsonResponse(http::status::not_found, R"({"error":"no such page"})");
+}
+
+std::string PlacementProcess::status() const
+{
+    Json groups = Json::array();
+    for (const auto &[group, runner] : m_leadership.runners()) {
+        const bool hasAuthority = runner->authority().hasAuthority(Clock::now());
+        groups.push_back(
+            {{"group", toString(group)}, {"term", runner->authority().term()}, {"authority", hasAuthority}});
+    }
+    Json relays = Json::array();
+    for (const Host &relay : m_relays) {
+        relays.push_back(relay.address + ":" + std::to_string(m_settings.placementOpsPort));
+    }
+    Json reports = Json::array();
+    m_hub.items().forEach(ItemKind::Report, [&](const Item &item) {
+        reports.push_back(Json::parse(item.payload, nullptr, false));
+    });
+    Json tables = Json::array();
+    m_hub.items().forEach(ItemKind::Table, [&](const Item &item) {
+        const auto table = decodeTable(item.payload);
+        if (table) {
+            const auto held = std::count_if(table->owners.begin(), table->owners.end(), [](ServerIndex owner) {
+                return owner != NoServer;
+            });
+            tables.push_back({{"group", item.key.name},
+                              {"version", toString(table->version)},
+                              {"leader", table->leader},
+                              {"committed", table->committed},
+                              {"slots", table->owners.size()},
+                              {"held", held}});
+        }
+    });
+    return Json({{"host", m_settings.hostName},
+                 {"relay", m_storeWatcher.isActive()},
+                 {"relays", relays},
+                 {"revision", m_hub.items().resourceRevision()},
+                 {"links", m_hub.openLinks()},
+                 {"sinceStoreAnswerMs", m_storeWatcher.sinceAnswer().count()},
+                 {"leads", groups},
+                 {"tables", tables},
+                 {"reports", reports}})
+        .dump();
+}
+
+std::string PlacementProcess::where(const std::string &service, const std::string &key) const
+{
+    const Service *found = m_catalog.service(service);
+    if (found == nullptr || found->mode != ServiceMode::Keyed) {
+        return R"({"error":"no such keyed service"})";
+    }
+    const KeyPlace place = placeOf(key, found->groups, found->slots);
+    const GroupId group = {service, place.group};
+    const Item *item = m_hub.items().find({ItemKind::Table, toString(group)});
+    const auto table = item == nullptr ? std::nullopt : decodeTable(item->payload);
+    if (!table) {
+        return R"({"error":"the group has no table yet"})";
+    }
+    return Json({{"service", service},
+                 {"key", key},
+                 {"group", toString(group)},
+                 {"slot", place.slot},
+                 {"server", std::string(table->ownerOf(place.slot))},
+                 {"token", toString(table->version)},
+                 {"leader", table->leader},
+                 {"committed", table->committed}})
+        .dump();
+}
+
+} // namespace snipevalve
--- /dev/null
+++ b/src/snipevalve/placement_app/placement_process.hpp
@@ -0,0 +1,53 @@
+#ifndef SNIPEVALVE_PLACEMENT_APP_PLACEMENT_PROCESS_HPP
+#define SNIPEVALVE_PLACEMENT_APP_PLACEMENT_PROCESS_HPP
+
+#include "snipevalve/app/program.hpp"
+#include "snipevalve/hosts/host_watcher.hpp"
+#include "snipevalve/link/reporter.hpp"
+#include "snipevalve/net/http_server.hpp"
+#include "snipevalve/placement_app/leadership.hpp"
+#include "snipevalve/placement_app/load_book.hpp"
+#include "snipevalve/placement_app/store_watcher.hpp"
+#include "snipevalve/supervisor/supervisor.hpp"
+
+namespace snipevalve {
+
+/// @brief The placement process: leads groups, relays configuration and tables, reports status.
+class PlacementProcess
+{
+public:
+    PlacementProcess(asio::io_context &context, const Settings &settings);
+
+    /// @brief Runs until a planned stop. @return the exit code
+    ExitCode run();
+
+private:
+    void onItem(const Item &item);
+    void onHosts(const HostList &hosts);
+    Awaitable<void> applyLoads();
+    Awaitable<void> stop();
+    Awaitable<HttpResponse> handle(const HttpRequest &request);
+    std::string status() const;
+    std::string where(const std::string &service, const std::string &key) const;
+
+    asio::io_context &m_context;
+    const Settings &m_settings;
+    HttpStore m_store;
+    HttpClient m_client;
+    LinkHub m_hub;
+    Catalog m_catalog;
+    PlacementContext m_shared;
+    Leadership m_leadership;
+    StoreWatcher m_storeWatcher;
+    HostWatcher m_hostWatcher;
+    Reporter m_reporter;
+    LoadBook m_loadBook;
+    HostList m_relays;
+    Tcp::acceptor m_acceptor;
+    Supervisor m_supervisor;
+    ExitCode m_exitCode = ExitCode::Ok;
+};
+
+} // namespace snipevalve
+
+#endif // SNIPEVALVE_PLACEMENT_APP_PLACEMENT_PROCESS_HPP
--- /dev/null
+++ b/src/snipevalve/resources/document_reader.hpp
@@ -0,0 +1,109 @@
+#ifndef SNIPEVALVE_RESOURCES_DOCUMENT_READER_HPP
+#define SNIPEVALVE_RESOURCES_DOCUMENT_READER_HPP
+
+#include <set>
+#include <string>
+
+#include <nlohmann/json.hpp>
+
+#include "snipevalve/core/findings.hpp"
+
+namespace snipevalve::detail {
+
+/// @brief Reads the fields of one JSON object, collects findings and names the fields that nobody asked for.
+class DocumentReader
+{
+public:
+    DocumentReader(const nlohmann::json &object, std::string place, Findings &findings)
+        : m_object(object)
+        , m_place(std::move(place))
+        , m_findings(findings)
+    {
+        if (!m_object.is_object()) {
+            m_findings.add(m_place, "must be an object");
+        }
+    }
+
+    std::string text(const std::string &field, const std::string &fallback, bool required = false)
+    {
+        const nlohmann::json *value = find(field, required);
+        if (value == nullptr) {
+            return fallback;
+        }
+        if (!value->is_string()) {
+            complain(field, "must be a string");
+            return fallback;
+        }
+        return value->get<std::string>();
+    }
+
+    std::uint64_t number(const std::string &field, std::uint64_t fallback, std::uint64_t lowest, std::uint64_t highest)
+    {
+        const nlohmann::json *value = find(field, false);
+        if (value == nullptr) {
+            return fallback;
+        }
+        if (!value->is_number_unsigned()) {
+            complain(field, "must be a whole number, not negative");
+            return fallback;
+        }
+        const auto number = value->get<std::uint64_t>();
+        if (number < lowest || number > highest) {
+            complain(field, "must be from " + std::to_string(lowest) + " to " + std::to_string(highest));
+            return fallback;
+        }
+        return number;
+    }
+
+    bool flag(const std::string &field, bool fallback)
+    {
+        const nlohmann::json *value = find(field, false);
+        if (value == nullptr) {
+            return fallback;
+        }
+        if (!value->is_boolean()) {
+            complain(field, "must be true or false");
+            return fallback;
+        }
+        return value->get<bool>();
+    }
+
+    const nlohmann::json *find(const std::string &field, bool required)
+    {
+        m_known.insert(field);
+        if (m_object.is_object() && m_object.contains(field)) {
+            return &m_object.at(field);
+        }
+        if (required) {
+            complain(field, "is missing");
+        }
+        return nullptr;
+    }
+
+    void complain(const std::string &field, const std::string &message)
+    {
+        m_findings.add(m_place.empty() ? field : m_place + "." + field, message);
+    }
+
+    void complainAboutUnknown()
+    {
+        if (!m_object.is_object()) {
+            return;
+        }
+        for (const auto &[field, value] : m_object.items()) {
+            if (!m_known.contains(field)) {
+                complain(field, "is not a known field");
+            }
+        }
+    }
+
+private:
+    const nlohmann::json &m_object;
+    std::string m_place;
+    Findings &m_findings;
+    std::set<std::string> m_known;
+};
+
+} // namespace snipevalve::detail
+
+#endif // SNIPEVALVE_RESOURCES_DOCUMENT_READER_HPP
--- /dev/null
+++ b/tests/standins/caller.cpp
@@ -0,0 +1,258 @@
+#include "standins/caller.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <optional>
+
+#include <nlohmann/json.hpp>
+
+#include "snipevalve/core/hash.hpp"
+#include "snipevalve/net/http_client.hpp"
+
+namespace snipevalve::standins {
+
+namespace {
+
+using Json = nlohmann::json;
+
+std::string bodyFor(const std::string &id, std::uint64_t bytes)
+{
+    std::string body;
+    body.reserve(bytes + id.size());
+    while (body.size() < bytes) {
+        body += id;
+    }
+    body.resize(bytes);
+    return body;
+}
+
+/// What is wrong with an answer that claims to be whole; empty when nothing is.
+std::string faultOf(const Json &answer, const std::string &id, const std::string &body, const MixPart &part)
+{
+    if (!answer.is_object()) {
+        return "the answer is not whole";
+    }
+    if (answer.value("id", "") != id) {
+        return "the answer is that of " + answer.value("id", "?");
+    }
+    if (answer.value("bytes", std::uint64_t(0)) != body.size()) {
+        return "the server got another number of bytes";
+    }
+    if (answer.value("hash", std::uint64_t(0)) != hashOf(body)) {
+        return "the server got other bytes";
+    }
+    if (part.method == "GET" && answer.value("filling", "").size() != part.answerBytes) {
+        return "the answer is short";
+    }
+    return {};
+}
+
+} // namespace
+
+struct Caller::Connection
+{
+    std::optional<beast::tcp_stream> stream;
+    beast::flat_buffer buffer;
+};
+
+Caller::Caller(CallerOptions options)
+    : m_options(std::move(options))
+    , m_ready(m_options.entries.size(), true)
+{
+    std::uint32_t most = 1;
+    for (const MixPart &part : m_options.mix) {
+        most = std::max(most, part.keys);
+    }
+    double sum = 0;
+    for (std::uint32_t key = 1; key <= most && m_options.zipf > 0; ++key) {
+        sum += 1.0 / std::pow(key, m_options.zipf);
+        m_zipfSums.push_back(sum);
+    }
+}
+
+Caller::~Caller()
+{
+    stop();
+}
+
+void Caller::start()
+{
+    for (unsigned worker = 0; worker < m_options.workers; ++worker) {
+        ++m_running;
+        asio::co_spawn(m_context, work(worker), asio::detached);
+    }
+    asio::co_spawn(m_context, watchReadiness(), asio::detached);
+    m_thread = std::thread([this]() {
+        m_context.run();
+    });
+}
+
+void Caller::stop()
+{
+    m_stopping = true;
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+std::vector<CallRecord> Caller::records() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_records;
+}
+
+/// Takes hosts that are not ready out of the choice, as the platform's balancer does.
+Awaitable<void> Caller::watchReadiness()
+{
+    constexpr Milliseconds Interval(100);
+    constexpr unsigned Ok = 200;
+    HttpClient client(m_context.get_executor());
+    asio::steady_timer timer(m_context);
+    while (m_running > 0) {
+        for (std::size_t host = 0; host < m_options.readiness.size(); ++host) {
+            HttpCall call;
+            call.endpoint = m_options.readiness[host];
+            call.target = "/ready";
+            call.timeout = Milliseconds(200);
+            const auto reply = co_await client.call(std::move(call));
+            m_ready[host] = reply.ok() && reply->status == Ok;
+        }
+        timer.expires_after(Interval);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
+Awaitable<void> Caller::work(unsigned worker)
+{
+    std::mt19937_64 random(m_options.seed * 1000 + worker);
+    Connection connection;
+    asio::steady_timer timer(m_context);
+    TimePoint next = Clock::now();
+    const double interval = m_options.rate > 0 ? m_options.workers / m_options.rate : 0;
+    for (std::uint64_t number = 0; !m_stopping; ++number) {
+        const std::string id =
+            "c" + std::to_string(m_options.seed) + "-" + std::to_string(worker) + "-" + std::to_string(number);
+        CallRecord record = co_await callOnce(connection, random, id);
+        const bool isFailure = record.end != CallEnd::Answered;
+        {
+            const std::lock_guard lock(m_mutex);
+            m_records.push_back(std::move(record));
+        }
+        constexpr Milliseconds FailurePause(5);
+        next += std::chrono::duration_cast<Duration>(std::chrono::duration<double>(interval));
+        timer.expires_at(isFailure ? Clock::now() + FailurePause : next);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+    --m_running;
+}
+
+const MixPart &Caller::pick(std::mt19937_64 &random) const
+{
+    std::uint32_t total = 0;
+    for (const MixPart &part : m_options.mix) {
+        total += part.weight;
+    }
+    auto number = std::uniform_int_distribution<std::uint32_t>(0, total - 1)(random);
+    for (const MixPart &part : m_options.mix) {
+        if (number < part.weight) {
+            return part;
+        }
+        number -= part.weight;
+    }
+    return m_options.mix.back();
+}
+
+std::string Caller::pickKey(const MixPart &part, std::mt19937_64 &random)
+{
+    std::size_t key = 0;
+    if (m_zipfSums.empty()) {
+        key = std::uniform_int_distribution<std::size_t>(0, part.keys - 1)(random);
+    } else {
+        const double point = std::uniform_real_distribution<double>(0, m_zipfSums[part.keys - 1])(random);
+        const auto position = std::lower_bound(m_zipfSums.begin(), m_zipfSums.begin() + part.keys, point);
+        key = static_cast<std::size_t>(position - m_zipfSums.begin());
+    }
+    return "key-" + std::to_string(key);
+}
+
+/// A caller uses a connection again only while its entry host is ready.
+Awaitable<bool> Caller::connect(Connection &connection, std::mt19937_64 &random)
+{
+    std::vector<std::size_t> ready;
+    for (std::size_t host = 0; host < m_ready.size(); ++host) {
+        if (m_ready[host]) {
+            ready.push_back(host);
+        }
+    }
+    if (ready.empty()) {
+        co_return false;
+    }
+    const std::size_t host = ready[std::uniform_int_distribution<std::size_t>(0, ready.size() - 1)(random)];
+    connection.stream.emplace(m_context.get_executor());
+    connection.buffer.clear();
+    connection.stream->expires_after(Milliseconds(1000));
+    ErrorCode error;
+    co_await connection.stream->async_connect(toTcp(m_options.entries[host]), awaitInto(error));
+    if (error) {
+        connection.stream.reset();
+        co_return false;
+    }
+    connection.stream->socket().set_option(Tcp::no_delay(true), error);
+    co_return true;
+}
+
+Awaitable<CallRecord> Caller::callOnce(Connection &connection, std::mt19937_64 &random, const std::string &id)
+{
+    const MixPart &part = pick(random);
+    CallRecord record;
+    record.id = id;
+    record.service = part.service;
+    record.method = part.method;
+    record.key = pickKey(part, random);
+    record.sentAt = Clock::now();
+    record.endedAt = record.sentAt;
+    if (!connection.stream && !co_await connect(connection, random)) {
+        record.end = CallEnd::NotRun;
+        record.detail = "no entry host takes a connection";
+        co_return record;
+    }
+    const std::string query = part.answerBytes > 0 ? "?bytes=" + std::to_string(part.answerBytes) : "";
+    http::request<http::string_body> message(http::string_to_verb(part.method),
+                                             "/" + part.service + "/" + record.key + query, 11);
+    message.set(http::field::host, "callers.example");
+    message.set("x-request-id", id);
+    message.set("snipevalve-deadline-ms", std::to_string(m_options.deadline.count()));
+    message.body() = bodyFor(id, part.bodyBytes);
+    message.prepare_payload();
+    ErrorCode error;
+    connection.stream->expires_after(m_options.deadline + Milliseconds(5000));
+    co_await http::async_write(*connection.stream, message, awaitInto(error));
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(UINT64_MAX);
+    if (!error) {
+        co_await http::async_read(*connection.stream, connection.buffer, parser, awaitInto(error));
+    }
+    record.endedAt = Clock::now();
+    if (error) {
+        record.detail = error.message();
+        connection.stream.reset();
+        co_return record;
+    }
+    const auto &response = parser.get();
+    const std::string outcome(response["snipevalve-outcome"]);
+    record.server = std::string(response["snipevalve-server"]);
+    record.detail = std::string(response["snipevalve-reason"]);
+    if (outcome == "answered") {
+        const Json answer = Json::parse(response.body(), nullptr, false);
+        record.detail = faultOf(answer, id, message.body(), part);
+        record.end = record.detail.empty() ? CallEnd::Answered : CallEnd::Wrong;
+    } else {
+        record.end = outcome == "not-run" ? CallEnd::NotRun : CallEnd::Unknown;
+    }
+    if (!response.keep_alive()) {
+        connection.stream.reset();
+    }
+    co_return record;
+}
+
+} // namespace snipevalve::standins
--- /dev/null
+++ b/tests/standins/process.cpp
@@ -0,0 +1,151 @@
+#include "standins/process.hpp"
+
+#include <fcntl.h>
+#include <signal.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+#include <thread>
+#include <utility>
+
+namespace snipevalve::standins {
+
+namespace {
+
+void runChild(const std::string &program, std::vector<char *> &arguments, const std::string &output)
+{
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    const int file = ::open(output.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    ::dup2(file, STDOUT_FILENO);
+    ::dup2(file, STDERR_FILENO);
+    ::execv(program.c_str(), arguments.data());
+    ::_exit(127);
+}
+
+} // namespace
+
+Process::Process(const std::string &program, const std::vector<std::string> &arguments, const std::string &output)
+{
+    std::vector<char *> pointers = {const_cast<char *>(program.c_str())};
+    for (const std::string &argument : arguments) {
+        pointers.push_back(const_cast<char *>(argument.c_str()));
+    }
+    pointers.push_back(nullptr);
+    m_pid = ::fork();
+    if (m_pid < 0) {
+        throw std::runtime_error("fork failed");
+    }
+    if (m_pid == 0) {
+        runChild(program, pointers, output);
+    }
+}
+
+Process::~Process()
+{
+    kill();
+}
+
+Process::Process(Process &&other) noexcept
+    : m_pid(std::exchange(other.m_pid, -1))
+{
+}
+
+Process &Process::operator=(Process &&other) noexcept
+{
+    if (this != &other) {
+        kill();
+        m_pid = std::exchange(other.m_pid, -1);
+    }
+    return *this;
+}
+
+void Process::kill()
+{
+    if (m_pid > 0) {
+        ::kill(m_pid, SIGKILL);
+        ::waitpid(m_pid, nullptr, 0);
+        m_pid = -1;
+    }
+}
+
+void Process::terminate()
+{
+    if (m_pid > 0) {
+        ::kill(m_pid, SIGTERM);
+    }
+}
+
+void Process::freeze()
+{
+    ::kill(m_pid, SIGSTOP);
+}
+
+void Process::resume()
+{
+    ::kill(m_pid, SIGCONT);
+}
+
+int Process::wait(Milliseconds timeout)
+{
+    constexpr Milliseconds PollInterval(5);
+    const TimePoint deadline = Clock::now() + timeout;
+    while (m_pid > 0 && Clock::now() < deadline) {
+        int status = 0;
+        if (::waitpid(m_pid, &status, WNOHANG) == m_pid) {
+            m_pid = -1;
+            return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+        }
+        std::this_thread::sleep_for(PollInterval);
+    }
+    return -1;
+}
+
+bool Process::isRunning() const
+{
+    return m_pid > 0 && ::kill(m_pid, 0) == 0;
+}
+
+pid_t Process::pid() const
+{
+    return m_pid;
+}
+
+MemoryUse memoryOf(pid_t pid)
+{
+    std::ifstream file("/proc/" + std::to_string(pid) + "/smaps_rollup");
+    MemoryUse use;
+    for (std::string line; std::getline(file, line);) {
+        std::istringstream words(line);
+        std::string name;
+        std::uint64_t kilobytes = 0;
+        words >> name >> kilobytes;
+        if (name == "Rss:") {
+            use.residentKb = kilobytes;
+        } else if (name == "Pss:") {
+            use.proportionalKb = kilobytes;
+        }
+    }
+    return use;
+}
+
+Milliseconds processorTimeOf(pid_t pid)
+{
+    constexpr int UserField = 14;
+    constexpr std::uint64_t MillisecondsPerSecond = 1000;
+    std::ifstream file("/proc/" + std::to_string(pid) + "/stat");
+    std::string word;
+    std::uint64_t ticks = 0;
+    for (int field = 1; field <= UserField + 1 && file >> word; ++field) {
+        if (field >= UserField) {
+            ticks += std::stoull(word);
+        }
+    }
+    const auto perSecond = static_cast<std::uint64_t>(::sysconf(_SC_CLK_TCK));
+    return Milliseconds(ticks * MillisecondsPerSecond / perSecond);
+}
+
+} // namespace snipevalve::standins
--- /dev/null
+++ b/tests/test_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
