--- a/src/snipevalve/entry/forwarder.cpp
+++ b/src/snipevalve/entry/forwarder.cpp
@@ -193,6 +193,9 @@
     attempt.parser.reset();
     attempt.bodySent = true;
     std::string part = m_request.body;
+    if (part.empty() && !co_await m_bodySource.next(part)) {
+        error = http::error::partial_message;
+    }
     while (!error) {
         message.body().data = part.data();
         message.body().size = part.size();
