Prove ownership, requests, stops and configuration under failure

Unit proofs: 400 seeded schedules of two leaders and three servers with pauses, cuts, lost and late messages, store outages and clock rates; no slot has two owners, and each of six broken variants fails within the same schedules. The ownership test fails in 4 checks: after the loss of a leader, keys of living servers have moved. Cause under study; the trace shows planned moves by load, not the loss.

--- /dev/null
+++ b/src/snipevalve/placement/group_authority_test.cpp
@@ -0,0 +1,490 @@
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+
+#include <catch2/catch.hpp>
+
+#include "snipevalve/placement/detail/group_authority_impl.hpp"
+#include "standins/grant_book.hpp"
+
+namespace snipevalve {
+
+namespace {
+
+using standins::GrantBook;
+using standins::GrantBookOptions;
+
+constexpr std::uint32_t Slots = 6;
+constexpr std::size_t Servers = 3;
+constexpr std::size_t Leaders = 2;
+
+/// What a schedule may do, beside delaying, losing and doubling messages.
+struct Faults
+{
+    bool pauses = true; ///< leaders and servers freeze for a while
+    bool storeOutages = true;
+    bool partitions = true; ///< a leader loses a server
+    double clockRate = 0.01; ///< clocks run up to this much fast or slow
+    GrantBookOptions server;
+};
+
+/// One schedule of a group with several leaders and servers: a discrete-event world with seeded choices.
+///
+/// Each process has its own clock rate. After each step it is checked that no slot is owned by two servers.
+template <typename Rules>
+class World
+{
+public:
+    World(std::uint64_t seed, Faults faults)
+        : m_random(seed)
+        , m_faults(faults)
+    {
+        for (std::size_t server = 0; server < Servers; ++server) {
+            m_servers.push_back(ServerNode{GrantBook(faults.server), rate(), {}, {}});
+        }
+        for (std::size_t leader = 0; leader < Leaders; ++leader) {
+            m_leaders.push_back(LeaderNode{std::nullopt, rate(), {}, {}, 0});
+        }
+    }
+
+    /// @return the first moment with two owners of one slot, in ms; empty when there was none
+    std::optional<int> run(int milliseconds)
+    {
+        for (m_now = 0; m_now < milliseconds; ++m_now) {
+            makeFaults();
+            deliver();
+            if (m_now % TickMs == 0) {
+                tickLeaders();
+            }
+            if (hasTwoOwners()) {
+                return m_now;
+            }
+            countOwned();
+        }
+        return std::nullopt;
+    }
+
+    /// Share of slots and time that had an owner.
+    double ownedShare() const
+    {
+        return static_cast<double>(m_ownedSlotMs) / (static_cast<double>(m_now) * Slots);
+    }
+
+private:
+    static constexpr int TickMs = 20;
+
+    struct ServerNode
+    {
+        GrantBook book;
+        double rate;
+        int frozenUntil = 0;
+        std::set<std::size_t> cutFrom; ///< leaders
+    };
+
+    struct LeaderNode
+    {
+        std::optional<BasicGroupAuthority<Rules>> authority;
+        double rate;
+        int pausedUntil = 0;
+        int nextAttempt = 0;
+        int storeCutUntil = 0;
+    };
+
+    struct Message
+    {
+        int at = 0;
+        std::size_t leader = 0;
+        std::uint64_t term = 0;
+        std::size_t server = 0;
+        GrantOrder order;
+        std::optional<GrantAnswer> answer;
+    };
+
+    struct StoreMessage
+    {
+        int at = 0;
+        std::size_t leader = 0;
+        std::uint64_t term = 0;
+        std::optional<GroupPlan> plan; ///< empty: a read of the term
+        TimePoint sentAt;
+        bool returns = false;
+        bool committed = false;
+        bool superseded = false;
+        std::optional<std::uint64_t> readTerm;
+    };
+
+    int below(int limit)
+    {
+        return std::uniform_int_distribution<int>(0, limit - 1)(m_random);
+    }
+
+    bool chance(double probability)
+    {
+        return std::bernoulli_distribution(probability)(m_random);
+    }
+
+    double rate()
+    {
+        // Two clocks differ by the bound at most, each by half of it.
+        return 1.0 + m_faults.clockRate * (std::uniform_real_distribution<double>(-0.5, 0.5)(m_random));
+    }
+
+    TimePoint clockOf(const LeaderNode &leader) const
+    {
+        constexpr int StartMs = 1'000'000;
+        const double local = StartMs + m_now * leader.rate;
+        return TimePoint(std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(local)));
+    }
+
+    ServerClock clockOf(const ServerNode &server) const
+    {
+        constexpr int StartMs = 5'000'000;
+        return ServerClock(static_cast<std::uint64_t>(StartMs + m_now * server.rate));
+    }
+
+    static std::string nameOf(std::size_t server)
+    {
+        return "server-" + std::to_string(server);
+    }
+
+    static GroupId group()
+    {
+        return {"ledger", 0};
+    }
+
+    void makeFaults()
+    {
+        constexpr double FaultsPerMs = 0.0006;
+        if (m_faults.pauses && chance(FaultsPerMs)) {
+            LeaderNode &leader = m_leaders[static_cast<std::size_t>(below(Leaders))];
+            leader.pausedUntil = m_now + below(6000);
+        }
+        if (m_faults.pauses && chance(FaultsPerMs)) {
+            m_servers[static_cast<std::size_t>(below(Servers))].frozenUntil = m_now + below(6000);
+        }
+        if (m_faults.storeOutages && chance(FaultsPerMs)) {
+            m_leaders[static_cast<std::size_t>(below(Leaders))].storeCutUntil = m_now + below(8000);
+        }
+        if (m_faults.partitions && chance(FaultsPerMs * 2)) {
+            ServerNode &server = m_servers[static_cast<std::size_t>(below(Servers))];
+            const auto leader = static_cast<std::size_t>(below(Leaders));
+            if (!server.cutFrom.erase(leader)) {
+                server.cutFrom.insert(leader);
+            }
+        }
+    }
+
+    void tickLeaders()
+    {
+        for (std::size_t index = 0; index < Leaders; ++index) {
+            LeaderNode &leader = m_leaders[index];
+            if (m_now < leader.pausedUntil) {
+                continue;
+            }
+            const bool leads = leader.authority && !leader.authority->isResigned();
+            if (!leads && m_now >= leader.nextAttempt && m_now >= leader.storeCutUntil) {
+                leader.nextAttempt = m_now + 1500 + below(6000);
+                takeTerm(index);
+            } else if (leads) {
+                perform(index, leader.authority->onTick(clockOf(leader)));
+            }
+        }
+    }
+
+    void takeTerm(std::size_t index)
+    {
+        LeaderNode &leader = m_leaders[index];
+        GroupPlan plan = m_stored;
+        ++plan.term;
+        plan.leader = "leader-" + std::to_string(index);
+        m_stored = plan;
+        leader.authority.emplace(group(), plan, Slots, AuthorityTimes(), clockOf(leader));
+        std::vector<GroupMember> members;
+        for (std::size_t server = 0; server < Servers; ++server) {
+            members.push_back({nameOf(server), false});
+        }
+        perform(index, leader.authority->onMembers(members, clockOf(leader)));
+    }
+
+    void perform(std::size_t index, const std::vector<AuthorityAction> &actions)
+    {
+        for (const AuthorityAction &action : actions) {
+            const std::uint64_t term = m_leaders[index].authority->term();
+            if (const auto *send = std::get_if<SendOrder>(&action)) {
+                const auto server = static_cast<std::size_t>(send->server.back() - '0');
+                Message message{m_now + delay(), index, term, server, send->order, std::nullopt};
+                m_messages.push_back(message);
+            } else if (const auto *write = std::get_if<WritePlan>(&action)) {
+                StoreMessage message;
+                message.plan = write->plan;
+                sendToStore(index, term, message);
+            } else if (std::holds_alternative<ConfirmTerm>(action)) {
+                sendToStore(index, term, StoreMessage());
+            }
+        }
+    }
+
+    void sendToStore(std::size_t index, std::uint64_t term, StoreMessage message)
+    {
+        message.at = m_now + 1 + below(30);
+        message.leader = index;
+        message.term = term;
+        message.sentAt = clockOf(m_leaders[index]);
+        m_storeMessages.push_back(message);
+    }
+
+    /// Mostly short; now and then longer than a grant.
+    int delay()
+    {
+        return chance(0.02) ? below(5000) : 1 + below(15);
+    }
+
+    void deliver()
+    {
+        std::vector<Message> due;
+        std::vector<Message> later;
+        for (Message &message : m_messages) {
+            (message.at <= m_now ? due : later).push_back(message);
+        }
+        m_messages = std::move(later);
+        for (Message &message : due) {
+            message.answer ? deliverAnswer(message) : deliverOrder(message);
+        }
+        std::vector<StoreMessage> dueAtStore;
+        std::vector<StoreMessage> laterAtStore;
+        for (StoreMessage &message : m_storeMessages) {
+            (message.at <= m_now ? dueAtStore : laterAtStore).push_back(message);
+        }
+        m_storeMessages = std::move(laterAtStore);
+        for (StoreMessage &message : dueAtStore) {
+            message.returns ? deliverFromStore(message) : deliverToStore(message);
+        }
+    }
+
+    void deliverOrder(Message message)
+    {
+        ServerNode &server = m_servers[message.server];
+        if (m_now < server.frozenUntil) {
+            message.at = server.frozenUntil;
+            m_messages.push_back(message);
+            return;
+        }
+        const bool isCut = server.cutFrom.contains(message.leader);
+        if (!isCut) {
+            message.answer = server.book.apply(message.order, clockOf(server));
+        }
+        const bool isLost = isCut || chance(0.03);
+        message.at = isLost ? m_now + 600 : m_now + delay();
+        if (isLost) {
+            message.answer = GrantAnswer();
+            message.order.anchor = NoAnswer;
+        }
+        m_messages.push_back(message);
+    }
+
+    static constexpr ServerClock NoAnswer{UINT64_MAX};
+
+    void deliverAnswer(Message message)
+    {
+        LeaderNode &leader = m_leaders[message.leader];
+        if (m_now < leader.pausedUntil) {
+            message.at = leader.pausedUntil;
+            m_messages.push_back(message);
+            return;
+        }
+        if (!leader.authority || leader.authority->term() != message.term) {
+            return;
+        }
+        const TimePoint now = clockOf(leader);
+        const std::string server = nameOf(message.server);
+        if (message.order.anchor == NoAnswer) {
+            perform(message.leader, leader.authority->onNoAnswer(server, message.order.token, now));
+        } else {
+            perform(message.leader, leader.authority->onAnswer(server, message.order.token, *message.answer, now));
+        }
+    }
+
+    void deliverToStore(StoreMessage message)
+    {
+        const bool isCut = m_now < m_leaders[message.leader].storeCutUntil;
+        const bool answerIsLost = chance(0.1);
+        if (!isCut && message.plan) {
+            message.committed = m_stored.term == message.term;
+            message.superseded = !message.committed;
+            if (message.committed) {
+                m_stored = *message.plan;
+            }
+        }
+        if (!isCut && !message.plan) {
+            message.readTerm = m_stored.term;
+        }
+        if (isCut || answerIsLost) {
+            message.committed = false;
+            message.superseded = false;
+            message.readTerm.reset();
+        }
+        message.returns = true;
+        message.at = m_now + 1 + below(30);
+        m_storeMessages.push_back(message);
+    }
+
+    void deliverFromStore(StoreMessage message)
+    {
+        LeaderNode &leader = m_leaders[message.leader];
+        if (m_now < leader.pausedUntil) {
+            message.at = leader.pausedUntil;
+            m_storeMessages.push_back(message);
+            return;
+        }
+        if (!leader.authority || leader.authority->term() != message.term) {
+            return;
+        }
+        const TimePoint now = clockOf(leader);
+        BasicGroupAuthority<Rules> &authority = *leader.authority;
+        if (!message.plan) {
+            perform(message.leader, authority.onTermRead(message.sentAt, message.readTerm, now));
+        } else if (message.committed) {
+            perform(message.leader, authority.onPlanWritten(message.plan->version, now));
+        } else {
+            perform(message.leader, authority.onPlanNotWritten(message.superseded, now));
+        }
+    }
+
+    std::size_t ownersOf(std::uint32_t slot) const
+    {
+        std::size_t owners = 0;
+        for (const ServerNode &server : m_servers) {
+            const Token any{UINT64_MAX, UINT64_MAX};
+            owners += server.book.owns(group(), slot, any, clockOf(server)) ? 1 : 0;
+        }
+        return owners;
+    }
+
+    bool hasTwoOwners() const
+    {
+        for (std::uint32_t slot = 0; slot < Slots; ++slot) {
+            if (ownersOf(slot) > 1) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    void countOwned()
+    {
+        for (std::uint32_t slot = 0; slot < Slots; ++slot) {
+            m_ownedSlotMs += static_cast<long>(ownersOf(slot));
+        }
+    }
+
+    std::mt19937_64 m_random;
+    Faults m_faults;
+    int m_now = 0;
+    std::vector<ServerNode> m_servers;
+    std::vector<LeaderNode> m_leaders;
+    std::vector<Message> m_messages;
+    std::vector<StoreMessage> m_storeMessages;
+    GroupPlan m_stored;
+    long m_ownedSlotMs = 0;
+};
+
+struct NoWaitForOldGrant : StandardRules
+{
+    static constexpr bool WaitForOldGrant = false;
+};
+
+struct NoWaitForPredecessor : StandardRules
+{
+    static constexpr bool WaitForPredecessor = false;
+};
+
+struct NoEvidence : StandardRules
+{
+    static constexpr bool NeedEvidence = false;
+};
+
+struct NoClockRate : StandardRules
+{
+    static constexpr bool AllowForClockRate = false;
+};
+
+constexpr int ScheduleMs = 20'000;
+
+/// The first of `count` seeds whose schedule gives a slot two owners; 0 when none does.
+template <typename Rules>
+int firstFailure(int count, Faults faults = {})
+{
+    for (int seed = 1; seed <= count; ++seed) {
+        World<Rules> world(static_cast<std::uint64_t>(seed), faults);
+        if (world.run(ScheduleMs)) {
+            return seed;
+        }
+    }
+    return 0;
+}
+
+} // namespace
+
+TEST_CASE("no slot has two owners in any schedule", "[promise-1]")
+{
+    constexpr int Schedules = 400;
+    for (int seed = 1; seed <= Schedules; ++seed) {
+        World<StandardRules> world(static_cast<std::uint64_t>(seed), Faults());
+        const auto failedAt = world.run(ScheduleMs);
+        INFO("seed " << seed << " at " << failedAt.value_or(-1) << " ms");
+        REQUIRE_FALSE(failedAt);
+    }
+}
+
+TEST_CASE("the schedules find the error in each broken variant", "[promise-1]")
+{
+    constexpr int Schedules = 400;
+    int failingSeed = 0;
+    SECTION("without the wait for the old grant")
+    {
+        failingSeed = firstFailure<NoWaitForOldGrant>(Schedules);
+    }
+    SECTION("without the wait for the predecessor")
+    {
+        failingSeed = firstFailure<NoWaitForPredecessor>(Schedules);
+    }
+    SECTION("without evidence for the term")
+    {
+        failingSeed = firstFailure<NoEvidence>(Schedules);
+    }
+    SECTION("with clocks that differ by more than the bound")
+    {
+        Faults faults;
+        faults.clockRate = 0.4;
+        failingSeed = firstFailure<NoClockRate>(Schedules, faults);
+    }
+    SECTION("with servers that count a grant from its receipt")
+    {
+        Faults faults;
+        faults.server.countsFromAnchor = false;
+        failingSeed = firstFailure<StandardRules>(Schedules, faults);
+    }
+    SECTION("with servers that do not check tokens")
+    {
+        Faults faults;
+        faults.server.checksTokens = false;
+        failingSeed = firstFailure<StandardRules>(Schedules, faults);
+    }
+    INFO("the first failing seed is " << failingSeed);
+    CHECK(failingSeed > 0);
+}
+
+TEST_CASE("slots are owned nearly always without faults")
+{
+    Faults faults;
+    faults.pauses = false;
+    faults.storeOutages = false;
+    faults.partitions = false;
+    World<StandardRules> world(7, faults);
+    REQUIRE_FALSE(world.run(ScheduleMs));
+    CHECK(world.ownedShare() > 0.8);
+}
+
+} // namespace snipevalve
--- /dev/null
+++ b/tests/process/bad_input_test.cpp
@@ -0,0 +1,67 @@
+#include "process/small_deployment.hpp"
+
+namespace snipevalve::standins {
+
+namespace {
+
+constexpr std::uint8_t Network = 34;
+
+/// Sends bytes as they are and reads until the entry closes or answers; empty when it closes without an answer.
+std::string sendRaw(const Endpoint &endpoint, const std::string &bytes)
+{
+    asio::io_context context;
+    Tcp::socket socket(context);
+    socket.connect(toTcp(endpoint));
+    ErrorCode error;
+    asio::write(socket, asio::buffer(bytes), error);
+    beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    http::read(socket, buffer, parser, error);
+    return parser.is_header_done()
+        ? std::to_string(parser.get().result_int()) + " " + std::string(parser.get()["snipevalve-outcome"])
+        : std::string();
+}
+
+} // namespace
+
+TEST_CASE("bad input gets a clear answer and reaches no server", "[promise-4]")
+{
+    struct Case
+    {
+        std::string name;
+        std::string bytes;
+        std::string answer;
+    };
+    const std::string host = "Host: x\r\n";
+    const std::vector<Case> cases = {
+        {"nonsense", "nonsense\r\n\r\n", "400 not-run"},
+        {"a bad version", "GET / HTTP/9.9\r\n\r\n", "400 not-run"},
+        {"an unknown path", "GET /nowhere/ HTTP/1.1\r\n" + host + "\r\n", "404 not-run"},
+        {"no key", "GET /ledger/ HTTP/1.1\r\n" + host + "\r\n", "400 not-run"},
+        {"a bad deadline", "GET /ledger/a HTTP/1.1\r\n" + host + "snipevalve-deadline-ms: soon\r\n\r\n", "400 not-run"},
+        {"a long header", "GET /ledger/a HTTP/1.1\r\nx: " + std::string(20'000, 'x') + "\r\n\r\n", "431 not-run"},
+        {"a long body", "POST /ledger/a HTTP/1.1\r\n" + host + "Content-Length: 99999999999\r\n\r\n", "413 not-run"},
+        {"two lengths", "POST /ledger/a HTTP/1.1\r\n" + host + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+         "400 not-run"},
+        {"a length and chunks",
+         "POST /ledger/a HTTP/1.1\r\n" + host + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+         "400 not-run"},
+        {"a bad length", "POST /ledger/a HTTP/1.1\r\n" + host + "Content-Length: many\r\n\r\n", "400 not-run"},
+    };
+    DeploymentOptions options = optionsFor("bad-input", Network);
+    options.extraSettings = "[entry]\nidle_timeout_ms = 700\n";
+    Deployment deployment(smallDeployment(1), options);
+    REQUIRE(deployment.start(StartTimeout));
+    const Endpoint entry = deployment.entryOf(deployment.hosts().front());
+    for (const Case &entryCase : cases) {
+        INFO(entryCase.name);
+        CHECK(sendRaw(entry, entryCase.bytes) == entryCase.answer);
+    }
+    CHECK(sendRaw(entry, "GET /ledger/a HT").empty());
+    CHECK(sendRaw(entry, "POST /ledger/a HTTP/1.1\r\n" + host + "Content-Length: 10\r\n\r\nhalf").empty());
+    CHECK(sendRaw({deployment.hosts().front().address, 7100}, "garbage on the link port\r\n\r\n").empty());
+    CHECK(readRuns(deployment.serverLog()).empty());
+    CHECK(sendRaw(entry, "GET /ledger/a HTTP/1.1\r\n" + host + "\r\n") == "200 answered");
+}
+
+} // namespace snipevalve::standins
--- /dev/null
+++ b/tests/process/ownership_test.cpp
@@ -0,0 +1,184 @@
+#include <functional>
+
+#include "process/small_deployment.hpp"
+
+namespace snipevalve::standins {
+
+namespace {
+
+constexpr std::uint8_t Network = 31;
+constexpr int Keys = 60;
+
+/// One loss, or several at once, made while callers send.
+struct LossCase
+{
+    std::string name;
+    std::function<void(Deployment &)> makeLoss;
+    std::function<void(Deployment &)> endLoss; ///< after which all has to work as before
+    Milliseconds lasts{4000};
+    bool serverLost = false;
+};
+
+std::map<std::string, std::string> ownersOfKeys(Deployment &deployment)
+{
+    std::map<std::string, std::string> owners;
+    for (int key = 0; key < Keys; ++key) {
+        const std::string name = "key-" + std::to_string(key);
+        const nlohmann::json where = deployment.where("ledger", name);
+        if (where.is_object() && where.value("committed", false)) {
+            owners[name] = where.value("server", "");
+        }
+    }
+    return owners;
+}
+
+ServerProcess &firstServer(Deployment &deployment)
+{
+    return *deployment.server("ledger-01");
+}
+
+HostProcesses &leader(Deployment &deployment)
+{
+    HostProcesses *host = deployment.leaderOf("ledger/0");
+    REQUIRE(host != nullptr);
+    return *host;
+}
+
+std::vector<LossCase> lossCases()
+{
+    const auto nothing = [](Deployment &) {};
+    std::vector<LossCase> cases;
+    cases.push_back({"a server killed",
+                     [](Deployment &d) {
+                         firstServer(d).process->kill();
+                     },
+                     [](Deployment &d) {
+                         d.startServer(firstServer(d));
+                     },
+                     Milliseconds(4000), true});
+    cases.push_back({"a server frozen and back",
+                     [](Deployment &d) {
+                         firstServer(d).process->freeze();
+                     },
+                     [](Deployment &d) {
+                         firstServer(d).process->resume();
+                     },
+                     Milliseconds(4000), true});
+    cases.push_back({"the leader killed",
+                     [](Deployment &d) {
+                         leader(d).placement.reset();
+                     },
+                     nothing, Milliseconds(4000), false});
+    cases.push_back({"the leader paused and back",
+                     [](Deployment &d) {
+                         leader(d).placement->freeze();
+                     },
+                     [](Deployment &d) {
+                         for (HostProcesses &host : d.hosts()) {
+                             host.placement->resume();
+                         }
+                     },
+                     Milliseconds(4000), false});
+    cases.push_back({"the store away",
+                     [](Deployment &d) {
+                         d.storeFaults(R"({"away":true})");
+                     },
+                     [](Deployment &d) {
+                         d.storeFaults(R"({"away":false})");
+                     },
+                     Milliseconds(5000), false});
+    cases.push_back({"the store away and a server killed",
+                     [](Deployment &d) {
+                         d.storeFaults(R"({"away":true})");
+                         sleepFor(Milliseconds(1500));
+                         firstServer(d).process->kill();
+                     },
+                     [](Deployment &d) {
+                         d.storeFaults(R"({"away":false})");
+                         d.startServer(firstServer(d));
+                     },
+                     Milliseconds(5000), true});
+    cases.push_back({"the leader's host killed and its answers to the store lost",
+                     [](Deployment &d) {
+                         d.storeFaults(R"({"loseAnswers":2})");
+                         HostProcesses &host = leader(d);
+                         host.placement.reset();
+                         host.entry.reset();
+                     },
+                     nothing, Milliseconds(4000), false});
+    return cases;
+}
+
+} // namespace
+
+TEST_CASE("a key has one owner and is served again after each loss", "[promise-1][promise-2]")
+{
+    for (const LossCase &loss : lossCases()) {
+        DYNAMIC_SECTION(loss.name)
+        {
+            Deployment deployment(smallDeployment(), optionsFor("ownership", Network));
+            REQUIRE(deployment.start(StartTimeout));
+            const auto before = ownersOfKeys(deployment);
+            REQUIRE(before.size() == Keys);
+            Caller caller(callersOf(deployment, {lookups(), debits()}));
+            caller.start();
+            sleepFor(Milliseconds(500));
+            loss.makeLoss(deployment);
+            sleepFor(loss.lasts);
+            const auto after = ownersOfKeys(deployment);
+            loss.endLoss(deployment);
+            sleepFor(Milliseconds(1500));
+            caller.stop();
+            const HistoryReport report = checkRun(deployment, caller);
+            CHECK(report.longestUnavailableSeconds < std::chrono::duration<double>(ServedAgainBound).count());
+            CHECK(countEnds(report, CallEnd::Answered) > 1000);
+            WARN(loss.name << ": longest unavailable " << report.longestUnavailableSeconds << " s, key-seconds "
+                           << report.unavailableKeySeconds << ", moved slots " << report.movedSlots * 100 << " %");
+            // An assignment that was told as committed stands as long as its server does.
+            for (const auto &[key, server] : before) {
+                const bool isLostServer = loss.serverLost && server == "ledger-01";
+                const auto now = after.find(key);
+                if (!isLostServer && now != after.end()) {
+                    INFO(key);
+                    CHECK(now->second == server);
+                }
+            }
+        }
+    }
+}
+
+TEST_CASE("a draining server gets no new work after three seconds", "[promise-6]")
+{
+    constexpr Milliseconds Bound(3000);
+    Deployment deployment(smallDeployment(), optionsFor("drain", Network));
+    REQUIRE(deployment.start(StartTimeout));
+    Caller caller(callersOf(deployment, {lookups(), debits(), {"photo", "POST", 2, 100, 1000, 0}}));
+    caller.start();
+    sleepFor(Milliseconds(500));
+    const auto drain = [&](const std::string &server) {
+        const PlainReply standing = request(deployment.adminEndpoint(), "GET", "/v1/servers/" + server);
+        const auto revision = nlohmann::json::parse(standing.body).value("revision", 0);
+        const PlainReply reply = request(deployment.adminEndpoint(), "PATCH", "/v1/servers/" + server,
+                                         R"({"spec":{"draining":true}})", std::to_string(revision));
+        REQUIRE(reply.status == 200);
+    };
+    drain("ledger-02");
+    drain("photo-01");
+    const TimePoint noWorkAfter = Clock::now() + Bound;
+    sleepFor(Milliseconds(5000));
+    caller.stop();
+    const HistoryReport report = checkRun(deployment, caller);
+    CHECK(countEnds(report, CallEnd::Answered) == caller.records().size());
+    const auto limit = std::chrono::duration_cast<std::chrono::nanoseconds>(noWorkAfter.time_since_epoch()).count();
+    std::map<std::string, int> lateRuns;
+    for (const RunRecord &run : readRuns(deployment.serverLog())) {
+        lateRuns[run.server] += run.effectNs > static_cast<std::uint64_t>(limit) ? 1 : 0;
+    }
+    CHECK(lateRuns["ledger-02"] == 0);
+    CHECK(lateRuns["photo-01"] == 0);
+    // The check would see work: the servers that were not drained have some.
+    CHECK(lateRuns["ledger-03"] > 0);
+    CHECK(lateRuns["photo-02"] > 0);
+}
+
+} // namespace snipevalve::standins
--- /dev/null
+++ b/tests/process/requests_test.cpp
@@ -0,0 +1,123 @@
+#include "process/small_deployment.hpp"
+
+namespace snipevalve::standins {
+
+namespace {
+
+constexpr std::uint8_t Network = 32;
+
+/// Faults of the servers, set on all of them again and again while callers send.
+struct FaultCase
+{
+    std::string name;
+    std::string faults;
+    Milliseconds deadline{2000};
+};
+
+void setFaults(Deployment &deployment, const std::string &faults)
+{
+    for (const ServerProcess &server : deployment.servers()) {
+        request(server.endpoint, "POST", "/standin/faults", faults);
+    }
+}
+
+} // namespace
+
+TEST_CASE("every request ends once, whole and with a true outcome under faulty servers",
+          "[promise-3][promise-4][promise-5]")
+{
+    const std::vector<FaultCase> cases = {
+        {"answers cut short", R"({"truncate":5})"},
+        {"answers dropped after the run", R"({"dropAnswers":5})"},
+        {"requests refused as not run", R"({"refuse":10})"},
+        {"answers later than the deadline", R"({"delayMs":400})", Milliseconds(300)},
+    };
+    Deployment deployment(smallDeployment(), optionsFor("requests", Network));
+    REQUIRE(deployment.start(StartTimeout));
+    std::uint64_t seed = 100;
+    for (const FaultCase &fault : cases) {
+        CallerOptions options = callersOf(deployment, {lookups(), debits(), {"photo", "POST", 1, 50, 150'000, 0}});
+        options.seed = ++seed;
+        options.deadline = fault.deadline;
+        Caller caller(options);
+        caller.start();
+        for (int round = 0; round < 8; ++round) {
+            sleepFor(Milliseconds(200));
+            setFaults(deployment, fault.faults);
+        }
+        setFaults(deployment, R"({"truncate":0,"dropAnswers":0,"refuse":0,"delayMs":0})");
+        sleepFor(Milliseconds(800));
+        caller.stop();
+        INFO(fault.name);
+        const HistoryReport report = checkRun(deployment, caller);
+        CHECK(countEnds(report, CallEnd::Wrong) == 0);
+        CHECK(countEnds(report, CallEnd::Lost) == 0);
+        CHECK(countEnds(report, CallEnd::Answered) > 100);
+        WARN(fault.name << ": answered " << countEnds(report, CallEnd::Answered) << ", not run "
+                        << countEnds(report, CallEnd::NotRun) << ", unknown " << countEnds(report, CallEnd::Unknown));
+    }
+}
+
+TEST_CASE("no debit runs twice when an entry process is killed with debits in flight", "[promise-5]")
+{
+    Deployment deployment(smallDeployment(), optionsFor("entry-kill", Network));
+    REQUIRE(deployment.start(StartTimeout));
+    CallerOptions options = callersOf(deployment, {debits()}, 0);
+    Caller caller(options);
+    caller.start();
+    for (std::size_t host = 1; host < deployment.hosts().size(); ++host) {
+        sleepFor(Milliseconds(400));
+        deployment.hosts()[host].entry->kill();
+    }
+    sleepFor(Milliseconds(600));
+    caller.stop();
+    const HistoryReport report = checkRun(deployment, caller);
+    CHECK(countEnds(report, CallEnd::Answered) > 500);
+    CHECK(countEnds(report, CallEnd::Lost) > 0);
+}
+
+TEST_CASE("a planned stop of every entry host in turn cuts off nothing", "[promise-7]")
+{
+    DeploymentOptions deploymentOptions = optionsFor("rolling-stop", Network);
+    deploymentOptions.extraSettings = "[entry]\ndrain_delay_ms = 500\n";
+    Deployment deployment(smallDeployment(), deploymentOptions);
+    REQUIRE(deployment.start(StartTimeout));
+    Caller caller(callersOf(deployment, {lookups(), debits(), uploads()}, 300));
+    caller.start();
+    sleepFor(Milliseconds(500));
+    for (HostProcesses &host : deployment.hosts()) {
+        INFO(host.name);
+        host.entry->terminate();
+        host.placement->terminate();
+        CHECK(host.entry->wait(Milliseconds(15'000)) == 0);
+        CHECK(host.placement->wait(Milliseconds(15'000)) == 0);
+        deployment.startHost(host);
+        const auto isReady = [&]() {
+            return request(deployment.opsOf(host), "GET", "/ready").status == 200;
+        };
+        REQUIRE(Deployment::waitFor(Milliseconds(10'000), isReady));
+        sleepFor(Milliseconds(300));
+    }
+    caller.stop();
+    const HistoryReport report = checkRun(deployment, caller);
+    CHECK(countEnds(report, CallEnd::Lost) == 0);
+    CHECK(countEnds(report, CallEnd::Unknown) == 0);
+    CHECK(countEnds(report, CallEnd::NotRun) == 0);
+    WARN("rolling stop: answered " << countEnds(report, CallEnd::Answered) << ", p99 " << report.p99Ms << " ms");
+}
+
+TEST_CASE("the rolling-stop check notices a stop that is not graceful", "[promise-7]")
+{
+    Deployment deployment(smallDeployment(), optionsFor("rough-stop", Network));
+    REQUIRE(deployment.start(StartTimeout));
+    Caller caller(callersOf(deployment, {lookups(), uploads()}, 0));
+    caller.start();
+    sleepFor(Milliseconds(500));
+    deployment.hosts()[1].entry->kill();
+    sleepFor(Milliseconds(500));
+    caller.stop();
+    const HistoryReport report = checkHistory(caller.records(), readRuns(deployment.serverLog()));
+    CHECK(countEnds(report, CallEnd::Lost) > 0);
+}
+
+} // namespace snipevalve::standins
--- a/tests/standins/run_main.cpp
+++ b/tests/standins/run_main.cpp
@@ -96,10 +96,9 @@
     const auto rate = static_cast<double>(arguments.at("--rate").asLong());
     const bool once = arguments.at("--once").asBool();
     bool isRight = true;
-    std::uint64_t seed = 1;
-    do {
-        const HistoryReport report = runOnce(deployment, rate, duration, seed++);
+    for (std::uint64_t seed = 1; seed == 1 || !once; ++seed) {
+        const HistoryReport report = runOnce(deployment, rate, duration, seed);
         isRight = report.violations.empty() && report.ends.size() == 1 && countOf(report, CallEnd::Answered) > 0;
-    } while (!once);
+    }
     return isRight ? 0 : 1;
 }
