--- a/include/snipevalve/placement/detail/group_authority_impl.hpp
+++ b/include/snipevalve/placement/detail/group_authority_impl.hpp
@@ -80,6 +80,7 @@
     }
     Actions actions;
     const bool isFirst = !member.fenced;
+    const bool wasLost = member.lost;
     member.fenced = true;
     member.anchor = answer.clock;
     member.anchorAt = now;
@@ -88,7 +89,11 @@
         member.lost = false;
         note(actions, server + " answers again");
     }
-    takeHeld(index, answer.held, isFirst, now);
+    const bool changedHolders = takeHeld(index, answer.held, isFirst, now);
+    if (!isFirst && !wasLost && !changedHolders) {
+        // A plain renewal; what is due by time waits for the next tick, which keeps large groups cheap.
+        return actions;
+    }
     Actions more = advance(now);
     actions.insert(actions.end(), more.begin(), more.end());
     return actions;
@@ -492,9 +497,10 @@
 
 /// Takes in what a server says it holds; what it does not name, it surely does not hold.
 template <typename Rules>
-void BasicGroupAuthority<Rules>::takeHeld(ServerIndex server, const std::vector<std::uint32_t> &held, bool isFirst,
+bool BasicGroupAuthority<Rules>::takeHeld(ServerIndex server, const std::vector<std::uint32_t> &held, bool isFirst,
                                           TimePoint now)
 {
+    bool changed = false;
     std::vector<bool> isHeld(m_slots.size(), false);
     for (const std::uint32_t slot : held) {
         if (slot < m_slots.size()) {
@@ -510,6 +516,7 @@
             slot.expiry = now + withClockError(m_times.grantLifetime);
             slot.accepted = true;
             m_tableDirty = true;
+            changed = true;
             if (isFirst && m_plan.targets[at] != server) {
                 m_plan.targets[at] = server;
                 m_planDirty = true;
@@ -517,10 +524,13 @@
         } else if (isHeld[at] && isOurs && !slot.accepted) {
             slot.accepted = true;
             m_tableDirty = true;
+            changed = true;
         } else if (!isHeld[at] && isOurs) {
             setFree(at);
+            changed = true;
         }
     }
+    return changed;
 }
 
 /// Reads the term from the store while the witnesses alone do not confirm it.
--- a/include/snipevalve/placement/group_authority.hpp
+++ b/include/snipevalve/placement/group_authority.hpp
@@ -186,7 +186,7 @@
     void sendOrders(TimePoint now, Actions &actions);
     void sendOrder(ServerIndex server, bool authority, TimePoint now, Actions &actions);
     std::vector<std::uint32_t> grantable(ServerIndex server) const;
-    void takeHeld(ServerIndex server, const std::vector<std::uint32_t> &held, bool isFirst, TimePoint now);
+    bool takeHeld(ServerIndex server, const std::vector<std::uint32_t> &held, bool isFirst, TimePoint now);
     void confirmFromStore(TimePoint now, Actions &actions);
     void writePlan(Actions &actions);
     void publish(Actions &actions);
--- a/src/snipevalve/link/link_client.cpp
+++ b/src/snipevalve/link/link_client.cpp
@@ -1,3 +1,5 @@
+#include <future>
+
 #include <grpcpp/grpcpp.h>
 
 #include "snipevalve/link/frame_codec.hpp"
@@ -45,6 +47,13 @@
         m_context.TryCancel();
     }
 
+    /// Waits for the last event, which comes on gRPC's threads soon after cancel().
+    void waitUntilDone()
+    {
+        constexpr std::chrono::seconds LongestWait(1);
+        m_done.get_future().wait_for(LongestWait);
+    }
+
     void OnReadDone(bool ok) override // NOLINT(readability-identifier-naming)
     {
         if (!ok) {
@@ -69,6 +78,7 @@
     void OnDone(const grpc::Status &) override // NOLINT(readability-identifier-naming)
     {
         m_events.onClosed(m_stream);
+        m_done.set_value();
         const std::shared_ptr<Implementation> self = std::move(m_self);
     }
 
@@ -88,6 +98,7 @@
     proto::Frame m_incoming;
     detail::FrameWriter m_writer;
     std::shared_ptr<Implementation> m_self;
+    std::promise<void> m_done;
 };
 
 LinkClient::LinkClient(const Endpoint &endpoint, std::uint64_t stream, LinkEvents events)
@@ -99,6 +110,7 @@
 LinkClient::~LinkClient()
 {
     m_implementation->cancel();
+    m_implementation->waitUntilDone();
 }
 
 void LinkClient::send(const LinkFrame &frame)
--- a/src/snipevalve/link/link_hub.cpp
+++ b/src/snipevalve/link/link_hub.cpp
@@ -84,8 +84,8 @@
 
 LinkEvents LinkHub::eventsFor(LinkDirection direction)
 {
-    const auto onThread = [this, alive = std::weak_ptr<bool>(m_alive)](auto work) {
-        asio::post(m_executor, [alive, work = std::move(work)]() mutable {
+    const auto onThread = [executor = m_executor, alive = std::weak_ptr<bool>(m_alive)](auto work) {
+        asio::post(executor, [alive, work = std::move(work)]() mutable {
             if (alive.lock()) {
                 work();
             }
--- /dev/null
+++ b/src/snipevalve/measure/main.cpp
@@ -0,0 +1,113 @@
+#include <fstream>
+#include <iostream>
+#include <map>
+
+#include <docopt/docopt.h>
+#define TOML_HEADER_ONLY 0
+#include <toml++/toml.h>
+
+#include "snipevalve/measure/experiments.hpp"
+
+namespace {
+
+using namespace snipevalve;
+
+const char Usage[] = R"(Measures how the parts of snipevalve grow with their size.
+
+Usage:
+  snipevalve-measure run [--runs=FILE] [--csv=FILE]
+  snipevalve-measure table CSV...
+  snipevalve-measure plot CSV NAME
+  snipevalve-measure list
+  snipevalve-measure --help
+
+Options:
+  --runs=FILE  TOML with [[run]] name, sizes; without it every experiment at its usual sizes.
+  --csv=FILE   Where the samples go; without it to standard output.
+
+run measures, table prints the slopes of CSV files as Markdown, plot prints one of them as SVG.
+)";
+
+std::map<std::string, std::vector<double>> readRuns(const std::string &path)
+{
+    std::map<std::string, std::vector<double>> runs;
+    const toml::table root = toml::parse_file(path);
+    if (const toml::array *array = root["run"].as_array()) {
+        for (const toml::node &node : *array) {
+            const toml::table &run = *node.as_table();
+            std::vector<double> &sizes = runs[run["name"].value_or(std::string())];
+            if (const toml::array *list = run["sizes"].as_array()) {
+                for (const toml::node &size : *list) {
+                    sizes.push_back(size.value_or(0.0));
+                }
+            }
+        }
+    }
+    return runs;
+}
+
+std::vector<Sample> measure(const std::map<std::string, std::vector<double>> &runs)
+{
+    std::vector<Sample> samples;
+    for (const Experiment &experiment : experiments()) {
+        const auto run = runs.find(experiment.name);
+        if (!runs.empty() && run == runs.end()) {
+            continue;
+        }
+        const bool hasSizes = run != runs.end() && !run->second.empty();
+        for (const double size : hasSizes ? run->second : experiment.sizes) {
+            samples.push_back({experiment.name, experiment.by, size, experiment.measure(size), experiment.unit});
+            std::cerr << experiment.name << " at " << size << ": " << samples.back().value << " " << experiment.unit
+                      << "\n";
+        }
+    }
+    return samples;
+}
+
+std::vector<Slope> slopesOf(const std::vector<std::string> &paths)
+{
+    std::vector<Sample> samples;
+    for (const std::string &path : paths) {
+        std::ifstream file(path);
+        const std::vector<Sample> more = readCsv(file);
+        samples.insert(samples.end(), more.begin(), more.end());
+    }
+    return fitSlopes(samples);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const auto arguments = docopt::docopt(Usage, {argv + 1, argv + argc});
+    if (arguments.at("list").asBool()) {
+        for (const Experiment &experiment : experiments()) {
+            std::cout << experiment.name << " (" << experiment.unit << ") by " << experiment.by << "\n";
+        }
+        return 0;
+    }
+    if (arguments.at("table").asBool()) {
+        std::cout << toMarkdown(slopesOf(arguments.at("CSV").asStringList()));
+        return 0;
+    }
+    if (arguments.at("plot").asBool()) {
+        for (const Slope &slope : slopesOf(arguments.at("CSV").asStringList())) {
+            if (slope.name == arguments.at("NAME").asString()) {
+                std::cout << toSvg(slope);
+                return 0;
+            }
+        }
+        std::cerr << "no such measurement\n";
+        return 1;
+    }
+    const auto runs = arguments.at("--runs") ? readRuns(arguments.at("--runs").asString())
+                                             : std::map<std::string, std::vector<double>>();
+    const std::vector<Sample> samples = measure(runs);
+    if (arguments.at("--csv")) {
+        std::ofstream file(arguments.at("--csv").asString());
+        writeCsv(file, samples);
+    } else {
+        writeCsv(std::cout, samples);
+    }
+    return 0;
+}
--- a/src/snipevalve/placement/grant.cpp
+++ b/src/snipevalve/placement/grant.cpp
@@ -1,5 +1,8 @@
 #include "snipevalve/placement/grant.hpp"
 
+#include <charconv>
+#include <stdexcept>
+
 #include <nlohmann/json.hpp>
 
 namespace snipevalve {
@@ -8,30 +11,51 @@
 
 using Json = nlohmann::json;
 
-/// Writes sorted slots as [first, count] pairs, which keeps orders small.
-Json toRanges(const std::vector<std::uint32_t> &slots)
+constexpr std::uint32_t MaxSlot = 65535;
+
+/// Writes sorted slots as text, e.g. `0-3,8`: one JSON string instead of many numbers keeps orders cheap.
+std::string toRanges(const std::vector<std::uint32_t> &slots)
 {
-    Json ranges = Json::array();
+    std::string ranges;
     for (std::size_t at = 0; at < slots.size();) {
-        std::size_t end = at + 1;
-        while (end < slots.size() && slots[end] == slots[end - 1] + 1) {
-            ++end;
+        std::size_t last = at;
+        while (last + 1 < slots.size() && slots[last + 1] == slots[last] + 1) {
+            ++last;
+        }
+        ranges += (ranges.empty() ? "" : ",") + std::to_string(slots[at]);
+        if (last > at) {
+            ranges += "-" + std::to_string(slots[last]);
         }
-        ranges.push_back({slots[at], end - at});
-        at = end;
+        at = last + 1;
     }
     return ranges;
 }
 
-std::vector<std::uint32_t> fromRanges(const Json &ranges)
+const char *readSlot(const char *begin, const char *end, std::uint32_t &slot)
+{
+    const auto result = std::from_chars(begin, end, slot);
+    if (result.ec != std::errc() || slot > MaxSlot) {
+        throw std::invalid_argument("a slot is not a number");
+    }
+    return result.ptr;
+}
+
+std::vector<std::uint32_t> fromRanges(const std::string &ranges)
 {
     std::vector<std::uint32_t> slots;
-    for (const Json &range : ranges) {
-        const auto first = range.at(0).get<std::uint32_t>();
-        const auto count = range.at(1).get<std::uint32_t>();
-        for (std::uint32_t offset = 0; offset < count; ++offset) {
-            slots.push_back(first + offset);
+    const char *at = ranges.data();
+    const char *end = at + ranges.size();
+    while (at != end) {
+        std::uint32_t first = 0;
+        at = readSlot(at, end, first);
+        std::uint32_t last = first;
+        if (at != end && *at == '-') {
+            at = readSlot(at + 1, end, last);
         }
+        for (std::uint32_t slot = first; slot <= last; ++slot) {
+            slots.push_back(slot);
+        }
+        at += at != end ? 1 : 0;
     }
     return slots;
 }
@@ -49,6 +73,8 @@
         return json.is_object() ? std::optional<Message>(read(json)) : std::nullopt;
     } catch (const Json::exception &) {
         return std::nullopt;
+    } catch (const std::invalid_argument &) {
+        return std::nullopt;
     }
 }
 
@@ -72,7 +98,7 @@
         order.group = parseGroupId(json.at("group").get<std::string>()).value_or(GroupId());
         order.token = readToken(json, "token");
         order.probe = json.at("probe").get<bool>();
-        order.slots = fromRanges(json.at("slots"));
+        order.slots = fromRanges(json.at("slots").get<std::string>());
         order.anchor = ServerClock(json.at("anchorMs").get<std::uint64_t>());
         order.lifetime = Milliseconds(json.at("lifetimeMs").get<std::int64_t>());
         return order;
@@ -95,7 +121,7 @@
         answer.accepted = json.at("accepted").get<bool>();
         answer.highest = readToken(json, "highest");
         answer.clock = ServerClock(json.at("clockMs").get<std::uint64_t>());
-        answer.held = fromRanges(json.at("held"));
+        answer.held = fromRanges(json.at("held").get<std::string>());
         return answer;
     });
 }
