Keep a link's channel for further attempts

Change: one channel for an endpoint serves all attempts and reconnects each 200 ms; only a link that fell silent gets a new one. The error inside gRPC 1.51 itself is not found; a silent link still destroys a channel, seldom.

--- a/include/snipevalve/link/link.hpp
+++ b/include/snipevalve/link/link.hpp
@@ -47,12 +47,17 @@
     std::unique_ptr<Implementation> m_implementation;
 };
 
+/// @brief A connection to another process, kept for several attempts at a link.
+struct LinkChannel;
+
+std::shared_ptr<LinkChannel> makeLinkChannel(const Endpoint &endpoint);
+
 /// @brief A link to another process. One object makes one attempt; after onClosed it is of no more use.
 class LinkClient
 {
 public:
     /// @param stream the number under which this link reports its events
-    LinkClient(const Endpoint &endpoint, std::uint64_t stream, LinkEvents events);
+    LinkClient(std::shared_ptr<LinkChannel> channel, std::uint64_t stream, LinkEvents events);
     ~LinkClient();
 
     void send(const LinkFrame &frame);
--- a/include/snipevalve/link/link_hub.hpp
+++ b/include/snipevalve/link/link_hub.hpp
@@ -71,6 +71,7 @@
     LinkHubOptions m_options;
     ItemExchange m_exchange;
     std::unique_ptr<LinkServer> m_server;
+    std::map<Endpoint, std::shared_ptr<LinkChannel>> m_channels;
     std::map<std::uint64_t, Outgoing> m_outgoing;
     std::set<std::uint64_t> m_known; ///< incoming streams that have said who they are
     std::vector<Endpoint> m_candidates;
--- a/src/snipevalve/link/link_client.cpp
+++ b/src/snipevalve/link/link_client.cpp
@@ -9,26 +9,39 @@
 
 namespace snipevalve {
 
+struct LinkChannel
+{
+    std::unique_ptr<proto::Link::Stub> stub;
+};
+
+std::shared_ptr<LinkChannel> makeLinkChannel(const Endpoint &endpoint)
+{
+    constexpr int ReconnectBackoffMs = 200;
+    grpc::ChannelArguments arguments;
+    arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+    arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+    arguments.SetInt(GRPC_ARG_INITIAL_RECONNECT_BACKOFF_MS, ReconnectBackoffMs);
+    arguments.SetInt(GRPC_ARG_MIN_RECONNECT_BACKOFF_MS, ReconnectBackoffMs);
+    arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, ReconnectBackoffMs);
+    const auto channel = grpc::CreateCustomChannel(toString(endpoint), grpc::InsecureChannelCredentials(), arguments);
+    return std::make_shared<LinkChannel>(LinkChannel{proto::Link::NewStub(channel)});
+}
+
 class LinkClient::Implementation : public grpc::ClientBidiReactor<proto::Frame, proto::Frame>
 {
 public:
-    Implementation(const Endpoint &endpoint, std::uint64_t stream, LinkEvents events)
-        : m_stream(stream)
+    Implementation(std::shared_ptr<LinkChannel> channel, std::uint64_t stream, LinkEvents events)
+        : m_channel(std::move(channel))
+        , m_stream(stream)
         , m_events(std::move(events))
     {
-        grpc::ChannelArguments arguments;
-        arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
-        arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
-        const auto credentials = grpc::InsecureChannelCredentials();
-        const auto channel = grpc::CreateCustomChannel(toString(endpoint), credentials, arguments);
-        m_stub = proto::Link::NewStub(channel);
     }
 
     /// @param self kept until the stream is over
     void begin(std::shared_ptr<Implementation> self)
     {
         m_self = std::move(self);
-        m_stub->async()->Exchange(&m_context, this);
+        m_channel->stub->async()->Exchange(&m_context, this);
         AddHold();
         StartRead(&m_incoming);
         m_events.onOpened(m_stream);
@@ -91,9 +104,9 @@
         }
     }
 
+    std::shared_ptr<LinkChannel> m_channel;
     std::uint64_t m_stream;
     LinkEvents m_events;
-    std::unique_ptr<proto::Link::Stub> m_stub;
     grpc::ClientContext m_context;
     proto::Frame m_incoming;
     detail::FrameWriter m_writer;
@@ -101,8 +114,8 @@
     std::promise<void> m_done;
 };
 
-LinkClient::LinkClient(const Endpoint &endpoint, std::uint64_t stream, LinkEvents events)
-    : m_implementation(std::make_shared<Implementation>(endpoint, stream, std::move(events)))
+LinkClient::LinkClient(std::shared_ptr<LinkChannel> channel, std::uint64_t stream, LinkEvents events)
+    : m_implementation(std::make_shared<Implementation>(std::move(channel), stream, std::move(events)))
 {
     m_implementation->begin(m_implementation);
 }
--- a/src/snipevalve/link/link_hub.cpp
+++ b/src/snipevalve/link/link_hub.cpp
@@ -160,6 +160,11 @@
     if (m_server && stream < FirstOutgoing) {
         m_server->close(stream);
     }
+    const auto outgoing = m_outgoing.find(stream);
+    if (outgoing != m_outgoing.end()) {
+        // The next attempt gets a new connection, since this one may have gone silent for good.
+        m_channels.erase(outgoing->second.endpoint);
+    }
     onClosed(stream);
 }
 
@@ -182,7 +187,11 @@
         const std::uint64_t stream = ++m_lastOutgoing;
         Outgoing &outgoing = m_outgoing[stream];
         outgoing.endpoint = endpoint;
-        outgoing.client = std::make_unique<LinkClient>(endpoint, stream, eventsFor(LinkDirection::Up));
+        std::shared_ptr<LinkChannel> &channel = m_channels[endpoint];
+        if (!channel) {
+            channel = makeLinkChannel(endpoint);
+        }
+        outgoing.client = std::make_unique<LinkClient>(channel, stream, eventsFor(LinkDirection::Up));
     }
 }
 
