Renew a fenced server's grants only once the old leader is silenced

The trace: a new leader (term 3) reached only one server, fenced it and renewed its grants. The old leader (term 2), still followed by the other two, took that server as lost, waited out its own grant and gave the slots to another server. Change: a new leader renews nothing until all servers are fenced, or a majority of the witnesses has been for the evidence lifetime; then the old leader can give no grant that a server accepts.

--- a/include/snipevalve/placement/detail/group_authority_impl.hpp
+++ b/include/snipevalve/placement/detail/group_authority_impl.hpp
@@ -30,6 +30,7 @@
     m_plan.targets.resize(slots, NoServer);
     m_members.resize(m_plan.servers.size());
     if (m_plan.witnesses.empty()) {
+        m_predecessorSilenced = true;
         m_predecessorGone = true;
         for (Slot &slot : m_slots) {
             slot.holder = Holder::None;
@@ -270,24 +271,33 @@
     return actions;
 }
 
-/// Finds out when no grant of an earlier term can be in force any more.
+/// Finds out when an earlier leader can give no grant any more, and when none of its grants is in force.
+///
+/// Until it is silenced, an earlier leader may take a server as lost and give its slots to a server that this leader
+/// has not reached. So this leader must not renew a grant before, not even at a server that follows it already.
 template <typename Rules>
 void BasicGroupAuthority<Rules>::updateFence(TimePoint now, Actions &actions)
 {
     if (m_predecessorGone) {
         return;
     }
-    if (!m_predecessorGoneAt && majorityFenced()) {
-        const Duration wait = withClockError(m_times.evidenceLifetime) + withClockError(m_times.grantLifetime);
-        m_predecessorGoneAt = Rules::WaitForPredecessor ? now + wait : now;
+    if (!m_majorityFencedAt && majorityFenced()) {
+        m_majorityFencedAt = now;
         note(actions, "a majority of the witnesses follows this term");
     }
-    bool allFenced = true;
-    for (std::size_t index = 0; index < m_members.size(); ++index) {
-        allFenced = allFenced && m_members[index].fenced;
+    if (!m_majorityFencedAt) {
+        m_predecessorSilenced = !Rules::SilencePredecessor;
+        return;
     }
-    const bool allowed = allFenced && majorityFenced();
-    if (allowed || (m_predecessorGoneAt && now >= *m_predecessorGoneAt)) {
+    const auto isFenced = [](const Member &member) {
+        return member.fenced;
+    };
+    const bool allFenced = std::all_of(m_members.begin(), m_members.end(), isFenced);
+    const TimePoint silencedAt = *m_majorityFencedAt + withClockError(m_times.evidenceLifetime);
+    const TimePoint goneAt = silencedAt + withClockError(m_times.grantLifetime);
+    m_predecessorSilenced = !Rules::SilencePredecessor || allFenced || now >= silencedAt;
+    if (allFenced || now >= goneAt || !Rules::WaitForPredecessor) {
+        m_predecessorSilenced = true;
         m_predecessorGone = true;
         for (std::size_t at = 0; at < m_slots.size(); ++at) {
             if (m_slots[at].holder == Holder::Unknown) {
@@ -459,7 +469,7 @@
     order.group = m_group;
     order.token = nextToken();
     const bool isWritten = server < m_writtenServers;
-    order.probe = !authority || !member.fenced || !member.anchor || !isWritten;
+    order.probe = !authority || !m_predecessorSilenced || !member.fenced || !member.anchor || !isWritten;
     if (!order.probe) {
         order.slots = grantable(server);
         order.anchor = *member.anchor;
--- a/include/snipevalve/placement/group_authority.hpp
+++ b/include/snipevalve/placement/group_authority.hpp
@@ -79,6 +79,7 @@
 {
     static constexpr bool WaitForOldGrant = true; ///< a slot is granted anew only when the old grant is surely over
     static constexpr bool WaitForPredecessor = true; ///< a new leader waits for servers that it can't reach
+    static constexpr bool SilencePredecessor = true; ///< a new leader renews nothing while the old one may still grant
     static constexpr bool NeedEvidence = true; ///< grants are given only while the term is confirmed
     static constexpr bool AllowForClockRate = true; ///< waits are longer by the bound on the clocks' rates
 };
@@ -87,9 +88,10 @@
 ///
 /// The term is confirmed by a majority of the group's servers (the witnesses), or by a read of the store. A leader
 /// gives grants only within `evidenceLifetime` of a confirmation. A successor takes its term by a compare-and-swap,
-/// fences a majority of the witnesses, and then waits evidenceLifetime + grantLifetime before it grants a slot that
-/// an unreachable server may hold. So each slot has one holder at most, also when leaders are paused or cut off, and
-/// running grants outlive an outage of the store. Leases by time: Gray and Cheriton, SOSP 1989.
+/// fences every server that it reaches, renews what they hold when all or, for evidenceLifetime, a majority of the
+/// witnesses follow it, and waits a further grantLifetime before it grants a slot that an unreachable server may hold.
+/// So each slot has one holder at most, also when leaders are paused or cut off, and running grants outlive an outage
+/// of the store. Leases by time: Gray and Cheriton, SOSP 1989.
 template <typename Rules>
 class BasicGroupAuthority
 {
@@ -202,8 +204,9 @@
     std::optional<TimePoint> m_storeConfirmedAt;
     std::optional<TimePoint> m_storeReadAt;
     bool m_storeReadInFlight = false;
-    std::optional<TimePoint> m_predecessorGoneAt; ///< from here on no grant of an earlier term is in force
-    bool m_predecessorGone = false;
+    std::optional<TimePoint> m_majorityFencedAt; ///< when a majority of the witnesses followed this term
+    bool m_predecessorSilenced = false; ///< no earlier leader can give a grant that a server accepts
+    bool m_predecessorGone = false; ///< no grant of an earlier term is in force
     std::optional<TimePoint> m_balancedAt;
     bool m_planDirty = false;
     bool m_planInFlight = false;
--- a/src/snipevalve/placement/group_authority_test.cpp
+++ b/src/snipevalve/placement/group_authority_test.cpp
@@ -400,6 +400,11 @@
     static constexpr bool WaitForPredecessor = false;
 };
 
+struct NoSilence : StandardRules
+{
+    static constexpr bool SilencePredecessor = false;
+};
+
 struct NoEvidence : StandardRules
 {
     static constexpr bool NeedEvidence = false;
@@ -429,7 +434,7 @@
 
 TEST_CASE("no slot has two owners in any schedule", "[promise-1]")
 {
-    constexpr int Schedules = 400;
+    constexpr int Schedules = 1000;
     for (int seed = 1; seed <= Schedules; ++seed) {
         World<StandardRules> world(static_cast<std::uint64_t>(seed), Faults());
         const auto failedAt = world.run(ScheduleMs);
@@ -450,6 +455,10 @@
     {
         failingSeed = firstFailure<NoWaitForPredecessor>(Schedules);
     }
+    SECTION("with renewals while the old leader may still grant")
+    {
+        failingSeed = firstFailure<NoSilence>(Schedules);
+    }
     SECTION("without evidence for the term")
     {
         failingSeed = firstFailure<NoEvidence>(Schedules);
