--- /dev/null
+++ b/include/snipevalve/placement/detail/group_authority_steps.hpp
@@ -0,0 +1,351 @@
+#ifndef SNIPEVALVE_PLACEMENT_DETAIL_GROUP_AUTHORITY_STEPS_HPP
+#define SNIPEVALVE_PLACEMENT_DETAIL_GROUP_AUTHORITY_STEPS_HPP
+
+/// @file The steps of BasicGroupAuthority that follow each event, in the order of advance().
+#include <algorithm>
+
+#include "snipevalve/placement/group_authority.hpp"
+
+namespace snipevalve {
+
+template <typename Rules>
+std::vector<AuthorityAction> BasicGroupAuthority<Rules>::advance(TimePoint now)
+{
+    Actions actions;
+    if (m_resigned) {
+        return actions;
+    }
+    updateFence(now, actions);
+    expireHolders(now);
+    updateLost(now, actions);
+    updateTargets(now, actions);
+    updateWitnesses();
+    confirmFromStore(now, actions);
+    sendOrders(now, actions);
+    writePlan(actions);
+    publish(actions);
+    return actions;
+}
+
+/// Finds out when an earlier leader can give no grant any more, and when none of its grants is in force.
+///
+/// Until it is silenced, an earlier leader may take a server as lost and give its slots to a server that this leader
+/// has not reached. So this leader must not renew a grant before, not even at a server that follows it already.
+template <typename Rules>
+void BasicGroupAuthority<Rules>::updateFence(TimePoint now, Actions &actions)
+{
+    if (m_predecessorGone) {
+        return;
+    }
+    if (!m_majorityFencedAt && majorityFenced()) {
+        m_majorityFencedAt = now;
+        note(actions, "a majority of the witnesses follows this term");
+    }
+    if (!m_majorityFencedAt) {
+        m_predecessorSilenced = !Rules::SilencePredecessor;
+        return;
+    }
+    const auto isFenced = [](const Member &member) {
+        return member.fenced;
+    };
+    const bool allFenced = std::all_of(m_members.begin(), m_members.end(), isFenced);
+    const TimePoint silencedAt = *m_majorityFencedAt + withClockError(m_times.evidenceLifetime);
+    const TimePoint goneAt = silencedAt + withClockError(m_times.grantLifetime);
+    m_predecessorSilenced = !Rules::SilencePredecessor || allFenced || now >= silencedAt;
+    if (allFenced || now >= goneAt || !Rules::WaitForPredecessor) {
+        m_predecessorSilenced = true;
+        m_predecessorGone = true;
+        for (std::size_t at = 0; at < m_slots.size(); ++at) {
+            if (m_slots[at].holder == Holder::Unknown) {
+                setFree(at);
+            }
+        }
+        note(actions, "no grant of an earlier term is in force");
+    }
+}
+
+template <typename Rules>
+void BasicGroupAuthority<Rules>::expireHolders(TimePoint now)
+{
+    for (std::size_t at = 0; at < m_slots.size(); ++at) {
+        Slot &slot = m_slots[at];
+        const bool isOver = slot.holder == Holder::Known && now > slot.expiry;
+        const bool isTaken =
+            !Rules::WaitForOldGrant && slot.holder == Holder::Known && m_plan.targets[at] != slot.server;
+        if (isOver || isTaken) {
+            setFree(at);
+        }
+    }
+}
+
+/// Marks a slot as nobody's and has its target served soon.
+template <typename Rules>
+void BasicGroupAuthority<Rules>::setFree(std::size_t at)
+{
+    m_slots[at].holder = Holder::None;
+    m_slots[at].accepted = false;
+    m_tableDirty = true;
+    const ServerIndex target = m_plan.targets[at];
+    if (target < m_members.size()) {
+        m_members[target].changed = true;
+    }
+}
+
+template <typename Rules>
+bool BasicGroupAuthority<Rules>::holdsAny(ServerIndex server) const
+{
+    const auto isItsOwn = [&](const Slot &slot) {
+        return slot.holder == Holder::Known && slot.server == server;
+    };
+    return std::any_of(m_slots.begin(), m_slots.end(), isItsOwn);
+}
+
+template <typename Rules>
+void BasicGroupAuthority<Rules>::updateLost(TimePoint now, Actions &actions)
+{
+    for (std::size_t index = 0; index < m_members.size(); ++index) {
+        Member &member = m_members[index];
+        const TimePoint heardAt = member.confirmedAt.value_or(m_termStart);
+        const bool isSilent = now - heardAt > m_times.lostAfter;
+        if (isSilent && !member.lost) {
+            member.lost = true;
+            note(actions, m_plan.servers[index] + " does not answer");
+        }
+    }
+}
+
+template <typename Rules>
+void BasicGroupAuthority<Rules>::updateTargets(TimePoint now, Actions &actions)
+{
+    const bool isDue = !m_balancedAt || now - *m_balancedAt >= m_times.balanceInterval;
+    bool hasOrphans = false;
+    std::vector<BalanceServer> servers(m_members.size());
+    for (std::size_t index = 0; index < m_members.size(); ++index) {
+        const Member &member = m_members[index];
+        servers[index].fit = isFit(member);
+        servers[index].drained = member.configured && member.draining && !member.lost;
+        // A server that has not answered yet keeps its slots until it is taken as lost.
+        const bool isAwaited = member.configured && !member.draining && !member.fenced && !member.lost;
+        servers[index].fit = servers[index].fit || isAwaited;
+    }
+    for (const ServerIndex target : m_plan.targets) {
+        hasOrphans = hasOrphans || target >= servers.size() || (!servers[target].fit && !servers[target].drained);
+    }
+    if (!isDue && !hasOrphans) {
+        return;
+    }
+    const bool hasFenced = std::any_of(m_members.begin(), m_members.end(), [&](const Member &m) {
+        return isFit(m);
+    });
+    if (!hasFenced) {
+        return;
+    }
+    m_balancedAt = now;
+    std::vector<ServerIndex> targets = balance(m_plan.targets, m_loads, servers);
+    if (targets == m_plan.targets) {
+        return;
+    }
+    std::size_t moved = 0;
+    for (std::size_t slot = 0; slot < targets.size(); ++slot) {
+        const ServerIndex from = m_plan.targets[slot];
+        if (from == targets[slot]) {
+            continue;
+        }
+        ++moved;
+        m_members[targets[slot]].changed = true;
+        if (from < m_members.size()) {
+            m_members[from].changed = true;
+        }
+    }
+    m_plan.targets = std::move(targets);
+    m_planDirty = true;
+    note(actions, "moves " + std::to_string(moved) + " slots");
+}
+
+/// Brings the witnesses towards the configured servers, one server in each plan, so that majorities overlap.
+template <typename Rules>
+void BasicGroupAuthority<Rules>::updateWitnesses()
+{
+    if (m_planInFlight || m_plan.witnesses != m_writtenWitnesses) {
+        return;
+    }
+    std::vector<std::string> wanted;
+    for (std::size_t index = 0; index < m_members.size(); ++index) {
+        if (m_members[index].configured) {
+            wanted.push_back(m_plan.servers[index]);
+        }
+    }
+    std::sort(wanted.begin(), wanted.end());
+    std::vector<std::string> &witnesses = m_plan.witnesses;
+    if (witnesses.empty() && !wanted.empty()) {
+        witnesses = wanted;
+        m_planDirty = true;
+        return;
+    }
+    const auto isNew = [&](const std::string &name) {
+        return !std::count(witnesses.begin(), witnesses.end(), name);
+    };
+    const auto isGone = [&](const std::string &name) {
+        return !std::count(wanted.begin(), wanted.end(), name);
+    };
+    const auto added = std::find_if(wanted.begin(), wanted.end(), isNew);
+    const auto gone = std::find_if(witnesses.begin(), witnesses.end(), isGone);
+    if (gone != witnesses.end() && witnesses.size() > 1) {
+        witnesses.erase(gone);
+        m_planDirty = true;
+    } else if (added != wanted.end()) {
+        witnesses.push_back(*added);
+        m_planDirty = true;
+    }
+}
+
+template <typename Rules>
+void BasicGroupAuthority<Rules>::sendOrders(TimePoint now, Actions &actions)
+{
+    const bool authority = hasAuthority(now);
+    for (std::size_t index = 0; index < m_members.size(); ++index) {
+        const Member &member = m_members[index];
+        const bool isRetired = !member.configured && m_predecessorGone;
+        if (member.orderInFlight || (isRetired && !holdsAny(static_cast<ServerIndex>(index)))) {
+            continue;
+        }
+        const bool isDue = !member.lastSentAt || now - *member.lastSentAt >= m_times.renewInterval;
+        const bool hasNews = authority && member.fenced && member.changed && !member.lost;
+        if (isDue || hasNews) {
+            sendOrder(static_cast<ServerIndex>(index), authority, now, actions);
+        }
+    }
+}
+
+template <typename Rules>
+void BasicGroupAuthority<Rules>::sendOrder(ServerIndex server, bool authority, TimePoint now, Actions &actions)
+{
+    Member &member = m_members[server];
+    GrantOrder order;
+    order.group = m_group;
+    order.token = nextToken();
+    const bool isWritten = server < m_writtenServers;
+    order.probe = !authority || !m_predecessorSilenced || !member.fenced || !member.anchor || !isWritten;
+    if (!order.probe) {
+        order.slots = grantable(server);
+        order.anchor = *member.anchor;
+        order.lifetime = m_times.grantLifetime;
+        const TimePoint expiry = member.anchorAt + withClockError(m_times.grantLifetime);
+        for (const std::uint32_t slot : order.slots) {
+            Slot &state = m_slots[slot];
+            state.accepted = state.accepted && state.holder == Holder::Known && state.server == server;
+            state.holder = Holder::Known;
+            state.server = server;
+            state.expiry = std::max(state.expiry, expiry);
+        }
+        member.changed = false;
+    }
+    member.orderInFlight = true;
+    member.inFlight = order.token;
+    member.inFlightSentAt = now;
+    member.lastSentAt = now;
+    actions.push_back(SendOrder{m_plan.servers[server], std::move(order)});
+}
+
+template <typename Rules>
+std::vector<std::uint32_t> BasicGroupAuthority<Rules>::grantable(ServerIndex server) const
+{
+    std::vector<std::uint32_t> slots;
+    for (std::uint32_t at = 0; at < m_slots.size(); ++at) {
+        const Slot &slot = m_slots[at];
+        const bool isFree = slot.holder == Holder::None || (slot.holder == Holder::Known && slot.server == server);
+        if (m_plan.targets[at] == server && isFree) {
+            slots.push_back(at);
+        }
+    }
+    return slots;
+}
+
+/// Takes in what a server says it holds; what it does not name, it surely does not hold.
+template <typename Rules>
+bool BasicGroupAuthority<Rules>::takeHeld(ServerIndex server, const std::vector<std::uint32_t> &held, bool isFirst,
+                                          TimePoint now)
+{
+    bool changed = false;
+    std::vector<bool> isHeld(m_slots.size(), false);
+    for (const std::uint32_t slot : held) {
+        if (slot < m_slots.size()) {
+            isHeld[slot] = true;
+        }
+    }
+    for (std::uint32_t at = 0; at < m_slots.size(); ++at) {
+        Slot &slot = m_slots[at];
+        const bool isOurs = slot.holder == Holder::Known && slot.server == server;
+        if (isHeld[at] && slot.holder != Holder::Known) {
+            slot.holder = Holder::Known;
+            slot.server = server;
+            slot.expiry = now + withClockError(m_times.grantLifetime);
+            slot.accepted = true;
+            m_tableDirty = true;
+            changed = true;
+            if (isFirst && m_plan.targets[at] != server) {
+                m_plan.targets[at] = server;
+                m_planDirty = true;
+            }
+        } else if (isHeld[at] && isOurs && !slot.accepted) {
+            slot.accepted = true;
+            m_tableDirty = true;
+            changed = true;
+        } else if (!isHeld[at] && isOurs) {
+            setFree(at);
+            changed = true;
+        }
+    }
+    return changed;
+}
+
+/// Reads the term from the store while the witnesses alone do not confirm it.
+template <typename Rules>
+void BasicGroupAuthority<Rules>::confirmFromStore(TimePoint now, Actions &actions)
+{
+    const TimePoint since = now - m_times.evidenceLifetime + m_times.renewInterval;
+    const bool isDue = !m_storeReadAt || now - *m_storeReadAt >= m_times.renewInterval;
+    if (m_storeReadInFlight || !isDue || majorityConfirmedSince(since)) {
+        return;
+    }
+    m_storeReadInFlight = true;
+    m_storeReadAt = now;
+    actions.push_back(ConfirmTerm{});
+}
+
+template <typename Rules>
+void BasicGroupAuthority<Rules>::writePlan(Actions &actions)
+{
+    if (!m_planDirty || m_planInFlight) {
+        return;
+    }
+    m_planDirty = false;
+    m_planInFlight = true;
+    ++m_plan.version;
+    m_inFlightWitnesses = m_plan.witnesses;
+    m_inFlightServers = m_plan.servers.size();
+    actions.push_back(WritePlan{m_plan});
+}
+
+template <typename Rules>
+void BasicGroupAuthority<Rules>::publish(Actions &actions)
+{
+    if (!m_tableDirty) {
+        return;
+    }
+    m_tableDirty = false;
+    PublishTable table;
+    table.version = nextToken();
+    table.servers = m_plan.servers;
+    table.committed = !m_planDirty && !m_planInFlight;
+    table.owners.reserve(m_slots.size());
+    for (const Slot &slot : m_slots) {
+        const bool isHeld = slot.holder == Holder::Known && slot.accepted;
+        table.owners.push_back(isHeld ? slot.server : NoServer);
+    }
+    actions.push_back(std::move(table));
+}
+
+} // namespace snipevalve
+
+#endif // SNIPEVALVE_PLACEMENT_DETAIL_GROUP_AUTHORITY_STEPS_HPP
