Keep a stopping entry process unready when the configuration changes

Cause: found on reading: each new routing state set readiness again, also during a planned stop, so a change in the drain delay would have called callers back to a host that is about to close. Ruled out: the relay of the change itself. Before: the new test fails, /ready answers 200 during the stop. The look for vacant groups also no longer ends during a stop, which had counted as a failed part.

--- a/src/snipevalve/entry/entry_process.cpp
+++ b/src/snipevalve/entry/entry_process.cpp
@@ -198,7 +198,7 @@
     for (TrafficThread &thread : m_threads) {
         thread.setRouting(state);
     }
-    m_ready = !state->routes.empty();
+    m_ready = !m_stopping && !state->routes.empty();
     m_reporter.update();
 }
 
@@ -226,6 +226,7 @@
 {
     constexpr Milliseconds PollInterval(10);
     spdlog::info("entry: a planned stop begins");
+    m_stopping = true;
     m_ready = false;
     for (TrafficThread &thread : m_threads) {
         thread.beginStop();
--- a/src/snipevalve/entry/entry_process.hpp
+++ b/src/snipevalve/entry/entry_process.hpp
@@ -75,6 +75,7 @@
     std::uint64_t m_startTime = 0;
     bool m_rebuildQueued = false;
     bool m_ready = false;
+    bool m_stopping = false;
     ExitCode m_exitCode = ExitCode::Ok;
 };
 
--- a/src/snipevalve/placement_app/leadership.cpp
+++ b/src/snipevalve/placement_app/leadership.cpp
@@ -75,9 +75,10 @@
 
 Awaitable<void> Leadership::watchGroups()
 {
-    while (!m_stopping) {
+    while (true) {
         const TimePoint now = Clock::now();
-        for (const GroupId &group : m_context.catalog.groups()) {
+        const std::vector<GroupId> groups = m_stopping ? std::vector<GroupId>() : m_context.catalog.groups();
+        for (const GroupId &group : groups) {
             if (hasLeader(group) || m_runners.contains(group)) {
                 m_vacancies.erase(group);
                 continue;
@@ -91,7 +92,6 @@
         }
         co_await sleepFor(m_context.executor, WatchInterval);
     }
-    co_await sleepFor(m_context.executor, m_context.settings.entryStopTimeout);
 }
 
 Awaitable<absl::Status> Leadership::writeLeaderKey(GroupId group)
--- a/tests/process/requests_test.cpp
+++ b/tests/process/requests_test.cpp
@@ -106,6 +106,31 @@
     WARN("rolling stop: answered " << countEnds(report, CallEnd::Answered) << ", p99 " << report.p99Ms << " ms");
 }
 
+TEST_CASE("a stopping entry process stays unready when the configuration changes", "[promise-7]")
+{
+    DeploymentOptions options = optionsFor("stop-ready", Network);
+    options.extraSettings = "[entry]\ndrain_delay_ms = 3000\n";
+    Deployment deployment(smallDeployment(2), options);
+    REQUIRE(deployment.start(StartTimeout));
+    HostProcesses &host = deployment.hosts()[1];
+    host.entry->terminate();
+    const auto isUnready = [&]() {
+        return request(deployment.opsOf(host), "GET", "/ready").status == 503;
+    };
+    REQUIRE(Deployment::waitFor(Milliseconds(2000), isUnready));
+    const Endpoint admin = deployment.adminEndpoint();
+    const auto route = nlohmann::json::parse(request(admin, "GET", "/v1/routes/ledger").body);
+    const auto revision = std::to_string(route.value("revision", std::uint64_t(0)));
+    REQUIRE(request(admin, "PATCH", "/v1/routes/ledger", R"({"spec":{"deadlineMs":4000}})", revision).status == 200);
+    const auto hasChange = [&]() {
+        const auto metrics = request(deployment.opsOf(host), "GET", "/metrics").body;
+        const auto json = nlohmann::json::parse(metrics, nullptr, false);
+        return json.is_object() && json.value("revision", std::uint64_t(0)) > route["revision"].get<std::uint64_t>();
+    };
+    REQUIRE(Deployment::waitFor(Milliseconds(2000), hasChange));
+    CHECK(isUnready());
+}
+
 TEST_CASE("the rolling-stop check notices a stop that is not graceful", "[promise-7]")
 {
     Deployment deployment(smallDeployment(), optionsFor("rough-stop", Network));
