Check idle connections in one place

Cause: the control client and the entry's pool each had their own look for a connection that the peer has closed; found on reading the change once more. Change: isSpoiled() in the net module serves both; the pool still looks at its own read-ahead bytes too. Ruled out: merging the two pools, whose rules for reuse differ (time since the last answer). No behaviour changes.

--- a/src/snipevalve/entry/upstream_pool.cpp
+++ b/src/snipevalve/entry/upstream_pool.cpp
@@ -2,19 +2,12 @@
 
 #include <netinet/tcp.h>
 
+#include "snipevalve/net/idle_connection.hpp"
+
 namespace snipevalve {
 
 namespace {
 
-/// True when the server has closed the connection or sent bytes that nobody asked for.
-bool isSpoiled(UpstreamConnection &connection)
-{
-    char byte = 0;
-    ErrorCode error;
-    connection.stream.socket().receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
-    return error != asio::error::would_block || connection.buffer.size() > 0;
-}
-
 /// Has the kernel give up a connection whose bytes nobody acknowledges (TCP_USER_TIMEOUT, RFC 5482).
 void limitUnacknowledged(Tcp::socket &socket, Milliseconds timeout)
 {
@@ -43,7 +36,7 @@
             idle.clear();
             return nullptr;
         }
-        if (!isSpoiled(*connection)) {
+        if (connection->buffer.size() == 0 && !isSpoiled(connection->stream.socket())) {
             return connection;
         }
     }
--- a/src/snipevalve/net/http_client.cpp
+++ b/src/snipevalve/net/http_client.cpp
@@ -1,5 +1,7 @@
 #include "snipevalve/net/http_client.hpp"
 
+#include "snipevalve/net/idle_connection.hpp"
+
 namespace snipevalve {
 
 namespace {
@@ -21,16 +23,6 @@
     return request;
 }
 
-/// True when the peer has closed the connection or sent bytes that nobody asked for.
-bool isSpoiled(beast::tcp_stream &stream)
-{
-    char byte = 0;
-    ErrorCode error;
-    stream.socket().non_blocking(true, error);
-    stream.socket().receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
-    return error != asio::error::would_block;
-}
-
 } // namespace
 
 HttpClient::HttpClient(asio::any_io_executor executor, std::string sourceAddress)
@@ -47,7 +39,7 @@
     while (!streams.empty()) {
         Stream stream = std::move(streams.back());
         streams.pop_back();
-        if (!isSpoiled(*stream)) {
+        if (!isSpoiled(stream->socket())) {
             return stream;
         }
     }
