--- /dev/null
+++ b/include/snipevalve/dispatch/dispatcher.hpp
@@ -0,0 +1,119 @@
+#ifndef SNIPEVALVE_DISPATCH_DISPATCHER_HPP
+#define SNIPEVALVE_DISPATCH_DISPATCHER_HPP
+
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "snipevalve/dispatch/key_owners.hpp"
+#include "snipevalve/dispatch/repeat_window.hpp"
+#include "snipevalve/dispatch/service_times.hpp"
+#include "snipevalve/dispatch/work.hpp"
+#include "snipevalve/request/outlier_detector.hpp"
+
+namespace snipevalve {
+
+struct DispatcherOptions
+{
+    RepeatLimits repeats;
+    double slotShare = 1.0; ///< the part of each server's slots that this dispatcher may fill
+    std::uint64_t seed = 1; ///< for the spread of the times to come back
+};
+
+/// @brief Places the requests of one service on its servers. No I/O, threads or clock.
+///
+/// One queue in front of all servers, with late binding (as in Sparrow, SOSP 2013): a request gets a server only when one
+/// of that server's slots is free, so no server's own queue fills while others idle. Requests that can still be answered
+/// within their target go first, then those that can only be late; what can't be answered in time is rejected at once.
+///
+/// Answers the load pattern "all servers nearly full": bursts, slow servers and hot keys.
+class Dispatcher
+{
+public:
+    explicit Dispatcher(DispatcherOptions options);
+
+    /// @brief The usable servers. Requests that run on a server that left keep their place there.
+    void setServers(const std::vector<UpstreamServer> &servers, TimePoint now);
+
+    /// @brief For keyed services: who holds which keys. Without it every request goes to any server.
+    void setOwners(KeyOwners owners, TimePoint now);
+
+    /// @brief Changes the part of each server's slots that this dispatcher may fill.
+    void setSlotShare(double share);
+
+    void submit(WorkItem item, TimePoint now);
+
+    /// @brief Counts a request that another dispatcher has already placed on this server.
+    void adopt(const WorkItem &item, const std::string &server, TimePoint now);
+
+    /// @brief How long the request keeps a slot of a server of usual speed busy.
+    Seconds expectedWork(const WorkItem &item) const;
+
+    /// @brief The sender no longer waits, or its send has ended. Unknown tickets are ignored.
+    void finish(Ticket ticket, WorkEnd end, Duration took, TimePoint now);
+
+    /// @brief Rejects what has become too late and places what can go.
+    void advance(TimePoint now);
+
+    /// @brief Placements and rejections since the last call.
+    std::vector<DispatchDecision> take();
+
+    std::size_t waiting() const;
+    std::size_t running() const;
+
+    /// @brief Requests a second that the server runs when all its slots are busy.
+    double capacityOf(const std::string &server) const;
+
+private:
+    struct ServerState
+    {
+        UpstreamServer server;
+        Slowness slowness;
+        OutlierDetector outliers;
+        unsigned busy = 0;
+        bool gone = false; ///< takes no new work; kept for the requests that run there
+        TimePoint lastUsedAt;
+    };
+
+    struct Running
+    {
+        std::string server;
+        std::uint64_t workClass = 0;
+        TimePoint since;
+    };
+
+    using Queue = std::vector<WorkItem>;
+
+    unsigned runningOn(const std::string &server) const;
+    unsigned limitOf(const ServerState &state) const;
+    bool isOpen(const ServerState &state, TimePoint now) const;
+    Seconds expectedOn(const ServerState &state, const WorkItem &item) const;
+    Seconds predictedWait(const WorkItem &item, const Queue &queue, const ServerState *owner, TimePoint now) const;
+    bool goesBefore(const WorkItem &left, const WorkItem &right, TimePoint now) const;
+    ServerState *ownerFor(const WorkItem &item);
+    std::string queueName(const WorkItem &item);
+    void reject(const WorkItem &item, RejectReason reason, Seconds retryAfter);
+    void place(const WorkItem &item, ServerState &state, TimePoint now);
+    void serveQueue(const std::string &name, Queue &queue, TimePoint now);
+    ServerState *serverFor(const WorkItem &item, const std::string &queueName, TimePoint now);
+    ServerState *bestOpen(const WorkItem &item, TimePoint now);
+    void dropLate(Queue &queue, TimePoint now);
+    void requeueAll(TimePoint now);
+
+    DispatcherOptions m_options;
+    ServiceTimes m_times;
+    RepeatWindow m_repeats;
+    std::mt19937_64 m_random;
+    bool m_keyed = false;
+    KeyOwners m_owners;
+    std::map<std::string, ServerState> m_servers; ///< by id
+    std::map<std::string, Queue> m_queues; ///< by owner's id for keyed services; one without a name for others
+    std::map<Ticket, Running> m_running;
+    std::vector<DispatchDecision> m_decisions;
+};
+
+} // namespace snipevalve
+
+#endif // SNIPEVALVE_DISPATCH_DISPATCHER_HPP
--- /dev/null
+++ b/include/snipevalve/gateway/gateway_config.hpp
@@ -0,0 +1,82 @@
+#ifndef SNIPEVALVE_GATEWAY_GATEWAY_CONFIG_HPP
+#define SNIPEVALVE_GATEWAY_GATEWAY_CONFIG_HPP
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "snipevalve/core/time.hpp"
+
+namespace snipevalve {
+
+/// @brief What a route's requests allow the router to do.
+enum class RequestKind {
+    Safe, ///< idempotent: may run more than once
+    Unsafe, ///< runs at most once for each attempt of the caller
+    Upload, ///< a large body; runs at most once
+};
+
+/// @brief One of the services that share a route's requests.
+struct WeightedService
+{
+    std::string service;
+    unsigned weight = 1;
+};
+
+/// @brief Where requests of one host and path prefix go, and within which limits.
+struct GatewayRoute
+{
+    std::string name;
+    std::string host;
+    std::string pathPrefix; ///< begins and ends with a slash
+    RequestKind kind = RequestKind::Unsafe;
+    Milliseconds timeout{0}; ///< the caller gets a final answer within this time
+    Milliseconds targetLatency{0}; ///< an answer within this time is worth most
+    int priority = 0; ///< 0 is the highest
+    int maxAttempts = 1; ///< servers that one request may be sent to
+    std::vector<WeightedService> services; ///< at least one
+};
+
+/// @brief A group of servers that do the same work.
+struct GatewayService
+{
+    std::string name;
+    std::string healthPath;
+    unsigned maxConnections = 0; ///< of all hosts together, for one server
+    bool keyed = false; ///< each key has one owning server
+    Milliseconds warmTime{0}; ///< how long keys that come without a handover are slow
+};
+
+/// @brief Bounds on what a caller may send and how long it may take.
+struct CallerLimits
+{
+    std::uint32_t maxHeaderBytes = 16 << 10;
+    std::uint64_t maxBodyBytes = 64 << 20;
+    Milliseconds headerTimeout{3'000};
+    Milliseconds idleTimeout{15'000};
+};
+
+/// @brief One version of the operators' configuration, whole.
+class GatewayConfig
+{
+public:
+    /// @return the route of this host with the longest prefix that begins the path; null when none fits
+    const GatewayRoute *routeFor(std::string_view host, std::string_view path) const;
+
+    const GatewayService *service(const std::string &name) const;
+
+    void addRoute(GatewayRoute route);
+
+    std::uint64_t version = 0;
+    CallerLimits limits;
+    std::map<std::string, GatewayService> services;
+
+private:
+    std::map<std::string, std::vector<GatewayRoute>, std::less<>> m_routesByHost; ///< longest prefix first
+};
+
+} // namespace snipevalve
+
+#endif // SNIPEVALVE_GATEWAY_GATEWAY_CONFIG_HPP
--- a/include/snipevalve/net/http_client.hpp
+++ b/include/snipevalve/net/http_client.hpp
@@ -22,6 +22,8 @@
     std::string body;
     std::string authorization;
     std::string ifMatch;
+    std::string contentType;
+    std::string replyHeader; ///< the header of the answer that HttpReply::header is to hold
     Milliseconds timeout{1000};
 };
 
@@ -29,6 +31,7 @@
 {
     unsigned status = 0;
     std::string body;
+    std::string header; ///< the value of HttpCall::replyHeader; empty when the answer has none
 };
 
 /// @brief A client for control calls (store, grants, host list), with kept connections. For use on one thread.
--- a/src/snipevalve/entry/upstream_pool.hpp
+++ b/include/snipevalve/net/upstream_pool.hpp
@@ -1,5 +1,5 @@
-#ifndef SNIPEVALVE_ENTRY_UPSTREAM_POOL_HPP
-#define SNIPEVALVE_ENTRY_UPSTREAM_POOL_HPP
+#ifndef SNIPEVALVE_NET_UPSTREAM_POOL_HPP
+#define SNIPEVALVE_NET_UPSTREAM_POOL_HPP
 
 #include <map>
 #include <memory>
@@ -24,7 +24,7 @@
     TimePoint answeredAt; ///< end of the last whole answer
 };
 
-/// @brief The idle connections of one traffic thread. Only connections whose last answer was whole come back to it.
+/// @brief The idle connections to servers of one traffic thread. Only connections whose last answer was whole come back to it.
 class UpstreamPool
 {
 public:
@@ -49,4 +49,4 @@
 
 } // namespace snipevalve
 
-#endif // SNIPEVALVE_ENTRY_UPSTREAM_POOL_HPP
+#endif // SNIPEVALVE_NET_UPSTREAM_POOL_HPP
--- /dev/null
+++ b/include/snipevalve/ownership/key_authority.hpp
@@ -0,0 +1,191 @@
+#ifndef SNIPEVALVE_OWNERSHIP_KEY_AUTHORITY_HPP
+#define SNIPEVALVE_OWNERSHIP_KEY_AUTHORITY_HPP
+
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "snipevalve/core/time.hpp"
+#include "snipevalve/ownership/key_balance.hpp"
+#include "snipevalve/ownership/key_plan.hpp"
+
+namespace snipevalve {
+
+/// @brief Times of the leader that grants the keys of a service.
+struct KeyAuthorityTimes
+{
+    Milliseconds hold{4'000}; ///< of a grant while the store answers; bounds how long a lost server's keys are dark
+    Milliseconds longHold{10'000}; ///< of a grant while the store is away: rides out its outages of up to 9 s
+    Milliseconds renewInterval{1'200}; ///< leaves three tries within `hold`
+    Milliseconds retryInterval{60}; ///< after a call without an answer
+    Milliseconds balanceInterval{200}; ///< between two rounds of moves by load
+    Milliseconds arrivalSlack{400}; ///< a call without an answer may arrive this long after it was given up
+    double clockError = 0.02; ///< a server's clock may run this much slow
+};
+
+/// @brief Give these keys to the server until `hold` after the call arrives, or renew such a grant.
+struct GrantKeys
+{
+    std::uint64_t call = 0;
+    UpstreamServer server;
+    KeyRange keys;
+    std::uint64_t fence = 0;
+    Milliseconds hold{0};
+    std::string handover; ///< the last holder's; empty when there is none
+};
+
+/// @brief Have the server stop new work on these keys, and answer when the work on them has ended.
+struct ReleaseKeys
+{
+    std::uint64_t call = 0;
+    UpstreamServer server;
+    KeyRange keys;
+    std::uint64_t fence = 0;
+};
+
+/// @brief Write this plan to the store over the last one.
+struct SaveKeyPlan
+{
+    KeyPlan plan;
+};
+
+/// @brief A decision, for the log.
+struct OwnershipNote
+{
+    std::string text;
+};
+
+using KeyAction = std::variant<GrantKeys, ReleaseKeys, SaveKeyPlan, OwnershipNote>;
+
+/// @brief How a call to a server ended.
+enum class KeyCallEnd {
+    Accepted,
+    Refused, ///< the server has seen a higher fence
+    NoAnswer, ///< it may take effect until its hold, counted from its latest arrival, has run out
+    NotSent, ///< no connection: it surely has no effect
+};
+
+/// @brief The rules that keep one owner a key. Tests switch one off to show that they notice.
+struct StandardKeyRules
+{
+    static constexpr bool SavePlanFirst = true; ///< a new owner stands in the plan before it is granted anything
+    static constexpr bool WaitForHold = true; ///< a lost holder's grant has surely run out before another server gets the keys
+    static constexpr bool CountLateGrants = true; ///< an unanswered grant counts from its latest arrival, also after a release
+    static constexpr bool CheckAuthority = true; ///< nothing is sent when another leader may exist
+    static constexpr bool AllowForSlowClock = true; ///< holds may last longer on a server's clock
+};
+
+/// @brief Decides which server holds which keys of one service, for one term of one leader. No I/O, threads or clock.
+///
+/// The plan in the store names for each key the only server that may hold it. Only the leader writes it, by
+/// compare-and-swap, and it grants keys to a server only after the plan that names this server has been written. A
+/// successor therefore renews at once what the plan says, and waits only for servers that are gone: until the longest
+/// hold that the earlier leader may have given has run out. The leader's own right to send ends with its lease in the
+/// store (`setAuthority`), which ends before a successor can exist.
+template <typename Rules>
+class BasicKeyAuthority
+{
+public:
+    /// @param plan the plan as it stands in the store, empty before the first one
+    BasicKeyAuthority(KeyPlan plan, KeyAuthorityTimes times, TimePoint now);
+
+    /// @brief The servers of the service. One that is missing has left, or does not reach the store.
+    void setServers(const std::vector<UpstreamServer> &servers, TimePoint now);
+
+    /// @brief No other leader exists before this time.
+    /// @param storeAnswers false while the store does not answer this host
+    void setAuthority(TimePoint until, bool storeAnswers);
+
+    /// @param loads by key: busy slots
+    /// @param capacities by server: slots weighed by speed
+    void balance(const std::vector<float> &loads, const std::map<std::string, double> &capacities, TimePoint now);
+
+    /// @param handover the server's, with the answer to a release
+    void onCallEnd(std::uint64_t call, KeyCallEnd end, const std::string &handover, TimePoint now);
+
+    /// @brief The plan that was to be saved stands in the store.
+    void onPlanSaved(TimePoint now);
+
+    /// @brief Time has passed; to be called every few ms to tens of ms, and after each event.
+    std::vector<KeyAction> advance(TimePoint now);
+
+    /// @brief Who surely holds which keys now.
+    KeyOwners owners(TimePoint now) const;
+
+    const KeyPlan &plan() const;
+    bool isPlanSaved() const;
+
+    /// @brief Keys that have changed hands since the start, as a share of all keys.
+    double movedShare() const;
+
+private:
+    enum class State {
+        Orphaned, ///< a server that is gone, or whose grant is unanswered, may hold the keys until `holdEnd`
+        Free, ///< surely nobody holds the keys
+        Planned, ///< `owner` is to get them when the plan is saved
+        Granting, ///< `owner` stands in the saved plan and has not accepted yet
+        Held, ///< `owner` has accepted
+        Releasing, ///< `owner` is to stop using them
+    };
+
+    struct Segment
+    {
+        KeyRange keys;
+        State state = State::Free;
+        ServerLife owner;
+        std::string next; ///< the server that is to get the keys after the release; empty for any
+        std::uint64_t fence = 0;
+        std::string handover;
+        TimePoint holdEnd; ///< no grant of these keys to `owner` lasts longer
+        TimePoint lateEnd; ///< no unanswered grant of these keys lasts longer
+        TimePoint sendAt; ///< when the next call is due
+        std::uint64_t call = 0; ///< under way; 0 for none
+        Milliseconds callHold{0};
+        bool released = false; ///< the owner has stopped using the keys, but a late grant may still reach it
+        bool inherited = false; ///< held under an earlier leader, so the owner serves them already
+    };
+
+    using Actions = std::vector<KeyAction>;
+
+    bool hasAuthority(TimePoint now) const;
+    Duration longest(Milliseconds hold) const;
+    const UpstreamServer *liveServer(const ServerLife &life) const;
+    std::uint64_t nextFence();
+    void coverAllKeys();
+    void split(std::uint32_t from);
+    void release(Segment &segment, const std::string &next, TimePoint now);
+    void followServers(Segment &segment, TimePoint now);
+    void assignFree(TimePoint now);
+    std::string leastLoaded() const;
+    void mergeNeighbours(TimePoint now);
+    void savePlan(Actions &actions);
+    bool isPlanned(const Segment &segment) const;
+    void send(Segment &segment, TimePoint now, Actions &actions);
+    void onGrantEnd(Segment &segment, KeyCallEnd end, TimePoint now);
+    void onReleaseEnd(Segment &segment, KeyCallEnd end, const std::string &handover, TimePoint now);
+    void setFree(Segment &segment);
+
+    KeyAuthorityTimes m_times;
+    KeyPlan m_plan; ///< the one that stands in the store or is being saved
+    std::vector<Segment> m_segments; ///< rising, covering all keys
+    std::map<std::string, UpstreamServer> m_servers;
+    std::map<std::string, double> m_keyCounts; ///< by server: keys that it holds or is to get
+    TimePoint m_authorityUntil;
+    bool m_storeAnswers = true;
+    bool m_planSaved = false; ///< the plan of this term stands in the store
+    bool m_planInFlight = false;
+    std::uint64_t m_sequence = 0;
+    std::uint64_t m_lastCall = 0;
+    TimePoint m_balancedAt;
+    double m_movedKeys = 0;
+    std::vector<std::string> m_notes;
+};
+
+using KeyAuthority = BasicKeyAuthority<StandardKeyRules>;
+extern template class BasicKeyAuthority<StandardKeyRules>;
+
+} // namespace snipevalve
+
+#endif // SNIPEVALVE_OWNERSHIP_KEY_AUTHORITY_HPP
--- /dev/null
+++ b/src/snipevalve/dispatch_link/frame_channel.cpp
@@ -0,0 +1,136 @@
+#include "snipevalve/dispatch_link/frame_channel.hpp"
+
+#include <netinet/tcp.h>
+
+#include <boost/endian/conversion.hpp>
+#include <spdlog/spdlog.h>
+
+namespace snipevalve {
+
+namespace {
+
+constexpr std::size_t LengthBytes = 4;
+/// A longer frame is damage: the largest view, 300 servers and 2,000 ranges, takes about 60 KB.
+constexpr std::uint32_t LongestFrame = 4 << 20;
+/// What may wait to be written to one host; a host that reads nothing for so long is not of use.
+constexpr std::size_t LongestOutbox = 4 << 20;
+constexpr std::size_t ReadBytes = 16 << 10;
+/// Bytes that the other host does not acknowledge for so long show a dead connection.
+constexpr Milliseconds UnacknowledgedLimit(3'000);
+
+void setOptions(Tcp::socket &socket)
+{
+    ErrorCode ignored;
+    socket.set_option(Tcp::no_delay(true), ignored);
+    const auto limit = static_cast<unsigned>(UnacknowledgedLimit.count());
+    ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof(limit));
+}
+
+} // namespace
+
+FrameChannel::FrameChannel(Tcp::socket socket)
+    : m_stream(std::move(socket))
+    , m_receivedAt(Clock::now())
+{
+    setOptions(m_stream.socket());
+}
+
+void FrameChannel::send(const google::protobuf::MessageLite &message)
+{
+    if (!m_isOpen) {
+        return;
+    }
+    if (m_outbox.size() > LongestOutbox) {
+        spdlog::warn("link: event=closed reason=\"the peer does not read\" waiting_bytes={}", m_outbox.size());
+        close();
+        return;
+    }
+    const std::size_t start = m_outbox.size();
+    m_outbox.resize(start + LengthBytes);
+    message.AppendToString(&m_outbox);
+    const auto length = static_cast<std::uint32_t>(m_outbox.size() - start - LengthBytes);
+    boost::endian::store_big_u32(reinterpret_cast<unsigned char *>(m_outbox.data() + start), length);
+    if (!m_isWriting) {
+        m_isWriting = true;
+        asio::co_spawn(m_stream.get_executor(), writeAll(), asio::detached);
+    }
+}
+
+Awaitable<void> FrameChannel::writeAll()
+{
+    const auto self = shared_from_this();
+    ErrorCode error;
+    while (!error && m_isOpen && !m_outbox.empty()) {
+        m_writing.clear();
+        m_writing.swap(m_outbox);
+        co_await asio::async_write(m_stream.socket(), asio::buffer(m_writing), awaitInto(error));
+    }
+    m_isWriting = false;
+    if (error) {
+        close();
+    }
+}
+
+Awaitable<bool> FrameChannel::receive(std::string &frame)
+{
+    const auto self = shared_from_this();
+    while (m_isOpen) {
+        const auto data = m_buffer.cdata();
+        if (data.size() >= LengthBytes) {
+            const std::uint32_t length = boost::endian::load_big_u32(static_cast<const unsigned char *>(data.data()));
+            if (length > LongestFrame) {
+                spdlog::warn("link: event=closed reason=\"a frame of {} bytes\"", length);
+                break;
+            }
+            if (data.size() >= LengthBytes + length) {
+                frame.assign(static_cast<const char *>(data.data()) + LengthBytes, length);
+                m_buffer.consume(LengthBytes + length);
+                co_return true;
+            }
+        }
+        ErrorCode error;
+        const std::size_t count =
+            co_await m_stream.socket().async_read_some(m_buffer.prepare(ReadBytes), awaitInto(error));
+        if (error) {
+            break;
+        }
+        m_buffer.commit(count);
+        m_receivedAt = Clock::now();
+    }
+    close();
+    co_return false;
+}
+
+void FrameChannel::close()
+{
+    m_isOpen = false;
+    m_stream.close();
+}
+
+bool FrameChannel::isOpen() const
+{
+    return m_isOpen;
+}
+
+TimePoint FrameChannel::receivedAt() const
+{
+    return m_receivedAt;
+}
+
+Awaitable<std::shared_ptr<FrameChannel>> connectChannel(std::string sourceAddress, Tcp::endpoint endpoint,
+                                                        Milliseconds timeout)
+{
+    beast::tcp_stream stream(co_await asio::this_coro::executor);
+    ErrorCode error;
+    stream.socket().open(Tcp::v4(), error);
+    stream.socket().bind(Tcp::endpoint(asio::ip::make_address_v4(sourceAddress), 0), error);
+    stream.expires_after(timeout);
+    co_await stream.async_connect(endpoint, awaitInto(error));
+    if (error) {
+        co_return nullptr;
+    }
+    stream.expires_never();
+    co_return std::make_shared<FrameChannel>(stream.release_socket());
+}
+
+} // namespace snipevalve
--- /dev/null
+++ b/src/snipevalve/dispatch_link/messages.hpp
@@ -0,0 +1,30 @@
+#ifndef SNIPEVALVE_DISPATCH_LINK_MESSAGES_HPP
+#define SNIPEVALVE_DISPATCH_LINK_MESSAGES_HPP
+
+#include "snipevalve/dispatch/work.hpp"
+#include "snipevalve/dispatch_link/generated/dispatch.pb.h"
+#include "snipevalve/node/service_view.hpp"
+
+namespace snipevalve {
+
+/// @file Translations between the messages on the links and the types of the decision classes.
+
+proto::Ask toProto(const std::string &service, const WorkItem &item, TimePoint now);
+
+/// @param zone of the host that asks
+/// @return the item, without a ticket
+WorkItem fromProto(const proto::Ask &ask, const std::string &zone, TimePoint now);
+
+proto::Permit toProto(const Placement &placement);
+Placement fromProto(const proto::Permit &permit);
+proto::Refusal toProto(const Rejection &rejection);
+Rejection fromProto(const proto::Refusal &refusal);
+proto::View toProto(const ServiceView &view);
+ServiceView fromProto(const proto::View &view);
+
+/// @brief The end of a send; Abandoned when the number is unknown.
+WorkEnd toWorkEnd(std::uint32_t number);
+
+} // namespace snipevalve
+
+#endif // SNIPEVALVE_DISPATCH_LINK_MESSAGES_HPP
--- a/src/snipevalve/entry/traffic.hpp
+++ b/src/snipevalve/entry/traffic.hpp
@@ -9,7 +9,7 @@
 
 #include "snipevalve/entry/metrics.hpp"
 #include "snipevalve/entry/routing_state.hpp"
-#include "snipevalve/entry/upstream_pool.hpp"
+#include "snipevalve/net/upstream_pool.hpp"
 #include "snipevalve/request/outlier_detector.hpp"
 #include "snipevalve/request/retry_budget.hpp"
 #include "snipevalve/request/server_choice.hpp"
--- a/src/snipevalve/net/http_client.cpp
+++ b/src/snipevalve/net/http_client.cpp
@@ -18,6 +18,9 @@
     if (!call.ifMatch.empty()) {
         request.set(http::field::if_match, call.ifMatch);
     }
+    if (!call.contentType.empty()) {
+        request.set(http::field::content_type, call.contentType);
+    }
     request.body() = std::move(call.body);
     request.prepare_payload();
     return request;
@@ -90,6 +93,9 @@
     }
     HttpReply reply;
     reply.status = parser.get().result_int();
+    if (!call.replyHeader.empty()) {
+        reply.header = std::string(parser.get()[call.replyHeader]);
+    }
     reply.body = std::move(parser.get().body());
     if (parser.get().keep_alive()) {
         m_idle[endpoint].push_back(std::move(stream));
--- a/src/snipevalve/entry/upstream_pool.cpp
+++ b/src/snipevalve/net/upstream_pool.cpp
@@ -1,4 +1,4 @@
-#include "snipevalve/entry/upstream_pool.hpp"
+#include "snipevalve/net/upstream_pool.hpp"
 
 #include <netinet/tcp.h>
 
--- /dev/null
+++ b/src/snipevalve/node/control/lease_holder.hpp
@@ -0,0 +1,126 @@
+#ifndef SNIPEVALVE_NODE_CONTROL_LEASE_HOLDER_HPP
+#define SNIPEVALVE_NODE_CONTROL_LEASE_HOLDER_HPP
+
+#include <algorithm>
+
+#include <spdlog/spdlog.h>
+
+#include "snipevalve/core/suspension.hpp"
+#include "snipevalve/store/config_store.hpp"
+
+namespace snipevalve {
+
+/// @brief Times of a host's lease in the store, on which its right to lead rests.
+struct LeaseTimes
+{
+    Milliseconds duration{2'000}; ///< a lost leader's services have no leader for this long at most
+    Milliseconds renewInterval{500}; ///< leaves three tries within `duration`
+    Milliseconds safetyMargin{250}; ///< this host takes its lease as ended this much before the store does
+    Milliseconds slowAnswer{400}; ///< a renewal that takes longer counts as a store that is away
+};
+
+/// @brief Holds one lease in the store while it is wanted, and knows until when it is surely held.
+template <ConfigStore Store>
+class LeaseHolder
+{
+public:
+    LeaseHolder(Store &store, LeaseTimes times)
+        : m_store(store)
+        , m_times(times)
+    {
+    }
+
+    /// @brief The lease's number, opened when there is none. @return 0 when the store gave none
+    Awaitable<std::uint64_t> open()
+    {
+        if (m_lease != 0 && isHeld(Clock::now())) {
+            co_return m_lease;
+        }
+        const TimePoint sentAt = Clock::now();
+        const Duration suspended = suspendedTime();
+        const auto lease = co_await m_store.createLease(m_times.duration);
+        if (!lease.ok()) {
+            spdlog::warn("lead: event=no_lease reason=\"{}\"", std::string(lease.status().message()));
+            co_return 0;
+        }
+        m_lease = *lease;
+        extend(sentAt, suspended);
+        co_return m_lease;
+    }
+
+    /// @brief Renews the lease for good, while there is one.
+    Awaitable<void> run()
+    {
+        asio::steady_timer timer(co_await asio::this_coro::executor);
+        while (true) {
+            ErrorCode ignored;
+            timer.expires_after(m_times.renewInterval);
+            co_await timer.async_wait(awaitInto(ignored));
+            if (m_lease != 0) {
+                // A renewal without an answer must not keep the next one from being sent.
+                asio::co_spawn(timer.get_executor(), renew(), asio::detached);
+            }
+        }
+    }
+
+    /// @brief Whether no other host can have taken over what this lease protects.
+    bool isHeld(TimePoint now) const
+    {
+        return m_lease != 0 && now < until();
+    }
+
+    /// @brief When the lease is taken as ended; earlier after the machine was suspended, and long ago without a lease.
+    TimePoint until() const
+    {
+        return m_lease == 0 ? TimePoint() : m_until - (suspendedTime() - m_suspended);
+    }
+
+    /// @brief False while a renewal is overdue.
+    bool storeAnswers(TimePoint now) const
+    {
+        return now - m_answeredAt < m_times.renewInterval + m_times.slowAnswer;
+    }
+
+    /// @brief The lease is of no more use: it has ended, or what it protected was taken.
+    void drop()
+    {
+        m_lease = 0;
+        m_until = {};
+    }
+
+private:
+    void extend(TimePoint sentAt, Duration suspended)
+    {
+        m_until = std::max(m_until, sentAt + m_times.duration - m_times.safetyMargin);
+        m_suspended = suspended;
+        m_answeredAt = Clock::now();
+    }
+
+    Awaitable<void> renew()
+    {
+        const std::uint64_t lease = m_lease;
+        const TimePoint sentAt = Clock::now();
+        const Duration suspended = suspendedTime();
+        const absl::Status status = co_await m_store.renewLease(lease);
+        if (status.ok() && lease == m_lease) {
+            extend(sentAt, suspended);
+        } else if (absl::IsNotFound(status)) {
+            spdlog::warn("lead: event=lease_ended lease={}", lease);
+            if (lease == m_lease) {
+                drop();
+            }
+        }
+        // Any other failure shows in storeAnswers(); the followers of the store log the outage.
+    }
+
+    Store &m_store;
+    LeaseTimes m_times;
+    std::uint64_t m_lease = 0;
+    TimePoint m_until;
+    Duration m_suspended{};
+    TimePoint m_answeredAt;
+};
+
+} // namespace snipevalve
+
+#endif // SNIPEVALVE_NODE_CONTROL_LEASE_HOLDER_HPP
--- /dev/null
+++ b/src/snipevalve/node/control/node_control.hpp
@@ -0,0 +1,486 @@
+#ifndef SNIPEVALVE_NODE_CONTROL_NODE_CONTROL_HPP
+#define SNIPEVALVE_NODE_CONTROL_NODE_CONTROL_HPP
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+
+#include <nlohmann/json.hpp>
+
+#include "snipevalve/gateway/server_directory.hpp"
+#include "snipevalve/node/control/service_leader.hpp"
+#include "snipevalve/node/control/store_follower.hpp"
+#include "snipevalve/supervisor/supervisor.hpp"
+
+namespace snipevalve {
+
+/// @brief The control state of a node: configuration, servers, who leads what, and the services that this host leads.
+/// Lives on the control thread.
+template <PlatformApi Platform>
+class NodeControl
+{
+public:
+    using Store = typename Platform::Store;
+
+    /// @brief What the control thread tells the traffic thread.
+    struct Outputs
+    {
+        std::function<void(std::shared_ptr<const GatewayConfig>)> config;
+        std::function<void(std::map<std::string, Endpoint>)> leaders;
+        std::function<void(ServiceView)> view;
+        std::function<bool()> needsViews; ///< whether some service has no leader that can be asked
+    };
+
+    NodeControl(asio::any_io_executor executor, const NodeSettings &settings, Outputs outputs, std::uint64_t seed)
+        : m_executor(executor)
+        , m_settings(settings)
+        , m_outputs(std::move(outputs))
+        , m_random(seed)
+        , m_store(executor, settings.address, settings.store)
+        , m_client(executor, settings.address)
+        , m_desk(executor, settings, seed)
+        , m_lease(m_store, leaseTimes(settings))
+        , m_acceptor(listenOn(executor, settings.control))
+    {
+        m_desk.onKeyedAsk = [this](const std::string &service, std::uint16_t key, Seconds work) {
+            const auto leader = m_led.find(service);
+            if (leader != m_led.end()) {
+                leader->second->onKeyedAsk(key, work);
+            }
+        };
+    }
+
+    /// @brief Adds the parts that run for good.
+    void addTo(Supervisor &supervisor)
+    {
+        supervisor.add("config", [this]() {
+            return m_configFollower.run();
+        });
+        supervisor.add("leaders", [this]() {
+            return m_leaderFollower.run();
+        });
+        supervisor.add("servers", [this]() {
+            return m_serverFollower.run();
+        });
+        supervisor.add("plans", [this]() {
+            return m_planFollower.run();
+        });
+        supervisor.add("lease", [this]() {
+            return m_lease.run();
+        });
+        supervisor.add("elections", [this]() {
+            return elect();
+        });
+        supervisor.add("links", [this]() {
+            return m_desk.serve(m_acceptor);
+        });
+        supervisor.add("time", [this]() {
+            return tick();
+        });
+    }
+
+    bool hasConfig() const
+    {
+        return m_config != nullptr;
+    }
+
+    /// @brief A leader knows this version of the configuration.
+    void onConfigVersion(std::uint64_t version)
+    {
+        const bool isNewer = m_config && version > m_config->version;
+        if (isNewer && !m_isReadingConfig) {
+            m_isReadingConfig = true;
+            asio::co_spawn(m_executor, readConfig(), asio::detached);
+        }
+    }
+
+    /// @brief Gives up what this host leads, so that others take over at once.
+    Awaitable<void> resign()
+    {
+        m_resigned = true;
+        for (auto &[service, leader] : m_led) {
+            leader->stop();
+        }
+        for (const auto &[service, revision] : m_ownedRevisions) {
+            StoreWrite write;
+            write.key = leaderKey(service);
+            write.expectedRevision = revision;
+            write.remove = true;
+            const auto result = co_await m_store.write(write);
+            spdlog::info("lead: event=resigned service={} released={}", service, result.ok() && result->committed);
+        }
+        m_led.clear();
+        m_lease.drop();
+    }
+
+private:
+    static constexpr const char *LeadersPrefix = "snipevalve/leader/";
+    static constexpr const char *PlansPrefix = "snipevalve/plan/";
+    static constexpr Milliseconds TickInterval{20};
+    static constexpr Milliseconds ElectionInterval{50};
+    /// Hosts try to take a free service over at different times, so that most of them see the winner first.
+    static constexpr Milliseconds LongestElectionDelay{250};
+    /// Entries of servers change each heartbeat; reading them more often brings nothing for the bound on leaving servers.
+    static constexpr Milliseconds ServersPause{400};
+    /// Entries of servers lapse after three heartbeats; a shorter outage of the store removes none.
+    static constexpr Milliseconds LapsingOutage{1'500};
+    static constexpr Milliseconds LeadersWait{4'000};
+    static constexpr Milliseconds ConfigWait{2'000};
+
+    static LeaseTimes leaseTimes(const NodeSettings &settings)
+    {
+        LeaseTimes times;
+        times.duration = std::max(times.duration, settings.shortestLease);
+        return times;
+    }
+
+    static std::string leaderKey(const std::string &service)
+    {
+        return LeadersPrefix + service;
+    }
+
+    FollowHandlers configHandlers()
+    {
+        FollowHandlers handlers;
+        handlers.onList = [this](const StoredList &list) {
+            for (const StoredValue &value : list.values) {
+                applyConfig(value);
+            }
+        };
+        handlers.onEvent = [this](const StoreEvent &event) {
+            applyConfig(event.value);
+        };
+        return handlers;
+    }
+
+    void applyConfig(const StoredValue &value)
+    {
+        if (value.key != Platform::configKey()) {
+            return;
+        }
+        const auto config = Platform::parseConfig(value.value);
+        if (!config.ok()) {
+            spdlog::error("config: event=unreadable revision={} reason=\"{}\"", value.revision,
+                          std::string(config.status().message()));
+            return;
+        }
+        const bool isNewer = !m_config || (*config)->version > m_config->version;
+        if (!isNewer) {
+            return;
+        }
+        m_config = *config;
+        spdlog::info("config: event=in_force version={} revision={} services={}", m_config->version, value.revision,
+                     m_config->services.size());
+        m_desk.setConfigVersion(m_config->version);
+        m_outputs.config(m_config);
+    }
+
+    Awaitable<void> readConfig()
+    {
+        const auto value = co_await m_store.read(Platform::configKey());
+        m_isReadingConfig = false;
+        if (value.ok() && value->revision != 0) {
+            applyConfig(*value);
+        }
+    }
+
+    FollowHandlers leaderHandlers()
+    {
+        FollowHandlers handlers;
+        handlers.onList = [this](const StoredList &list) {
+            m_leaders.clear();
+            for (const StoredValue &value : list.values) {
+                applyLeader(value);
+            }
+            m_leadersKnown = true;
+            announceLeaders();
+        };
+        handlers.onEvent = [this](const StoreEvent &event) {
+            if (event.removed) {
+                const std::string service = event.value.key.substr(std::string(LeadersPrefix).size());
+                m_leaders.erase(service);
+                spdlog::info("lead: event=leader_gone service={} revision={}", service, event.value.revision);
+                const auto owned = m_ownedRevisions.find(service);
+                if (owned != m_ownedRevisions.end() && event.value.revision > owned->second) {
+                    stopLeading(service, "the lease has ended");
+                }
+            } else {
+                applyLeader(event.value);
+            }
+            announceLeaders();
+        };
+        return handlers;
+    }
+
+    void applyLeader(const StoredValue &value)
+    {
+        const std::string service = value.key.substr(std::string(LeadersPrefix).size());
+        const auto json = nlohmann::json::parse(value.value, nullptr, false);
+        const auto endpoint = json.is_object() ? parseEndpoint(json.value("address", std::string())) : std::nullopt;
+        if (!endpoint) {
+            spdlog::error("lead: event=unreadable service={} revision={}", service, value.revision);
+            return;
+        }
+        m_leaders[service] = *endpoint;
+        spdlog::info("lead: event=leader service={} host={} revision={}", service, json.value("host", std::string()),
+                     value.revision);
+        const auto owned = m_ownedRevisions.find(service);
+        const bool isReplaced = owned != m_ownedRevisions.end() && value.revision > owned->second;
+        if (isReplaced) {
+            stopLeading(service, "another host has taken it over");
+        }
+    }
+
+    void announceLeaders()
+    {
+        m_outputs.leaders(m_leaders);
+    }
+
+    FollowHandlers serverHandlers()
+    {
+        FollowHandlers handlers;
+        handlers.isWanted = [this]() {
+            const bool isWanted = !m_led.empty() || m_outputs.needsViews();
+            m_serversKnown = m_serversKnown && isWanted;
+            return isWanted;
+        };
+        handlers.onReturn = [this](Duration outage) {
+            if (outage >= LapsingOutage) {
+                m_directory.onStoreBack(Clock::now());
+            }
+        };
+        handlers.onList = [this](const StoredList &list) {
+            std::vector<std::string> ids;
+            for (const StoredValue &value : list.values) {
+                ids.push_back(serverId(value.key));
+                applyServer(value);
+            }
+            m_directory.onListed(ids, Clock::now());
+            m_serversKnown = true;
+            m_viewsStale = true;
+        };
+        handlers.onEvent = [this](const StoreEvent &event) {
+            if (event.removed) {
+                m_directory.onRemoved(serverId(event.value.key), Clock::now());
+                spdlog::info("servers: event=removed server={} revision={}", serverId(event.value.key),
+                             event.value.revision);
+            } else {
+                applyServer(event.value);
+            }
+        };
+        return handlers;
+    }
+
+    static std::string serverId(const std::string &key)
+    {
+        return key.substr(Platform::serversPrefix().size());
+    }
+
+    void applyServer(const StoredValue &value)
+    {
+        const std::string id = serverId(value.key);
+        const auto server = Platform::parseServer(id, value.value);
+        if (!server.ok()) {
+            spdlog::warn("servers: event=unreadable server={} revision={} reason=\"{}\"", id, value.revision,
+                         std::string(server.status().message()));
+            m_directory.onEntry(id, std::nullopt);
+            return;
+        }
+        m_directory.onEntry(id, *server);
+    }
+
+    /// The plans are read only while some keyed service has no leader that can be asked.
+    FollowHandlers planHandlers()
+    {
+        FollowHandlers handlers;
+        handlers.isWanted = [this]() {
+            return m_outputs.needsViews();
+        };
+        handlers.onList = [this](const StoredList &list) {
+            for (const StoredValue &value : list.values) {
+                applyPlan(value);
+            }
+        };
+        handlers.onEvent = [this](const StoreEvent &event) {
+            applyPlan(event.value);
+        };
+        return handlers;
+    }
+
+    void applyPlan(const StoredValue &value)
+    {
+        const auto plan = parseKeyPlan(value.value);
+        if (!plan.ok()) {
+            return; // a leader reports it; hosts keep what they know
+        }
+        std::vector<OwnedRange> ranges;
+        for (const PlannedRange &range : plan->ranges) {
+            ranges.push_back({range.keys, range.owner.id});
+        }
+        m_plannedOwners[value.key.substr(std::string(PlansPrefix).size())] = KeyOwners(std::move(ranges));
+        m_viewsStale = true;
+    }
+
+    /// Takes over services that have no leader.
+    Awaitable<void> elect()
+    {
+        asio::steady_timer timer(m_executor);
+        ErrorCode ignored;
+        while (true) {
+            timer.expires_after(ElectionInterval);
+            co_await timer.async_wait(awaitInto(ignored));
+            const std::string service = freeService();
+            if (service.empty()) {
+                continue;
+            }
+            std::uniform_int_distribution<std::int64_t> delay(0, LongestElectionDelay.count());
+            timer.expires_after(Milliseconds(delay(m_random)));
+            co_await timer.async_wait(awaitInto(ignored));
+            if (isFree(service)) {
+                co_await takeOver(service);
+            }
+        }
+    }
+
+    bool isFree(const std::string &service) const
+    {
+        return m_leadersKnown && !m_resigned && !m_leaders.contains(service) && !m_led.contains(service);
+    }
+
+    std::string freeService() const
+    {
+        if (!m_config) {
+            return {};
+        }
+        for (const auto &[name, service] : m_config->services) {
+            if (isFree(name)) {
+                return name;
+            }
+        }
+        return {};
+    }
+
+    Awaitable<void> takeOver(std::string service)
+    {
+        const std::uint64_t lease = co_await m_lease.open();
+        if (lease == 0) {
+            co_return;
+        }
+        nlohmann::json json{{"host", m_settings.host},
+                            {"address", toString(m_settings.control)},
+                            {"nonce", std::to_string(m_random())}};
+        StoreWrite write;
+        write.key = leaderKey(service);
+        write.value = json.dump();
+        write.lease = lease;
+        constexpr Milliseconds TryFor(1'000);
+        const auto result = co_await writeSurely(m_store, write, Clock::now() + TryFor);
+        if (!result.ok() || !result->committed || !m_config || !m_config->service(service)) {
+            if (absl::IsNotFound(result.status())) {
+                m_lease.drop();
+            }
+            co_return;
+        }
+        m_ownedRevisions[service] = result->current.revision;
+        m_leaders[service] = m_settings.control;
+        spdlog::info("lead: event=taken_over service={} revision={} lease={}", service, result->current.revision, lease);
+        const auto leader = std::make_shared<ServiceLeader<Platform>>(m_executor, m_store, m_client, m_desk, m_lease,
+                                                                      *m_config->service(service),
+                                                                      m_settings.longestGrant);
+        m_led[service] = leader;
+        m_viewsStale = true;
+        if (!co_await leader->start()) {
+            stopLeading(service, "the plan can't be read");
+        }
+        announceLeaders();
+    }
+
+    void stopLeading(const std::string &service, const std::string &reason)
+    {
+        const auto leader = m_led.find(service);
+        if (leader != m_led.end()) {
+            spdlog::warn("lead: event=stopped service={} reason=\"{}\"", service, reason);
+            leader->second->stop();
+            m_led.erase(leader);
+        }
+        m_ownedRevisions.erase(service);
+    }
+
+    Awaitable<void> tick()
+    {
+        asio::steady_timer timer(m_executor);
+        ErrorCode ignored;
+        while (true) {
+            timer.expires_after(TickInterval);
+            co_await timer.async_wait(awaitInto(ignored));
+            advance();
+        }
+    }
+
+    void advance()
+    {
+        const bool serversChanged = m_directory.advance(Clock::now()) || m_viewsStale;
+        m_viewsStale = false;
+        std::vector<std::string> lost;
+        for (auto &[service, leader] : m_led) {
+            if (serversChanged && m_serversKnown) {
+                leader->setServers(m_directory.serversOf(service));
+            }
+            leader->advance();
+            if (leader->isStopped()) {
+                lost.push_back(service);
+            }
+        }
+        for (const std::string &service : lost) {
+            stopLeading(service, "superseded");
+        }
+        if (serversChanged && m_serversKnown && m_config && m_outputs.needsViews()) {
+            publishViews();
+        }
+        m_desk.advance();
+    }
+
+    void publishViews()
+    {
+        for (const auto &[name, service] : m_config->services) {
+            ServiceView view{name, service.keyed, m_directory.serversOf(name), {}};
+            const auto owners = m_plannedOwners.find(name);
+            if (owners != m_plannedOwners.end()) {
+                view.owners = owners->second;
+            }
+            m_outputs.view(std::move(view));
+        }
+    }
+
+    asio::any_io_executor m_executor;
+    const NodeSettings &m_settings;
+    Outputs m_outputs;
+    std::mt19937_64 m_random;
+    Store m_store;
+    HttpClient m_client;
+    DispatchDesk m_desk;
+    LeaseHolder<Store> m_lease;
+    Tcp::acceptor m_acceptor;
+    StoreFollower<Store> m_configFollower{m_store, {Platform::configKey(), ConfigWait, {}}, configHandlers()};
+    StoreFollower<Store> m_leaderFollower{m_store, {LeadersPrefix, LeadersWait, {}}, leaderHandlers()};
+    StoreFollower<Store> m_serverFollower{
+        m_store, {Platform::serversPrefix(), ConfigWait, ServersPause}, serverHandlers()};
+    StoreFollower<Store> m_planFollower{m_store, {PlansPrefix, ConfigWait, ServersPause}, planHandlers()};
+    std::shared_ptr<const GatewayConfig> m_config;
+    bool m_isReadingConfig = false;
+    std::map<std::string, Endpoint> m_leaders; ///< by service
+    bool m_leadersKnown = false;
+    std::map<std::string, std::uint64_t> m_ownedRevisions; ///< of the leader keys that this host has written
+    std::map<std::string, std::shared_ptr<ServiceLeader<Platform>>> m_led;
+    ServerDirectory m_directory;
+    bool m_serversKnown = false;
+    std::map<std::string, KeyOwners> m_plannedOwners;
+    bool m_viewsStale = false;
+    bool m_resigned = false;
+};
+
+} // namespace snipevalve
+
+#endif // SNIPEVALVE_NODE_CONTROL_NODE_CONTROL_HPP
--- /dev/null
+++ b/src/snipevalve/node/control/platform_api.hpp
@@ -0,0 +1,32 @@
+#ifndef SNIPEVALVE_NODE_CONTROL_PLATFORM_API_HPP
+#define SNIPEVALVE_NODE_CONTROL_PLATFORM_API_HPP
+
+#include <concepts>
+#include <memory>
+#include <string>
+
+#include "snipevalve/gateway/gateway_config.hpp"
+#include "snipevalve/gateway/upstream_server.hpp"
+#include "snipevalve/net/http_client.hpp"
+#include "snipevalve/ownership/key_authority.hpp"
+#include "snipevalve/store/config_store.hpp"
+
+namespace snipevalve {
+
+/// @brief What the node needs of the platform that it runs on: its store, its documents and its calls to servers.
+template <typename Platform>
+concept PlatformApi = requires(std::string_view text, const GrantKeys &grant, const ReleaseKeys &release,
+                               const absl::StatusOr<HttpReply> &reply) {
+    requires ConfigStore<typename Platform::Store>;
+    { Platform::configKey() } -> std::convertible_to<std::string>;
+    { Platform::serversPrefix() } -> std::convertible_to<std::string>;
+    { Platform::parseConfig(text) } -> std::same_as<absl::StatusOr<std::shared_ptr<const GatewayConfig>>>;
+    { Platform::parseServer(text, text) } -> std::same_as<absl::StatusOr<UpstreamServer>>;
+    { Platform::toCall(grant) } -> std::same_as<HttpCall>;
+    { Platform::toCall(release) } -> std::same_as<HttpCall>;
+    { Platform::toCallEnd(reply) } -> std::same_as<KeyCallEnd>;
+};
+
+} // namespace snipevalve
+
+#endif // SNIPEVALVE_NODE_CONTROL_PLATFORM_API_HPP
--- /dev/null
+++ b/src/snipevalve/node/control/service_leader.hpp
@@ -0,0 +1,248 @@
+#ifndef SNIPEVALVE_NODE_CONTROL_SERVICE_LEADER_HPP
+#define SNIPEVALVE_NODE_CONTROL_SERVICE_LEADER_HPP
+
+#include <memory>
+#include <string>
+
+#include <spdlog/spdlog.h>
+
+#include "snipevalve/core/suspension.hpp"
+#include "snipevalve/net/http_client.hpp"
+#include "snipevalve/node/control/lease_holder.hpp"
+#include "snipevalve/node/control/platform_api.hpp"
+#include "snipevalve/node/dispatch_desk.hpp"
+#include "snipevalve/ownership/key_loads.hpp"
+
+namespace snipevalve {
+
+/// @brief The key below which the plan of a keyed service's keys stands in the store.
+inline std::string planKey(const std::string &service)
+{
+    return "snipevalve/plan/" + service;
+}
+
+/// @brief Leads one service: tells the desk its servers, and grants its keys if it is keyed.
+template <PlatformApi Platform>
+class ServiceLeader : public std::enable_shared_from_this<ServiceLeader<Platform>>
+{
+public:
+    using Store = typename Platform::Store;
+
+    ServiceLeader(asio::any_io_executor executor, Store &store, HttpClient &client, DispatchDesk &desk,
+                  LeaseHolder<Store> &lease, GatewayService service, Milliseconds longestGrant)
+        : m_executor(std::move(executor))
+        , m_store(store)
+        , m_client(client)
+        , m_desk(desk)
+        , m_lease(lease)
+        , m_service(std::move(service))
+        , m_loads(LoadTimeConstant)
+    {
+        m_times.longHold = longestGrant;
+        m_times.hold = std::min(m_times.hold, longestGrant);
+        m_desk.lead(m_service.name);
+    }
+
+    /// @brief Reads the plan of a keyed service. @return false when it can't be read
+    Awaitable<bool> start()
+    {
+        if (!m_service.keyed) {
+            co_return true;
+        }
+        const auto stored = co_await m_store.read(planKey(m_service.name));
+        if (!stored.ok()) {
+            spdlog::warn("lead: event=no_plan service={} reason=\"{}\"", m_service.name,
+                         std::string(stored.status().message()));
+            co_return false;
+        }
+        KeyPlan plan;
+        if (stored->revision != 0) {
+            const auto parsed = parseKeyPlan(stored->value);
+            if (!parsed.ok()) {
+                spdlog::error("lead: event=bad_plan service={} revision={} reason=\"{}\"", m_service.name,
+                              stored->revision, std::string(parsed.status().message()));
+                co_return false;
+            }
+            plan = *parsed;
+        }
+        m_planRevision = stored->revision;
+        m_startedAt = Clock::now();
+        m_authority = std::make_unique<KeyAuthority>(plan, m_times, m_startedAt);
+        spdlog::info("lead: event=term_begins service={} term={} ranges={}", m_service.name, plan.term + 1,
+                     plan.ranges.size());
+        co_return true;
+    }
+
+    void stop()
+    {
+        m_stopped = true;
+        m_desk.stopLeading(m_service.name);
+    }
+
+    bool isStopped() const
+    {
+        return m_stopped;
+    }
+
+    void setServers(std::vector<UpstreamServer> servers)
+    {
+        m_servers = std::move(servers);
+        m_hasServers = true;
+    }
+
+    void onKeyedAsk(std::uint16_t key, Seconds work)
+    {
+        m_loads.add(key, work);
+    }
+
+    /// @brief Moves time on; to be called every 20 ms or so.
+    void advance()
+    {
+        if (m_stopped || !m_hasServers || (m_service.keyed && !m_authority)) {
+            return;
+        }
+        const TimePoint now = Clock::now();
+        ServiceView view{m_service.name, m_service.keyed, m_servers, {}};
+        if (m_authority) {
+            advanceAuthority(now);
+            view.owners = m_authority->owners(now);
+        }
+        m_desk.setView(view);
+    }
+
+private:
+    /// Loads are averaged over a second: a hot spell of the users' sites lasts 4 to 5 s.
+    static constexpr Milliseconds LoadTimeConstant{1'000};
+    static constexpr Milliseconds DecayInterval{100};
+    /// The first plan waits for servers to register, so that they get even shares.
+    static constexpr Milliseconds FirstPlanDelay{1'200};
+
+    void advanceAuthority(TimePoint now)
+    {
+        const bool isFirstPlan = m_planRevision == 0 && now - m_startedAt < FirstPlanDelay;
+        if (isFirstPlan) {
+            return;
+        }
+        m_authority->setServers(m_servers, now);
+        m_authority->setAuthority(m_lease.until(), m_lease.storeAnswers(now));
+        if (now - m_decayedAt >= DecayInterval) {
+            m_loads.decay(std::min<Duration>(now - m_decayedAt, LoadTimeConstant));
+            m_decayedAt = now;
+            m_authority->balance(m_loads.byKey(), capacities(), now);
+        }
+        perform(m_authority->advance(now));
+    }
+
+    std::map<std::string, double> capacities() const
+    {
+        std::map<std::string, double> byServer;
+        const Dispatcher *dispatcher = m_desk.dispatcher(m_service.name);
+        for (const UpstreamServer &server : m_servers) {
+            byServer[server.id] = dispatcher == nullptr ? server.slots : dispatcher->capacityOf(server.id);
+        }
+        return byServer;
+    }
+
+    void perform(const std::vector<KeyAction> &actions)
+    {
+        for (const KeyAction &action : actions) {
+            std::visit(
+                [this](const auto &each) {
+                    start(each);
+                },
+                action);
+        }
+    }
+
+    void start(const OwnershipNote &note)
+    {
+        spdlog::info("own: event=decision service={} term={} plan={} text=\"{}\"", m_service.name,
+                     m_authority->plan().term, m_authority->plan().version, note.text);
+    }
+
+    void start(const SaveKeyPlan &save)
+    {
+        asio::co_spawn(m_executor, this->shared_from_this()->savePlan(save.plan), asio::detached);
+    }
+
+    template <typename Order>
+    void start(const Order &order)
+    {
+        asio::co_spawn(m_executor, this->shared_from_this()->callServer(order), asio::detached);
+    }
+
+    template <typename Order>
+    Awaitable<void> callServer(Order order)
+    {
+        const auto self = this->shared_from_this();
+        // The process may have been suspended since the decision.
+        const bool mayStillSend = m_lease.isHeld(Clock::now());
+        KeyCallEnd end = KeyCallEnd::NotSent;
+        std::string handover;
+        if (mayStillSend) {
+            const auto reply = co_await m_client.call(Platform::toCall(order));
+            end = Platform::toCallEnd(reply);
+            handover = reply.ok() ? reply->header : std::string();
+        }
+        if (end != KeyCallEnd::Accepted) {
+            spdlog::warn("own: event=call_failed service={} server={} keys={}-{} fence={} end={} held={}",
+                         m_service.name, order.server.id, order.keys.from, order.keys.to, order.fence,
+                         static_cast<int>(end), mayStillSend);
+        }
+        if (!m_stopped) {
+            m_authority->onCallEnd(order.call, end, handover, Clock::now());
+            advance();
+        }
+    }
+
+    Awaitable<void> savePlan(KeyPlan plan)
+    {
+        const auto self = this->shared_from_this();
+        StoreWrite write;
+        write.key = planKey(m_service.name);
+        write.value = toText(plan);
+        write.expectedRevision = m_planRevision;
+        asio::steady_timer timer(m_executor);
+        while (!m_stopped) {
+            constexpr Milliseconds TryFor(2'000);
+            const auto result = co_await writeSurely(m_store, write, Clock::now() + TryFor);
+            if (m_stopped) {
+                co_return;
+            }
+            if (result.ok() && !result->committed) {
+                spdlog::warn("lead: event=superseded service={} term={} revision={} found={}", m_service.name, plan.term,
+                             m_planRevision, result->current.revision);
+                stop();
+                co_return;
+            }
+            if (result.ok()) {
+                m_planRevision = result->current.revision;
+                m_authority->onPlanSaved(Clock::now());
+                advance();
+                co_return;
+            }
+            spdlog::warn("lead: event=plan_not_saved service={} version={} reason=\"{}\"", m_service.name, plan.version,
+                         std::string(result.status().message()));
+        }
+    }
+
+    asio::any_io_executor m_executor;
+    Store &m_store;
+    HttpClient &m_client;
+    DispatchDesk &m_desk;
+    LeaseHolder<Store> &m_lease;
+    GatewayService m_service;
+    KeyAuthorityTimes m_times;
+    std::unique_ptr<KeyAuthority> m_authority; ///< of a keyed service
+    KeyLoads m_loads;
+    TimePoint m_decayedAt;
+    TimePoint m_startedAt;
+    std::uint64_t m_planRevision = 0;
+    std::vector<UpstreamServer> m_servers;
+    bool m_hasServers = false; ///< false until service discovery has been read once
+    bool m_stopped = false;
+};
+
+} // namespace snipevalve
+
+#endif // SNIPEVALVE_NODE_CONTROL_SERVICE_LEADER_HPP
--- /dev/null
+++ b/src/snipevalve/node/control/store_follower.hpp
@@ -0,0 +1,140 @@
+#ifndef SNIPEVALVE_NODE_CONTROL_STORE_FOLLOWER_HPP
+#define SNIPEVALVE_NODE_CONTROL_STORE_FOLLOWER_HPP
+
+#include <functional>
+#include <string>
+
+#include <spdlog/spdlog.h>
+
+#include "snipevalve/store/config_store.hpp"
+
+namespace snipevalve {
+
+/// @brief What is followed and how often the store is asked.
+struct FollowOptions
+{
+    std::string prefix;
+    Milliseconds wait{2'000}; ///< of one watch; a silent connection is noticed after it
+    Milliseconds pause{0}; ///< after each watch that brought news; bounds the calls for what changes all the time
+};
+
+/// @brief What is done with the news. All are called on the control thread.
+struct FollowHandlers
+{
+    std::function<void(const StoredList &)> onList; ///< everything below the prefix has been read
+    std::function<void(const StoreEvent &)> onEvent;
+    std::function<void(Duration)> onReturn; ///< the store answers again after an outage of this length
+    std::function<bool()> isWanted; ///< false pauses the following; empty: always
+};
+
+/// @brief Follows the values below a prefix of the store for good: reads all once, then watches.
+///
+/// A watch without an answer is repeated from the same revision, so nothing is missed; when the store has dropped that
+/// part of its history, everything is read anew.
+template <ConfigStore Store>
+class StoreFollower
+{
+public:
+    StoreFollower(Store &store, FollowOptions options, FollowHandlers handlers)
+        : m_store(store)
+        , m_options(std::move(options))
+        , m_handlers(std::move(handlers))
+    {
+    }
+
+    Awaitable<void> run()
+    {
+        asio::steady_timer timer(co_await asio::this_coro::executor);
+        while (true) {
+            if (m_handlers.isWanted && !m_handlers.isWanted()) {
+                m_isListed = false;
+                co_await sleep(timer, UnwantedPause);
+                continue;
+            }
+            const absl::Status status = m_isListed ? co_await watchOnce() : co_await listOnce();
+            if (!status.ok()) {
+                co_await sleep(timer, RetryDelay);
+            } else if (m_options.pause > Milliseconds::zero()) {
+                co_await sleep(timer, m_options.pause);
+            }
+        }
+    }
+
+private:
+    static constexpr Milliseconds RetryDelay{150}; ///< between calls to a store that does not answer
+    static constexpr Milliseconds UnwantedPause{50};
+
+    static Awaitable<void> sleep(asio::steady_timer &timer, Milliseconds time)
+    {
+        ErrorCode ignored;
+        timer.expires_after(time);
+        co_await timer.async_wait(awaitInto(ignored));
+    }
+
+    Awaitable<absl::Status> listOnce()
+    {
+        auto list = co_await m_store.list(m_options.prefix);
+        noteReach(list.status());
+        if (list.ok()) {
+            const bool isOlder = list->revision < m_revision;
+            if (isOlder) {
+                co_return absl::UnavailableError("an older revision was read");
+            }
+            m_revision = list->revision;
+            m_isListed = true;
+            m_handlers.onList(*list);
+        }
+        co_return list.status();
+    }
+
+    Awaitable<absl::Status> watchOnce()
+    {
+        auto events = co_await m_store.watch(m_options.prefix, m_revision, m_options.wait);
+        if (absl::IsOutOfRange(events.status())) {
+            spdlog::info("store: event=history_gone prefix={} revision={}", m_options.prefix, m_revision);
+            m_isListed = false;
+            co_return absl::OkStatus();
+        }
+        noteReach(events.status());
+        if (events.ok()) {
+            m_revision = std::max(m_revision, events->revision);
+            for (const StoreEvent &event : events->events) {
+                m_handlers.onEvent(event);
+            }
+        }
+        co_return events.status();
+    }
+
+    void noteReach(const absl::Status &status)
+    {
+        const TimePoint now = Clock::now();
+        if (!status.ok()) {
+            if (!m_lostAt) {
+                m_lostAt = now;
+                spdlog::warn("store: event=lost prefix={} revision={} reason=\"{}\"", m_options.prefix, m_revision,
+                             std::string(status.message()));
+            }
+            return;
+        }
+        if (m_lostAt) {
+            const Duration outage = now - *m_lostAt;
+            spdlog::info("store: event=regained prefix={} revision={} outage_ms={}", m_options.prefix, m_revision,
+                         std::chrono::duration_cast<Milliseconds>(outage).count());
+            m_lostAt.reset();
+            if (m_handlers.onReturn) {
+                m_handlers.onReturn(outage);
+            }
+        }
+    }
+
+    Store &m_store;
+    FollowOptions m_options;
+    FollowHandlers m_handlers;
+    std::uint64_t m_revision = 0;
+    bool m_isListed = false;
+    std::optional<TimePoint> m_lostAt;
+};
+
+} // namespace snipevalve
+
+#endif // SNIPEVALVE_NODE_CONTROL_STORE_FOLLOWER_HPP
--- /dev/null
+++ b/src/snipevalve/node/dispatch_desk.hpp
@@ -0,0 +1,95 @@
+#ifndef SNIPEVALVE_NODE_DISPATCH_DESK_HPP
+#define SNIPEVALVE_NODE_DISPATCH_DESK_HPP
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+#include "snipevalve/dispatch/dispatcher.hpp"
+#include "snipevalve/dispatch_link/frame_channel.hpp"
+#include "snipevalve/dispatch_link/messages.hpp"
+#include "snipevalve/node/node_settings.hpp"
+
+namespace snipevalve {
+
+/// @brief The leader's side of the links: answers the hosts' asks for servers with one dispatcher a service.
+class DispatchDesk
+{
+public:
+    DispatchDesk(asio::any_io_executor executor, const NodeSettings &settings, std::uint64_t seed);
+
+    /// @brief Called for each ask of a keyed service that is no repeat.
+    std::function<void(const std::string &service, std::uint16_t key, Seconds work)> onKeyedAsk;
+
+    /// @brief Serves the hosts that connect, until the acceptor is closed.
+    Awaitable<void> serve(Tcp::acceptor &acceptor);
+
+    /// @brief Takes asks for this service from now on.
+    void lead(const std::string &service);
+
+    /// @brief Takes none any longer; what waits is sent back to its host.
+    void stopLeading(const std::string &service);
+
+    /// @brief What is known of a led service has changed.
+    void setView(const ServiceView &view);
+
+    void setConfigVersion(std::uint64_t version);
+
+    /// @brief Moves time on: late rejections, heartbeats, views that hosts have not seen. To be called every 20 ms or so.
+    void advance();
+
+    /// @brief The dispatcher of a led service; null for others.
+    const Dispatcher *dispatcher(const std::string &service) const;
+
+    std::size_t hosts() const;
+
+private:
+    struct Host
+    {
+        std::shared_ptr<FrameChannel> channel;
+        std::string name;
+        std::string zone;
+        proto::LeaderFrame pending; ///< decisions that have not been sent yet
+        TimePoint sentAt;
+        std::map<Ticket, Ticket> tickets; ///< the host's ticket to ours
+    };
+
+    struct Origin
+    {
+        std::shared_ptr<Host> host;
+        Ticket ticket = 0; ///< the host's
+        std::string service;
+    };
+
+    struct Led
+    {
+        std::unique_ptr<Dispatcher> dispatcher;
+        ServiceView view;
+        bool isViewNew = false;
+        TimePoint viewSentAt;
+    };
+
+    Awaitable<void> serveHost(std::shared_ptr<FrameChannel> channel);
+    void onFrame(const std::shared_ptr<Host> &host, const proto::HostFrame &frame);
+    void onAsk(const std::shared_ptr<Host> &host, const proto::Ask &ask, TimePoint now);
+    void onDone(const std::shared_ptr<Host> &host, const proto::Done &done, TimePoint now);
+    void onHostGone(const std::shared_ptr<Host> &host);
+    void collect(Led &led);
+    void flush();
+    void sendViews(TimePoint now);
+
+    asio::any_io_executor m_executor;
+    const NodeSettings &m_settings;
+    std::uint64_t m_seed;
+    std::set<std::shared_ptr<Host>> m_hosts;
+    std::map<std::string, Led> m_led;
+    std::map<Ticket, Origin> m_origins;
+    Ticket m_lastTicket = 0;
+    std::uint64_t m_configVersion = 0;
+};
+
+} // namespace snipevalve
+
+#endif // SNIPEVALVE_NODE_DISPATCH_DESK_HPP
--- /dev/null
+++ b/src/snipevalve/node/gateway_session.cpp
@@ -0,0 +1,224 @@
+#include "snipevalve/node/gateway_session.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include "snipevalve/net/message_head.hpp"
+
+namespace snipevalve {
+
+namespace {
+
+/// The share of the process's memory that bodies of requests may take; the rest is for answers, connections and state.
+constexpr std::size_t BodyMemoryDivisor = 4;
+/// How long the write of an answer may stand still.
+constexpr Milliseconds WriteTimeout(10'000);
+/// What a body may take beside the caller's own deadline, which is not known to be shorter than this.
+constexpr Milliseconds BodyTimeout(30'000);
+
+const CallerLimits DefaultLimits;
+
+/// Whether the error shows that the caller sent bytes that are no request.
+bool isParseError(const ErrorCode &error)
+{
+    return error.category() == http::make_error_code(http::error::bad_version).category()
+        && error != http::error::end_of_stream && error != http::error::partial_message;
+}
+
+} // namespace
+
+GatewaySession::GatewaySession(GatewayTraffic &traffic, Tcp::socket socket)
+    : m_traffic(traffic)
+    , m_stream(std::move(socket))
+{
+    m_traffic.sessions.insert(this);
+}
+
+GatewaySession::~GatewaySession()
+{
+    m_traffic.sessions.erase(this);
+}
+
+Awaitable<void> GatewaySession::run()
+{
+    ErrorCode error;
+    m_stream.socket().set_option(Tcp::no_delay(true), error);
+    while (co_await serveOne()) {
+    }
+    m_stream.socket().shutdown(Tcp::socket::shutdown_send, error);
+}
+
+void GatewaySession::closeIfIdle(TimePoint now, Duration idle)
+{
+    if (m_idleSince && now - *m_idleSince >= idle && m_buffer.size() == 0) {
+        m_stream.close();
+    }
+}
+
+bool GatewaySession::isBusy() const
+{
+    return !m_idleSince.has_value();
+}
+
+bool GatewaySession::mayKeepConnection() const
+{
+    return !m_traffic.stopping && m_parser && m_parser->is_done() && m_parser->get().keep_alive();
+}
+
+const CallerLimits &GatewaySession::limits() const
+{
+    return m_config ? m_config->limits : DefaultLimits;
+}
+
+Awaitable<bool> GatewaySession::readHead(ErrorCode &error)
+{
+    m_config = m_traffic.config;
+    m_parser.reset();
+    if (m_buffer.size() == 0) {
+        constexpr std::size_t FirstBytes = 4 << 10;
+        m_idleSince = Clock::now();
+        m_stream.expires_after(limits().idleTimeout);
+        const std::size_t count = co_await m_stream.async_read_some(m_buffer.prepare(FirstBytes), awaitInto(error));
+        m_idleSince.reset();
+        if (error) {
+            co_return false;
+        }
+        m_buffer.commit(count);
+    }
+    m_config = m_traffic.config;
+    m_stream.expires_after(limits().headerTimeout);
+    co_await readUntilHeadEnd(m_stream, m_buffer, limits().maxHeaderBytes, error);
+    co_return !error;
+}
+
+Awaitable<bool> GatewaySession::readBody(ErrorCode &error)
+{
+    if (beast::iequals(m_parser->get()[http::field::expect], "100-continue")) {
+        const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+        co_await asio::async_write(m_stream, asio::buffer(interim), awaitInto(error));
+    }
+    m_stream.expires_after(BodyTimeout);
+    if (!error && !m_parser->is_done()) {
+        co_await http::async_read(m_stream, m_buffer, *m_parser, awaitInto(error));
+    }
+    co_return !error;
+}
+
+Awaitable<bool> GatewaySession::serveOne()
+{
+    ErrorCode error;
+    if (!co_await readHead(error)) {
+        if (error == http::error::header_limit) {
+            co_return co_await refuse(http::status::request_header_fields_too_large, "the header is too long");
+        }
+        co_return false;
+    }
+    const TimePoint arrivedAt = Clock::now();
+    const auto data = m_buffer.cdata();
+    const std::string_view text(static_cast<const char *>(data.data()), data.size());
+    if (const auto fault = findHeadFault(text.substr(0, findHeadEnd(text).value_or(0)))) {
+        co_return co_await refuse(http::status::bad_request, *fault);
+    }
+    m_parser = std::make_unique<Parser>();
+    m_parser->header_limit(limits().maxHeaderBytes);
+    m_parser->body_limit(limits().maxBodyBytes);
+    m_parser->eager(false);
+    co_await http::async_read_header(m_stream, m_buffer, *m_parser, awaitInto(error));
+    if (error) {
+        const bool isTooLong = error == http::error::body_limit;
+        const auto status = isTooLong ? http::status::payload_too_large : http::status::bad_request;
+        co_return co_await refuse(status, "the request can't be read: " + error.message());
+    }
+    GatewayRequest request;
+    request.header = m_parser->get().base();
+    request.arrivedAt = arrivedAt;
+    if (!m_config) {
+        const auto id = request.header[m_traffic.names.requestId];
+        co_return co_await refuse(http::status::service_unavailable, "no configuration is known yet", std::string(id));
+    }
+    request.config = m_config;
+    const auto fault = classify(request, m_traffic.names, m_traffic.random());
+    if (fault) {
+        co_return co_await refuse(fault->status, fault->reason, request.id);
+    }
+    if (m_traffic.bodyBytes > m_traffic.settings.memoryBytes / BodyMemoryDivisor) {
+        co_return co_await refuse(http::status::service_unavailable, "too many bodies are held", request.id);
+    }
+    if (!co_await readBody(error)) {
+        if (isParseError(error)) {
+            const bool isTooLong = error == http::error::body_limit;
+            const auto status = isTooLong ? http::status::payload_too_large : http::status::bad_request;
+            co_return co_await refuse(status, "the body can't be read: " + error.message(), request.id);
+        }
+        co_return false;
+    }
+    request.body = std::move(m_parser->get().body());
+    co_return co_await serve(std::move(request));
+}
+
+Awaitable<bool> GatewaySession::serve(GatewayRequest request)
+{
+    const std::size_t bodyBytes = request.body.size();
+    m_traffic.bodyBytes += bodyBytes;
+    const auto runner = std::make_shared<RequestRunner>(m_traffic, std::move(request));
+    m_stream.expires_never();
+    asio::co_spawn(m_traffic.executor, watchCaller(runner), asio::detached);
+    http::response<http::string_body> response = co_await runner->run();
+    m_traffic.bodyBytes -= bodyBytes;
+    ErrorCode ignored;
+    m_stream.socket().cancel(ignored); // ends watchCaller()
+    if (runner->request().isGone) {
+        co_return false;
+    }
+    const bool isHead = runner->request().header.method() == http::verb::head;
+    if (isHead) {
+        response.body().clear();
+    }
+    co_return co_await send(std::move(response));
+}
+
+/// Waits until the caller sends something more or closes; of these only the close matters here.
+Awaitable<void> GatewaySession::watchCaller(std::shared_ptr<RequestRunner> runner)
+{
+    const auto self = shared_from_this();
+    ErrorCode error;
+    co_await m_stream.socket().async_wait(Tcp::socket::wait_read, awaitInto(error));
+    if (error) {
+        co_return;
+    }
+    char byte = 0;
+    m_stream.socket().non_blocking(true, error);
+    m_stream.socket().receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+    const bool isClosed = error && error != asio::error::would_block;
+    if (isClosed) {
+        runner->onCallerGone();
+    }
+}
+
+Awaitable<bool> GatewaySession::refuse(http::status status, const std::string &reason, const std::string &id)
+{
+    spdlog::warn("request: event=refuse id={} status={} config={} reason=\"{}\"", id, static_cast<unsigned>(status),
+                 m_config ? m_config->version : 0, reason);
+    m_traffic.metrics.count("refused_" + std::to_string(static_cast<unsigned>(status)));
+    http::response<http::string_body> response(status, 11);
+    if (!id.empty()) {
+        response.set(m_traffic.names.requestId, id);
+    }
+    if (status == http::status::service_unavailable) {
+        response.set(http::field::retry_after, "0.3"); // s; a node learns its configuration within some 100 ms
+    }
+    response.set(http::field::content_type, "text/plain");
+    response.body() = reason + "\n";
+    co_return co_await send(std::move(response));
+}
+
+Awaitable<bool> GatewaySession::send(http::response<http::string_body> response)
+{
+    response.prepare_payload();
+    response.keep_alive(mayKeepConnection());
+    m_stream.expires_after(WriteTimeout);
+    ErrorCode error;
+    co_await http::async_write(m_stream, response, awaitInto(error));
+    co_return !error && response.keep_alive();
+}
+
+} // namespace snipevalve
--- /dev/null
+++ b/src/snipevalve/node/gateway_session.hpp
@@ -0,0 +1,52 @@
+#ifndef SNIPEVALVE_NODE_GATEWAY_SESSION_HPP
+#define SNIPEVALVE_NODE_GATEWAY_SESSION_HPP
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "snipevalve/node/gateway_traffic.hpp"
+#include "snipevalve/node/request_runner.hpp"
+
+namespace snipevalve {
+
+/// @brief Serves the requests of one caller's connection, one after the other.
+class GatewaySession : public std::enable_shared_from_this<GatewaySession>
+{
+public:
+    GatewaySession(GatewayTraffic &traffic, Tcp::socket socket);
+    ~GatewaySession();
+
+    /// @brief Serves until the caller leaves, a fault makes the connection unusable, or a planned stop ends it.
+    Awaitable<void> run();
+
+    /// @brief Closes the connection when it has waited for a request for at least `idle`.
+    void closeIfIdle(TimePoint now, Duration idle);
+
+    bool isBusy() const;
+
+private:
+    using Parser = http::request_parser<http::string_body>;
+
+    /// @return false when the connection ends here
+    Awaitable<bool> serveOne();
+    Awaitable<bool> readHead(ErrorCode &error);
+    Awaitable<bool> readBody(ErrorCode &error);
+    Awaitable<bool> serve(GatewayRequest request);
+    Awaitable<void> watchCaller(std::shared_ptr<RequestRunner> runner);
+    Awaitable<bool> refuse(http::status status, const std::string &reason, const std::string &id = {});
+    Awaitable<bool> send(http::response<http::string_body> response);
+    bool mayKeepConnection() const;
+    const CallerLimits &limits() const;
+
+    GatewayTraffic &m_traffic;
+    beast::tcp_stream m_stream;
+    beast::flat_buffer m_buffer;
+    std::unique_ptr<Parser> m_parser;
+    std::optional<TimePoint> m_idleSince; ///< set while waiting for a request
+    std::shared_ptr<const GatewayConfig> m_config; ///< of the current request; null before the first configuration
+};
+
+} // namespace snipevalve
+
+#endif // SNIPEVALVE_NODE_GATEWAY_SESSION_HPP
--- /dev/null
+++ b/src/snipevalve/node/gateway_thread.cpp
@@ -0,0 +1,139 @@
+#include "snipevalve/node/gateway_thread.hpp"
+
+#include <vector>
+
+#include <spdlog/spdlog.h>
+
+#include "snipevalve/node/gateway_session.hpp"
+
+namespace snipevalve {
+
+namespace {
+
+/// How often late requests are rejected and silent leaders noticed.
+constexpr Milliseconds AdvanceInterval(50);
+
+Awaitable<void> runSession(std::shared_ptr<GatewaySession> session)
+{
+    co_await session->run();
+}
+
+} // namespace
+
+GatewayThread::GatewayThread(const NodeSettings &settings, const HeaderNames &names, std::uint64_t seed)
+    : m_traffic(m_context.get_executor(), settings, names, seed)
+    , m_acceptor(listenOn(m_context.get_executor(), settings.callers))
+{
+}
+
+GatewayThread::~GatewayThread()
+{
+    m_context.stop();
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+void GatewayThread::start()
+{
+    asio::co_spawn(m_context, accept(), asio::detached);
+    asio::co_spawn(m_context, advance(), asio::detached);
+    m_thread = std::thread([this]() {
+        m_context.run();
+    });
+}
+
+Awaitable<void> GatewayThread::accept()
+{
+    while (m_acceptor.is_open()) {
+        ErrorCode error;
+        Tcp::socket socket = co_await m_acceptor.async_accept(awaitInto(error));
+        if (!error) {
+            auto session = std::make_shared<GatewaySession>(m_traffic, std::move(socket));
+            asio::co_spawn(m_context, runSession(std::move(session)), asio::detached);
+        }
+    }
+}
+
+Awaitable<void> GatewayThread::advance()
+{
+    asio::steady_timer timer(m_context);
+    ErrorCode ignored;
+    while (true) {
+        timer.expires_after(AdvanceInterval);
+        co_await timer.async_wait(awaitInto(ignored));
+        m_traffic.placements.advance();
+        m_sessions = m_traffic.sessions.size();
+    }
+}
+
+void GatewayThread::setConfig(std::shared_ptr<const GatewayConfig> config)
+{
+    asio::post(m_context, [this, config = std::move(config)]() {
+        m_traffic.config = config;
+    });
+}
+
+void GatewayThread::setLeaders(std::map<std::string, Endpoint> leaders)
+{
+    asio::post(m_context, [this, leaders = std::move(leaders)]() {
+        m_traffic.placements.setLeaders(leaders);
+    });
+}
+
+void GatewayThread::setStoreView(ServiceView view)
+{
+    asio::post(m_context, [this, view = std::move(view)]() {
+        m_traffic.placements.setStoreView(view);
+    });
+}
+
+void GatewayThread::onConfigVersion(std::function<void(std::uint64_t)> handler)
+{
+    asio::post(m_context, [this, handler = std::move(handler)]() {
+        m_traffic.placements.onConfigVersion = handler;
+    });
+}
+
+bool GatewayThread::needsStoreViews() const
+{
+    return m_traffic.placements.needsStoreViews();
+}
+
+void GatewayThread::beginStop()
+{
+    asio::post(m_context, [this]() {
+        m_traffic.stopping = true;
+    });
+}
+
+void GatewayThread::closeListener()
+{
+    asio::post(m_context, [this]() {
+        ErrorCode ignored;
+        m_acceptor.close(ignored);
+    });
+}
+
+void GatewayThread::closeIdle(Duration idle)
+{
+    asio::post(m_context, [this, idle]() {
+        const TimePoint now = Clock::now();
+        const std::vector<GatewaySession *> sessions(m_traffic.sessions.begin(), m_traffic.sessions.end());
+        for (GatewaySession *session : sessions) {
+            session->closeIfIdle(now, idle);
+        }
+    });
+}
+
+std::size_t GatewayThread::sessions() const
+{
+    return m_sessions;
+}
+
+const NodeMetrics &GatewayThread::metrics() const
+{
+    return m_traffic.metrics;
+}
+
+} // namespace snipevalve
--- /dev/null
+++ b/src/snipevalve/node/gateway_traffic.hpp
@@ -0,0 +1,50 @@
+#ifndef SNIPEVALVE_NODE_GATEWAY_TRAFFIC_HPP
+#define SNIPEVALVE_NODE_GATEWAY_TRAFFIC_HPP
+
+#include <memory>
+#include <random>
+#include <set>
+
+#include "snipevalve/net/upstream_pool.hpp"
+#include "snipevalve/node/gateway_request.hpp"
+#include "snipevalve/node/node_metrics.hpp"
+#include "snipevalve/node/placements.hpp"
+
+namespace snipevalve {
+
+class GatewaySession;
+
+/// @brief Everything that the callers' connections of one traffic thread share. Only that thread touches it, but for the
+/// metrics.
+struct GatewayTraffic
+{
+    /// Idle connections kept to one server; it runs 2 to 4 requests at once.
+    static constexpr std::size_t IdleConnectionsPerServer = 4;
+
+    GatewayTraffic(asio::any_io_executor traffic, const NodeSettings &nodeSettings, const HeaderNames &headerNames,
+                   std::uint64_t seed)
+        : executor(traffic)
+        , settings(nodeSettings)
+        , names(headerNames)
+        , pool(traffic, nodeSettings.address, IdleConnectionsPerServer)
+        , placements(traffic, nodeSettings, seed)
+        , random(seed)
+    {
+    }
+
+    asio::any_io_executor executor;
+    const NodeSettings &settings;
+    const HeaderNames &names;
+    std::shared_ptr<const GatewayConfig> config; ///< null until the first one is known
+    UpstreamPool pool;
+    Placements placements;
+    NodeMetrics metrics;
+    std::mt19937_64 random;
+    std::set<GatewaySession *> sessions; ///< open connections of callers
+    std::size_t bodyBytes = 0; ///< of requests that are being served
+    bool stopping = false; ///< answers from now on end their connections
+};
+
+} // namespace snipevalve
+
+#endif // SNIPEVALVE_NODE_GATEWAY_TRAFFIC_HPP
--- /dev/null
+++ b/src/snipevalve/node/leader_link.cpp
@@ -0,0 +1,110 @@
+#include "snipevalve/node/leader_link.hpp"
+
+#include <spdlog/spdlog.h>
+
+namespace snipevalve {
+
+namespace {
+
+constexpr Milliseconds ConnectTimeout(500); ///< hosts of one region are some ms apart
+constexpr Milliseconds ReconnectDelay(200);
+
+} // namespace
+
+LeaderLink::LeaderLink(asio::any_io_executor executor, const NodeSettings &settings, Endpoint leader, Handlers handlers)
+    : m_executor(std::move(executor))
+    , m_settings(settings)
+    , m_leader(std::move(leader))
+    , m_handlers(std::move(handlers))
+{
+}
+
+void LeaderLink::start()
+{
+    asio::co_spawn(m_executor, run(), asio::detached);
+}
+
+void LeaderLink::stop()
+{
+    m_stopped = true;
+    if (m_channel) {
+        m_channel->close();
+    }
+}
+
+bool LeaderLink::isOpen() const
+{
+    return !m_stopped && m_heard && m_channel && m_channel->isOpen();
+}
+
+void LeaderLink::send(const proto::HostFrame &frame)
+{
+    if (m_channel) {
+        m_channel->send(frame);
+    }
+}
+
+void LeaderLink::checkSilence(TimePoint now)
+{
+    const bool isSilent = m_channel && m_channel->isOpen() && now - m_channel->receivedAt() > LeaderSilence;
+    if (isSilent) {
+        spdlog::warn("link: event=silent leader={} silent_ms={}", toString(m_leader),
+                     std::chrono::duration_cast<Milliseconds>(now - m_channel->receivedAt()).count());
+        m_channel->close();
+    }
+}
+
+const Endpoint &LeaderLink::leader() const
+{
+    return m_leader;
+}
+
+Awaitable<void> LeaderLink::run()
+{
+    const auto self = shared_from_this();
+    asio::steady_timer timer(m_executor);
+    while (!m_stopped) {
+        m_channel = co_await connectChannel(m_settings.address, toTcp(m_leader), ConnectTimeout);
+        if (m_channel && !m_stopped) {
+            proto::HostFrame hello;
+            hello.set_host(m_settings.host);
+            hello.set_zone(m_settings.zone);
+            m_channel->send(hello);
+            co_await readAll();
+        }
+        if (m_stopped) {
+            break;
+        }
+        ErrorCode ignored;
+        timer.expires_after(ReconnectDelay);
+        co_await timer.async_wait(awaitInto(ignored));
+    }
+    if (m_channel) {
+        m_channel->close();
+    }
+}
+
+Awaitable<void> LeaderLink::readAll()
+{
+    std::string bytes;
+    while (co_await m_channel->receive(bytes)) {
+        proto::LeaderFrame frame;
+        if (m_stopped || !frame.ParseFromString(bytes)) {
+            break;
+        }
+        if (!m_heard) {
+            m_heard = true;
+            spdlog::info("link: event=regained leader={}", toString(m_leader));
+            m_handlers.onOpen(*this);
+        }
+        m_handlers.onFrame(*this, frame);
+    }
+    m_channel->close();
+    if (m_heard) {
+        m_heard = false;
+        spdlog::warn("link: event=lost leader={}", toString(m_leader));
+        m_handlers.onLost(*this);
+    }
+}
+
+} // namespace snipevalve
--- /dev/null
+++ b/src/snipevalve/node/request_runner.cpp
@@ -0,0 +1,237 @@
+#include "snipevalve/node/request_runner.hpp"
+
+#include <algorithm>
+#include <cstdio>
+
+#include <spdlog/spdlog.h>
+
+#include "snipevalve/core/hash.hpp"
+#include "snipevalve/net/message_head.hpp"
+
+namespace snipevalve {
+
+namespace {
+
+/// Kept for the way of the final answer: a caller is up to 8 ms away, and timers fire slightly late.
+constexpr Milliseconds AnswerMargin(20);
+/// A repeatable request is sent elsewhere when a server takes this many times the expected time, and this much more.
+/// One request in a hundred takes three times the usual work.
+constexpr double PatienceFactor = 4.0;
+constexpr Milliseconds PatienceExtra(200);
+/// The shortest wait that a refused caller is told: below it the same queue would be met again.
+constexpr Milliseconds ShortestRetryAfter(50);
+
+RequestTraits traitsOf(const GatewayRequest &request)
+{
+    RequestTraits traits;
+    traits.idempotent = request.isIdempotent();
+    traits.deadline = request.finalBy;
+    return traits;
+}
+
+RetryBudgetOptions sendsOf(const GatewayRequest &request)
+{
+    RetryBudgetOptions options;
+    options.retriesPerRequest = 0;
+    options.reserve = request.route->maxAttempts - 1;
+    return options;
+}
+
+std::string toSecondsText(Duration duration)
+{
+    constexpr std::size_t Length = 32;
+    char text[Length];
+    std::snprintf(text, Length, "%.3f", std::chrono::duration<double>(duration).count());
+    return text;
+}
+
+std::int64_t toMs(Duration duration)
+{
+    return std::chrono::duration_cast<Milliseconds>(duration).count();
+}
+
+} // namespace
+
+RequestRunner::RequestRunner(GatewayTraffic &traffic, GatewayRequest request)
+    : m_traffic(traffic)
+    , m_request(std::move(request))
+    , m_life(traitsOf(m_request))
+    , m_sends(sendsOf(m_request))
+{
+}
+
+const GatewayRequest &RequestRunner::request() const
+{
+    return m_request;
+}
+
+WorkItem RequestRunner::toWorkItem() const
+{
+    WorkItem item;
+    item.workClass = hashOf(m_request.route->name);
+    item.priority = m_request.route->priority;
+    item.repeat = m_sendCount > 0;
+    item.key = m_request.key;
+    item.zone = m_traffic.settings.zone;
+    item.targetBy = m_request.targetBy - AnswerMargin;
+    item.deadline = m_request.finalBy - AnswerMargin;
+    item.avoid = m_failedServers;
+    return item;
+}
+
+Awaitable<http::response<http::string_body>> RequestRunner::run()
+{
+    while (true) {
+        const DispatchDecision decision =
+            co_await m_traffic.placements.acquire(m_request.service, toWorkItem(), m_waitingTicket);
+        m_waitingTicket = 0;
+        if (const auto *rejection = std::get_if<Rejection>(&decision)) {
+            const std::string reason(describe(rejection->reason));
+            auto response = failure(rejection->retryAfter, reason);
+            logEnd(response.result_int(), reason);
+            co_return response;
+        }
+        const Placement &placement = std::get<Placement>(decision);
+        ExchangeResult result = co_await sendTo(placement);
+        if (result.answer) {
+            auto response = answerOf(std::move(*result.answer));
+            logEnd(response.result_int(), "answered by " + placement.server.id);
+            co_return response;
+        }
+        m_failedServers.push_back(placement.server.id);
+        const NextStep step = m_life.onAttemptEnd(toAttemptEnd(result.end), Clock::now(), m_sends);
+        if (std::holds_alternative<Finish>(step) || m_request.isGone) {
+            auto response = failure(placement.expected, result.detail);
+            logEnd(response.result_int(), result.detail);
+            co_return response;
+        }
+        const Duration delay = std::get<RetryAfter>(step).delay;
+        if (delay > Duration::zero()) {
+            asio::steady_timer timer(m_traffic.executor, delay);
+            ErrorCode ignored;
+            co_await timer.async_wait(awaitInto(ignored));
+        }
+    }
+}
+
+TimePoint RequestRunner::sendEndTime(const Placement &placement, TimePoint now) const
+{
+    const TimePoint last = m_request.finalBy - AnswerMargin;
+    const bool mayRepeat = m_request.isIdempotent() && m_sendCount < m_request.route->maxAttempts;
+    if (!mayRepeat) {
+        return last;
+    }
+    const auto patience = std::chrono::duration_cast<Duration>(Seconds(placement.expected) * PatienceFactor);
+    return std::min(last, now + patience + PatienceExtra);
+}
+
+Awaitable<ExchangeResult> RequestRunner::sendTo(const Placement &placement)
+{
+    ++m_sendCount;
+    UpstreamExchange exchange(m_traffic.executor, m_traffic.pool, m_traffic.names, m_request);
+    m_exchange = &exchange;
+    ExchangeResult result = co_await exchange.run(placement.server, sendEndTime(placement, Clock::now()));
+    m_exchange = nullptr;
+    m_traffic.placements.finish(placement.ticket, result.end, result.took);
+    m_traffic.metrics.count(std::string("send_") + std::string(describe(result.end)));
+    if (!result.reusedConnection) {
+        m_traffic.metrics.count("connection_opened");
+    }
+    logSend(placement, result);
+    co_return result;
+}
+
+AttemptEnd RequestRunner::toAttemptEnd(WorkEnd end) const
+{
+    switch (end) {
+    case WorkEnd::Done:
+        return AttemptEnd::Answered;
+    case WorkEnd::Refused:
+        return AttemptEnd::Refused;
+    case WorkEnd::Unreachable:
+        return AttemptEnd::NotConnected;
+    case WorkEnd::Lost:
+    case WorkEnd::Abandoned:
+        return AttemptEnd::Lost;
+    }
+    return AttemptEnd::Lost;
+}
+
+void RequestRunner::onCallerGone()
+{
+    m_request.isGone = true;
+    if (m_waitingTicket != 0) {
+        m_traffic.placements.abandon(m_waitingTicket);
+    }
+    // A paid action that has begun is left to end; nobody would learn whether a broken off one took effect.
+    if (m_exchange != nullptr && m_request.isIdempotent()) {
+        m_exchange->cancel();
+    }
+}
+
+http::response<http::string_body> RequestRunner::answerOf(UpstreamAnswer answer) const
+{
+    // These statuses promise that nothing ran. A server that ran the request and answers with one is not passed on.
+    const auto status = answer.header.result();
+    const bool isPromise = status == http::status::too_many_requests || status == http::status::service_unavailable
+        || status == http::status::request_timeout;
+    if (isPromise) {
+        http::response<http::string_body> response(http::status::bad_gateway, 11);
+        response.set(m_traffic.names.requestId, m_request.id);
+        response.body() = "the server answered " + std::to_string(answer.header.result_int())
+            + " without saying that it ran nothing\n";
+        return response;
+    }
+    http::response<http::string_body> response;
+    response.base() = std::move(answer.header);
+    for (auto field = response.begin(); field != response.end();) {
+        field = isHopByHop(field->name()) ? response.erase(field) : std::next(field);
+    }
+    response.version(11);
+    response.body() = std::move(answer.body);
+    return response;
+}
+
+http::response<http::string_body> RequestRunner::failure(Duration retryAfter, const std::string &reason) const
+{
+    const bool hasRun = m_life.failure() != Outcome::NotRun;
+    const bool isLate = Clock::now() + 2 * AnswerMargin >= m_request.finalBy;
+    auto status = http::status::service_unavailable;
+    if (hasRun) {
+        status = isLate ? http::status::gateway_timeout : http::status::bad_gateway;
+    }
+    http::response<http::string_body> response(status, 11);
+    if (!hasRun) {
+        response.set(http::field::retry_after, toSecondsText(std::max<Duration>(retryAfter, ShortestRetryAfter)));
+    }
+    response.set(m_traffic.names.requestId, m_request.id);
+    response.set(http::field::content_type, "text/plain");
+    response.body() = reason + "\n";
+    return response;
+}
+
+void RequestRunner::logSend(const Placement &placement, const ExchangeResult &result) const
+{
+    const bool isWell = result.end == WorkEnd::Done;
+    spdlog::log(isWell ? spdlog::level::info : spdlog::level::warn,
+                "request: event=send id={} service={} key={} server={} send={} expected_ms={} took_ms={} reused={} end={} "
+                "detail=\"{}\"",
+                m_request.id, m_request.service, m_request.key ? static_cast<int>(*m_request.key) : -1,
+                placement.server.id, m_sendCount, toMs(placement.expected), toMs(result.took), result.reusedConnection,
+                describe(result.end), result.detail);
+}
+
+void RequestRunner::logEnd(unsigned status, const std::string &reason) const
+{
+    constexpr unsigned FirstFailure = 500;
+    const Duration took = Clock::now() - m_request.arrivedAt;
+    m_traffic.metrics.onRequest(m_request.isGone ? 0 : status, took);
+    spdlog::log(status < FirstFailure ? spdlog::level::info : spdlog::level::warn,
+                "request: event=end id={} route={} config={} service={} key={} status={} sends={} took_ms={} limit_ms={} "
+                "gone={} reason=\"{}\"",
+                m_request.id, m_request.route->name, m_request.config->version, m_request.service,
+                m_request.key ? static_cast<int>(*m_request.key) : -1, status, m_sendCount, toMs(took),
+                toMs(m_request.finalBy - m_request.arrivedAt), m_request.isGone, reason);
+}
+
+} // namespace snipevalve
--- /dev/null
+++ b/src/snipevalve/node/upstream_exchange.hpp
@@ -0,0 +1,73 @@
+#ifndef SNIPEVALVE_NODE_UPSTREAM_EXCHANGE_HPP
+#define SNIPEVALVE_NODE_UPSTREAM_EXCHANGE_HPP
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "snipevalve/dispatch/work.hpp"
+#include "snipevalve/net/upstream_pool.hpp"
+#include "snipevalve/node/gateway_request.hpp"
+
+namespace snipevalve {
+
+/// @brief A server's whole answer.
+struct UpstreamAnswer
+{
+    http::response_header<> header;
+    std::string body;
+};
+
+/// @brief What became of one send to one server.
+struct ExchangeResult
+{
+    WorkEnd end = WorkEnd::Unreachable;
+    std::optional<UpstreamAnswer> answer; ///< set when `end` is Done
+    std::string detail; ///< for the log: why it did not end well
+    bool reusedConnection = false;
+    Duration took{};
+};
+
+/// @brief Sends one request to one server and reads its whole answer.
+///
+/// An answer counts only when the server echoes the request's id, sends its own body unencoded, and ends it cleanly.
+/// The connection goes back to the pool only after such an answer and when nothing is left to send or to read on it.
+class UpstreamExchange
+{
+public:
+    UpstreamExchange(asio::any_io_executor executor, UpstreamPool &pool, const HeaderNames &names,
+                     const GatewayRequest &request);
+
+    /// @param until when no answer is waited for any longer
+    Awaitable<ExchangeResult> run(UpstreamServer server, TimePoint until);
+
+    /// @brief Closes the connection, which has the server stop working; run() then ends as Abandoned.
+    void cancel();
+
+private:
+    Awaitable<void> connect(const Endpoint &endpoint, TimePoint until, ExchangeResult &result);
+    Awaitable<void> send();
+    Awaitable<void> waitForSend();
+    Awaitable<ErrorCode> receive(ExchangeResult &result);
+    bool isForeign() const;
+    std::string checkAnswer(const http::response_header<> &header) const;
+    void judge(const ErrorCode &error, ExchangeResult &result);
+    void recycle(const Endpoint &endpoint);
+
+    asio::any_io_executor m_executor;
+    UpstreamPool &m_pool;
+    const HeaderNames &m_names;
+    const GatewayRequest &m_request;
+    std::unique_ptr<UpstreamConnection> m_connection;
+    http::request<http::string_body> m_message;
+    std::unique_ptr<http::response_parser<http::string_body>> m_parser;
+    asio::steady_timer m_sendEnded;
+    ErrorCode m_sendError;
+    bool m_sendDone = false;
+    bool m_sawForeign = false; ///< an answer to another request came on this connection
+    bool m_cancelled = false;
+};
+
+} // namespace snipevalve
+
+#endif // SNIPEVALVE_NODE_UPSTREAM_EXCHANGE_HPP
