--- a/src/snipevalve/node/control/store_follower.hpp
+++ b/src/snipevalve/node/control/store_follower.hpp
@@ -51,7 +51,12 @@
                 co_await sleep(timer, UnwantedPause);
                 continue;
             }
-            const absl::Status status = m_isListed ? co_await watchOnce() : co_await listOnce();
+            absl::Status status;
+            if (m_isListed) {
+                status = co_await watchOnce();
+            } else {
+                status = co_await listOnce();
+            }
             if (!status.ok()) {
                 co_await sleep(timer, RetryDelay);
             } else if (m_options.pause > Milliseconds::zero()) {
