--- a/src/snipevalve/node/control/node_control.hpp
+++ b/src/snipevalve/node/control/node_control.hpp
@@ -103,7 +103,9 @@
         for (auto &[service, leader] : m_led) {
             leader->stop();
         }
-        for (const auto &[service, revision] : m_ownedRevisions) {
+        // A copy: the store's news of the removals changes the original meanwhile.
+        const std::map<std::string, std::uint64_t> owned = m_ownedRevisions;
+        for (const auto &[service, revision] : owned) {
             StoreWrite write;
             write.key = leaderKey(service);
             write.expectedRevision = revision;
