Move keys only beyond the noise of their counts, and keep ranges whole

Cause: rounds of moves on loads averaged over one second followed chance; single keys moved, ranges broke into hundreds, their grants all ran at once, servers reset the connections beyond their cap, and the leader lost its lease meanwhile. Ruled out: capacity (0.7 of the slots busy), the store.

--- a/include/snipevalve/ownership/detail/key_authority_impl.hpp
+++ b/include/snipevalve/ownership/detail/key_authority_impl.hpp
@@ -321,6 +321,18 @@
     }
 }
 
+template <typename Rules>
+void BasicKeyAuthority<Rules>::countCalls()
+{
+    m_calls.clear();
+    for (const Segment &segment : m_segments) {
+        if (segment.call != 0) {
+            Calls &calls = m_calls[segment.owner.id];
+            ++(segment.state == State::Releasing ? calls.releases : calls.grants);
+        }
+    }
+}
+
 template <typename Rules>
 void BasicKeyAuthority<Rules>::send(Segment &segment, TimePoint now, Actions &actions)
 {
@@ -331,6 +343,11 @@
     if (server == nullptr) {
         return;
     }
+    int &calls = isGrant ? m_calls[server->id].grants : m_calls[server->id].releases;
+    if (calls >= (isGrant ? MostGrants : MostReleases)) {
+        return;
+    }
+    ++calls;
     if (segment.fence == 0) {
         segment.fence = nextFence();
     }
@@ -412,15 +429,8 @@
 }
 
 template <typename Rules>
-void BasicKeyAuthority<Rules>::balance(const std::vector<float> &loads, const std::map<std::string, double> &capacities,
-                                       TimePoint now)
+std::vector<OwnedRange> BasicKeyAuthority<Rules>::movableRanges(TimePoint now) const
 {
-    const bool isDue = now - m_balancedAt >= m_times.balanceInterval && m_planSaved && hasAuthority(now)
-        && m_storeAnswers;
-    if (!isDue) {
-        return;
-    }
-    m_balancedAt = now;
     std::vector<OwnedRange> movable;
     for (const Segment &segment : m_segments) {
         const bool isCalm = segment.state == State::Held && segment.call == 0 && segment.lateEnd < now;
@@ -428,24 +438,62 @@
             movable.push_back({segment.keys, segment.owner.id});
         }
     }
+    return movable;
+}
+
+template <typename Rules>
+void BasicKeyAuthority<Rules>::move(const KeyMove &move, const std::string &reason, TimePoint now)
+{
+    split(move.keys.from);
+    split(static_cast<std::uint32_t>(move.keys.to) + 1);
+    for (Segment &segment : m_segments) {
+        const bool isInside = move.keys.contains(segment.keys.from) && move.keys.contains(segment.keys.to);
+        if (isInside && segment.state == State::Held && segment.call == 0) {
+            release(segment, move.to, now);
+        }
+    }
+    m_notes.push_back("keys " + detail::describe(move.keys) + " move from " + move.from + " to " + move.to + " "
+                      + reason);
+}
+
+template <typename Rules>
+void BasicKeyAuthority<Rules>::balance(const Demand &demand, TimePoint now)
+{
+    const bool isDue = now - m_balancedAt >= m_times.balanceInterval && m_planSaved && !m_planInFlight
+        && hasAuthority(now) && m_storeAnswers;
+    if (!isDue) {
+        return;
+    }
+    m_balancedAt = now;
     std::map<std::string, double> usable;
     for (const auto &[id, server] : m_servers) {
-        const auto position = capacities.find(id);
-        if (!server.draining && position != capacities.end()) {
+        const auto position = demand.capacities.find(id);
+        if (!server.draining && position != demand.capacities.end()) {
             usable[id] = position->second;
         }
     }
-    for (const KeyMove &move : planKeyMoves(movable, loads, usable)) {
-        split(move.keys.from);
-        split(static_cast<std::uint32_t>(move.keys.to) + 1);
-        for (Segment &segment : m_segments) {
-            const bool isInside = move.keys.contains(segment.keys.from) && move.keys.contains(segment.keys.to);
-            if (isInside && segment.state == State::Held && segment.call == 0) {
-                release(segment, move.to, now);
-            }
+    const std::vector<OwnedRange> movable = movableRanges(now);
+    KeyBalanceOptions options;
+    options.meanWork = demand.meanWork;
+    options.window = demand.fastWindow;
+    const auto hotMoves = planKeyMoves(movable, demand.fast, usable, options);
+    for (const KeyMove &each : hotMoves) {
+        move(each, "off hot keys", now);
+    }
+    if (!hotMoves.empty() || now - m_tidiedAt < m_times.tidyInterval) {
+        return;
+    }
+    m_tidiedAt = now;
+    options.window = demand.slowWindow;
+    options.shape = WindowShape::AtEnd;
+    const auto lasting = planKeyMoves(movable, demand.slow, usable, options);
+    for (const KeyMove &each : lasting) {
+        move(each, "for their load", now);
+    }
+    if (lasting.empty()) {
+        for (const KeyMove &each : planKeyMerges(movable, demand.slow, usable, options)) {
+            move(each, "back to their neighbours", now);
         }
-        m_notes.push_back("keys " + detail::describe(move.keys) + " move from " + move.from + " to " + move.to
-                          + " for their load");
     }
 }
 
@@ -460,6 +508,7 @@
     assignFree(now);
     if (hasAuthority(now)) {
         savePlan(actions);
+        countCalls();
         for (Segment &segment : m_segments) {
             if (m_planSaved || !Rules::SavePlanFirst) {
                 send(segment, now, actions);
--- a/include/snipevalve/ownership/key_authority.hpp
+++ b/include/snipevalve/ownership/key_authority.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "snipevalve/core/time.hpp"
+#include "snipevalve/dispatch/service_times.hpp"
 #include "snipevalve/ownership/key_balance.hpp"
 #include "snipevalve/ownership/key_plan.hpp"
 
@@ -20,7 +21,8 @@
     Milliseconds longHold{10'000}; ///< of a grant while the store is away: rides out its outages of up to 9 s
     Milliseconds renewInterval{1'200}; ///< leaves three tries within `hold`
     Milliseconds retryInterval{60}; ///< after a call without an answer
-    Milliseconds balanceInterval{200}; ///< between two rounds of moves by load
+    Milliseconds balanceInterval{200}; ///< between two rounds of moves off hot keys
+    Milliseconds tidyInterval{2'000}; ///< between two rounds of moves for lasting differences
     Milliseconds arrivalSlack{400}; ///< a call without an answer may arrive this long after it was given up
     double clockError = 0.02; ///< a server's clock may run this much slow
 };
@@ -98,9 +100,19 @@
     /// @param storeAnswers false while the store does not answer this host
     void setAuthority(TimePoint until, bool storeAnswers);
 
-    /// @param loads by key: busy slots
-    /// @param capacities by server: slots weighed by speed
-    void balance(const std::vector<float> &loads, const std::map<std::string, double> &capacities, TimePoint now);
+    /// @brief What the keys' requests have asked for of late.
+    struct Demand
+    {
+        const std::vector<float> &fast; ///< by key: busy slots, averaged over `fastWindow`
+        const std::vector<float> &slow; ///< the same over `slowWindow`
+        Seconds fastWindow;
+        Seconds slowWindow;
+        Seconds meanWork; ///< of one request
+        std::map<std::string, double> capacities; ///< by server: slots weighed by speed
+    };
+
+    /// @brief Moves keys by load when a round is due.
+    void balance(const Demand &demand, TimePoint now);
 
     /// @param handover the server's, with the answer to a release
     void onCallEnd(std::uint64_t call, KeyCallEnd end, const std::string &handover, TimePoint now);
@@ -149,6 +161,18 @@
 
     using Actions = std::vector<KeyAction>;
 
+    /// Calls under way to one server.
+    struct Calls
+    {
+        int grants = 0;
+        int releases = 0;
+    };
+
+    /// Each call under way takes a connection, and servers reset connections beyond their limit. Grants are answered at
+    /// once, so a few are enough; releases wait for running work.
+    static constexpr int MostGrants = 2;
+    static constexpr int MostReleases = 6;
+
     bool hasAuthority(TimePoint now) const;
     Duration longest(Milliseconds hold) const;
     const UpstreamServer *liveServer(const ServerLife &life) const;
@@ -162,10 +186,13 @@
     void mergeNeighbours(TimePoint now);
     void savePlan(Actions &actions);
     bool isPlanned(const Segment &segment) const;
+    void countCalls();
     void send(Segment &segment, TimePoint now, Actions &actions);
     void onGrantEnd(Segment &segment, KeyCallEnd end, TimePoint now);
     void onReleaseEnd(Segment &segment, KeyCallEnd end, const std::string &handover, TimePoint now);
     void setFree(Segment &segment);
+    std::vector<OwnedRange> movableRanges(TimePoint now) const;
+    void move(const KeyMove &move, const std::string &reason, TimePoint now);
 
     KeyAuthorityTimes m_times;
     KeyPlan m_plan; ///< the one that stands in the store or is being saved
@@ -179,7 +206,9 @@
     std::uint64_t m_sequence = 0;
     std::uint64_t m_lastCall = 0;
     TimePoint m_balancedAt;
+    TimePoint m_tidiedAt;
     double m_movedKeys = 0;
+    std::map<std::string, Calls> m_calls; ///< by server
     std::vector<std::string> m_notes;
 };
 
--- a/include/snipevalve/ownership/key_balance.hpp
+++ b/include/snipevalve/ownership/key_balance.hpp
@@ -6,17 +6,27 @@
 #include <vector>
 
 #include "snipevalve/dispatch/key_owners.hpp"
+#include "snipevalve/dispatch/service_times.hpp"
 
 namespace snipevalve {
 
+/// @brief Where the cut keys of a move may lie in a server's range.
+enum class WindowShape {
+    Anywhere, ///< the narrowest window: for hot keys, whose neighbours move off in a hurry
+    AtEnd, ///< from an end of a range: for lasting differences, so that ranges do not break up
+};
+
 struct KeyBalanceOptions
 {
-    std::size_t maxMoves = 8; ///< in one round; each blocks its keys for about one request's time
-    double startUtilisation = 0.75; ///< of the fullest server; below it moving costs more than it gains
-    double startGap = 0.25; ///< between the fullest and the emptiest server; below it the difference is noise
-    double leastShare = 0.5; ///< a move carries this share of what would level the two servers, or more
-    double mostShare = 1.15; ///< and this share at most
-    double leastGain = 0.1; ///< where one key is too heavy, what moves instead has to carry this share of it
+    std::size_t maxMoves = 10; ///< in one round; each blocks its keys for about one request's time
+    double calmUtilisation = 0.75; ///< servers below it are left as they are
+    double highestUtilisation = 0.92; ///< servers are not filled beyond it
+    double headroom = 1.15; ///< servers are filled up to the mean utilisation times this
+    double noiseDeviations = 3.0; ///< a server counts as too full only beyond what chance explains
+    double leastMove = 0.12; ///< busy slots; less is not worth a move
+    Seconds window{1.0}; ///< the time constant of the loads' average
+    Seconds meanWork{0.15}; ///< of one request
+    WindowShape shape = WindowShape::Anywhere;
 };
 
 /// @brief Move these keys to another server.
@@ -29,8 +39,9 @@
 
 /// @brief Which keys to move so that no server is overloaded while others idle.
 ///
-/// From the fullest to the emptiest server, by utilisation, goes the narrowest range of keys whose load levels the two.
-/// Where one key alone is heavier than that, it stays and its neighbours move.
+/// The fullest server gives its load beyond a common level to the emptiest ones, each up to that level. Differences
+/// within the noise of a Poisson count are left alone: following them moved 1.5 times all keys on one day and broke the
+/// ranges into hundreds. Where one key alone is heavier than what may move, it stays and its neighbours move.
 /// @param movable ranges that may be moved now, in rising order
 /// @param loads by key: busy slots
 /// @param capacities by server: slots, weighed by speed; only servers that may take keys
@@ -38,6 +49,11 @@
                                   const std::map<std::string, double> &capacities,
                                   const KeyBalanceOptions &options = {});
 
+/// @brief Narrow ranges whose neighbours on both sides belong to one other server: they go back to it once it is calm.
+/// @param loads by key: busy slots, averaged over a long time
+std::vector<KeyMove> planKeyMerges(const std::vector<OwnedRange> &movable, const std::vector<float> &loads,
+                                   const std::map<std::string, double> &capacities, const KeyBalanceOptions &options);
+
 } // namespace snipevalve
 
 #endif // SNIPEVALVE_OWNERSHIP_KEY_BALANCE_HPP
--- a/src/snipevalve/node/control/service_leader.hpp
+++ b/src/snipevalve/node/control/service_leader.hpp
@@ -36,7 +36,8 @@
         , m_desk(desk)
         , m_lease(lease)
         , m_service(std::move(service))
-        , m_loads(LoadTimeConstant)
+        , m_fastLoads(FastWindow)
+        , m_slowLoads(SlowWindow)
     {
         m_times.longHold = longestGrant;
         m_times.hold = std::min(m_times.hold, longestGrant);
@@ -92,7 +93,10 @@
 
     void onKeyedAsk(std::uint16_t key, Seconds work)
     {
-        m_loads.add(key, work);
+        m_fastLoads.add(key, work);
+        m_slowLoads.add(key, work);
+        constexpr double Weight = 0.02; ///< averaged over the last fifty requests
+        m_meanWork += Weight * (work - m_meanWork);
     }
 
     /// @brief Moves time on; to be called every 20 ms or so.
@@ -111,8 +115,10 @@
     }
 
 private:
-    /// Loads are averaged over a second: a hot spell of the users' sites lasts 4 to 5 s.
-    static constexpr Milliseconds LoadTimeConstant{1'000};
+    /// Hot keys have to show within a fraction of their spell, which lasts 4 to 5 s on the users' sites.
+    static constexpr Milliseconds FastWindow{700};
+    /// Lasting differences may take longer to show than a spell lasts.
+    static constexpr Milliseconds SlowWindow{6'000};
     static constexpr Milliseconds DecayInterval{100};
     /// The first plan waits for servers to register, so that they get even shares.
     static constexpr Milliseconds FirstPlanDelay{1'200};
@@ -126,9 +132,12 @@
         m_authority->setServers(m_servers, now);
         m_authority->setAuthority(m_lease.until(), m_lease.storeAnswers(now));
         if (now - m_decayedAt >= DecayInterval) {
-            m_loads.decay(std::min<Duration>(now - m_decayedAt, LoadTimeConstant));
+            const Duration elapsed = std::min<Duration>(now - m_decayedAt, SlowWindow);
+            m_fastLoads.decay(elapsed);
+            m_slowLoads.decay(elapsed);
             m_decayedAt = now;
-            m_authority->balance(m_loads.byKey(), capacities(), now);
+            m_authority->balance(
+                {m_fastLoads.byKey(), m_slowLoads.byKey(), FastWindow, SlowWindow, m_meanWork, capacities()}, now);
         }
         perform(m_authority->advance(now));
     }
@@ -234,7 +243,9 @@
     GatewayService m_service;
     KeyAuthorityTimes m_times;
     std::unique_ptr<KeyAuthority> m_authority; ///< of a keyed service
-    KeyLoads m_loads;
+    KeyLoads m_fastLoads;
+    KeyLoads m_slowLoads;
+    Seconds m_meanWork{0.1}; ///< of one request; corrected by the first fifty
     TimePoint m_decayedAt;
     TimePoint m_startedAt;
     std::uint64_t m_planRevision = 0;
--- a/src/snipevalve/ownership/key_balance.cpp
+++ b/src/snipevalve/ownership/key_balance.cpp
@@ -1,18 +1,30 @@
 #include "snipevalve/ownership/key_balance.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <optional>
 
 namespace snipevalve {
 
 namespace {
 
+/// A window may carry this much less or more than what was wanted of it.
+constexpr double LeastShare = 0.6;
+constexpr double MostShare = 1.2;
+/// Where one key is too heavy, what moves instead has to carry this share at least.
+constexpr double LeastGain = 0.2;
+/// A server's capacity is never taken as less, so that a silent one does not divide by zero.
+constexpr double LeastCapacity = 0.05;
+/// A range as wide as this part of a server's even share of all keys is no fragment.
+constexpr double FragmentShare = 0.25;
+
 struct ServerLoad
 {
     std::string id;
     double load = 0;
     double capacity = 1;
     std::vector<KeyRange> ranges;
+    bool hasKeys = false;
 
     double utilisation() const
     {
@@ -26,22 +38,29 @@
     double load = 0;
 };
 
+double loadOf(const KeyRange &keys, const std::vector<float> &loads)
+{
+    double sum = 0;
+    for (std::uint32_t key = keys.from; key <= keys.to; ++key) {
+        sum += loads[key];
+    }
+    return sum;
+}
+
 std::vector<ServerLoad> loadsByServer(const std::vector<OwnedRange> &movable, const std::vector<float> &loads,
                                       const std::map<std::string, double> &capacities)
 {
     std::map<std::string, ServerLoad> servers;
     for (const auto &[id, capacity] : capacities) {
         servers[id].id = id;
-        servers[id].capacity = std::max(capacity, 0.05);
+        servers[id].capacity = std::max(capacity, LeastCapacity);
     }
     for (const OwnedRange &range : movable) {
         const auto position = servers.find(range.owner);
-        if (position == servers.end()) {
-            continue;
-        }
-        position->second.ranges.push_back(range.keys);
-        for (std::uint32_t key = range.keys.from; key <= range.keys.to; ++key) {
-            position->second.load += loads[key];
+        if (position != servers.end()) {
+            position->second.ranges.push_back(range.keys);
+            position->second.hasKeys = true;
+            position->second.load += loadOf(range.keys, loads);
         }
     }
     std::vector<ServerLoad> result;
@@ -51,36 +70,98 @@
     return result;
 }
 
-/// The narrowest window with a load between `least` and `most`; else the heaviest one of at most `most`.
-std::optional<Window> findWindow(const std::vector<KeyRange> &ranges, const std::vector<float> &loads, double least,
-                                 double most)
+/// Keeps the narrowest window that is heavy enough, and the heaviest one besides.
+class WindowSearch
 {
-    std::optional<Window> narrowest;
-    std::optional<Window> heaviest;
-    for (const KeyRange &range : ranges) {
-        double sum = 0;
-        std::uint32_t from = range.from;
-        for (std::uint32_t to = range.from; to <= range.to; ++to) {
-            sum += loads[to];
-            while (from <= to && sum > most) {
-                sum -= loads[from++];
-            }
-            while (from < to && sum - loads[from] >= least) {
-                sum -= loads[from++];
-            }
-            if (from > to || sum <= 0) {
-                continue;
-            }
-            const Window window{{static_cast<std::uint16_t>(from), static_cast<std::uint16_t>(to)}, sum};
-            if (sum >= least && (!narrowest || window.keys.size() < narrowest->keys.size())) {
-                narrowest = window;
-            }
-            if (!heaviest || sum > heaviest->load) {
-                heaviest = window;
-            }
-        }
-    }
-    return narrowest ? narrowest : heaviest;
+public:
+    WindowSearch(double least, double most)
+        : m_least(least)
+        , m_most(most)
+    {
+    }
+
+    void offer(std::uint32_t from, std::uint32_t to, double load)
+    {
+        if (load <= 0 || load > m_most) {
+            return;
+        }
+        const Window window{{static_cast<std::uint16_t>(from), static_cast<std::uint16_t>(to)}, load};
+        if (load >= m_least && (!m_narrowest || window.keys.size() < m_narrowest->keys.size())) {
+            m_narrowest = window;
+        }
+        if (!m_heaviest || load > m_heaviest->load) {
+            m_heaviest = window;
+        }
+    }
+
+    double least() const
+    {
+        return m_least;
+    }
+
+    double most() const
+    {
+        return m_most;
+    }
+
+    std::optional<Window> best() const
+    {
+        return m_narrowest ? m_narrowest : m_heaviest;
+    }
+
+private:
+    double m_least;
+    double m_most;
+    std::optional<Window> m_narrowest;
+    std::optional<Window> m_heaviest;
+};
+
+void searchAnywhere(WindowSearch &search, const KeyRange &range, const std::vector<float> &loads)
+{
+    double sum = 0;
+    std::uint32_t from = range.from;
+    for (std::uint32_t to = range.from; to <= range.to; ++to) {
+        sum += loads[to];
+        while (from <= to && sum > search.most()) {
+            sum -= loads[from++];
+        }
+        while (from < to && sum - loads[from] >= search.least()) {
+            sum -= loads[from++];
+        }
+        if (from <= to) {
+            search.offer(from, to, sum);
+        }
+    }
+}
+
+void searchEnds(WindowSearch &search, const KeyRange &range, const std::vector<float> &loads)
+{
+    double sum = 0;
+    for (std::uint32_t to = range.from; to < range.to && sum <= search.most(); ++to) {
+        sum += loads[to];
+        search.offer(range.from, to, sum);
+    }
+    sum = 0;
+    for (std::uint32_t from = range.to; from > range.from && sum <= search.most(); --from) {
+        sum += loads[from];
+        search.offer(from, range.to, sum);
+    }
+}
+
+std::optional<Window> findWindow(const ServerLoad &server, const std::vector<float> &loads, double wanted,
+                                 WindowShape shape)
+{
+    WindowSearch search(wanted * LeastShare, wanted * MostShare);
+    for (const KeyRange &range : server.ranges) {
+        if (shape == WindowShape::Anywhere) {
+            searchAnywhere(search, range, loads);
+        } else {
+            searchEnds(search, range, loads);
+        }
+    }
+    const std::optional<Window> window = search.best();
+    const bool isWorthIt = window && window->load >= wanted * LeastGain;
+    return isWorthIt ? window : std::nullopt;
 }
 
 /// Takes a window out of a server's ranges.
@@ -102,31 +183,53 @@
     ranges = std::move(left);
 }
 
+/// The standard deviation of an exponentially averaged Poisson load.
+double noiseOf(double load, const KeyBalanceOptions &options)
+{
+    return std::sqrt(std::max(load, 0.0) * options.meanWork / (2 * options.window));
+}
+
+double commonLevel(const std::vector<ServerLoad> &servers, const KeyBalanceOptions &options)
+{
+    double load = 0;
+    double capacity = 0;
+    for (const ServerLoad &server : servers) {
+        load += server.load;
+        capacity += server.capacity;
+    }
+    const double mean = capacity > 0 ? load / capacity : 0;
+    // Beyond full everywhere nothing is gained by moves, but an even load still serves callers more evenly.
+    return std::max(std::clamp(mean * options.headroom, options.calmUtilisation, options.highestUtilisation), mean);
+}
+
 } // namespace
 
 std::vector<KeyMove> planKeyMoves(const std::vector<OwnedRange> &movable, const std::vector<float> &loads,
                                   const std::map<std::string, double> &capacities, const KeyBalanceOptions &options)
 {
     std::vector<ServerLoad> servers = loadsByServer(movable, loads, capacities);
+    const double level = commonLevel(servers, options);
     std::vector<KeyMove> moves;
     const auto isLess = [](const ServerLoad &left, const ServerLoad &right) {
         return left.utilisation() < right.utilisation();
     };
     while (moves.size() < options.maxMoves && servers.size() > 1) {
         const auto [emptiest, fullest] = std::minmax_element(servers.begin(), servers.end(), isLess);
-        const bool isLevel = fullest->utilisation() < options.startUtilisation
-            || fullest->utilisation() - emptiest->utilisation() < options.startGap;
         // A server without keys gets some of the busiest one's, however calm it is: it was added to be used.
-        const bool isUnused = emptiest->ranges.empty() && emptiest->load == 0;
-        if (fullest->load <= 0 || (isLevel && !isUnused)) {
+        const bool isUnused = !emptiest->hasKeys;
+        const double excess = fullest->load - level * fullest->capacity;
+        const bool isTooFull = excess > options.noiseDeviations * noiseOf(level * fullest->capacity, options);
+        if (fullest->load <= 0 || (!isTooFull && !isUnused)) {
+            break;
+        }
+        constexpr double FirstShare = 0.4; ///< of the busiest server's load, for one that has nothing yet
+        const double room = level * emptiest->capacity - emptiest->load;
+        const double wanted = isUnused ? std::min(fullest->load * FirstShare, room) : std::min(excess, room);
+        if (wanted < options.leastMove && !isUnused) {
             break;
         }
-        const double levelling = (fullest->load * emptiest->capacity - emptiest->load * fullest->capacity)
-            / (fullest->capacity + emptiest->capacity);
-        const auto window =
-            findWindow(fullest->ranges, loads, levelling * options.leastShare, levelling * options.mostShare);
-        const bool isWorthIt = window && window->load >= levelling * options.leastGain;
-        if (!isWorthIt) {
+        const auto window = findWindow(*fullest, loads, wanted, options.shape);
+        if (!window) {
             // What is heavy here is a single key; it stays where it is.
             servers.erase(fullest);
             continue;
@@ -135,6 +238,37 @@
         cut(fullest->ranges, window->keys);
         fullest->load -= window->load;
         emptiest->load += window->load;
+        emptiest->hasKeys = true;
+    }
+    return moves;
+}
+
+std::vector<KeyMove> planKeyMerges(const std::vector<OwnedRange> &movable, const std::vector<float> &loads,
+                                   const std::map<std::string, double> &capacities, const KeyBalanceOptions &options)
+{
+    std::vector<KeyMove> moves;
+    std::map<std::string, double> byServer;
+    for (const ServerLoad &server : loadsByServer(movable, loads, capacities)) {
+        byServer[server.id] = server.load;
+    }
+    const double widest = FragmentShare * KeyCount / std::max<std::size_t>(1, capacities.size());
+    for (std::size_t at = 1; at + 1 < movable.size() && moves.size() < options.maxMoves; ++at) {
+        const OwnedRange &left = movable[at - 1];
+        const OwnedRange &middle = movable[at];
+        const OwnedRange &right = movable[at + 1];
+        const bool isEnclosed = left.owner == right.owner && left.keys.to + 1 == middle.keys.from
+            && middle.keys.to + 1 == right.keys.from && left.owner != middle.owner;
+        const auto capacity = capacities.find(left.owner);
+        if (!isEnclosed || middle.keys.size() > widest || capacity == capacities.end()) {
+            continue;
+        }
+        const double load = loadOf(middle.keys, loads);
+        const bool fits = byServer[left.owner] + load <= options.calmUtilisation * capacity->second;
+        if (fits) {
+            byServer[left.owner] += load;
+            moves.push_back({middle.keys, middle.owner, left.owner});
+            ++at; // the next range is a neighbour of one that moves now
+        }
     }
     return moves;
 }
