Correct loads for their start, join ranges late, give no send up while stopping

Cause: the slow average starts at zero, so ranges went back to servers that were full; and a send that was given up for its patience after SIGTERM counts as cut. Ruled out: the rounds off hot keys, which were right (skew of keys 3000 to 10500).

--- a/include/snipevalve/ownership/detail/key_authority_impl.hpp
+++ b/include/snipevalve/ownership/detail/key_authority_impl.hpp
@@ -490,10 +490,16 @@
     for (const KeyMove &each : lasting) {
         move(each, "for their load", now);
     }
-    if (lasting.empty()) {
-        for (const KeyMove &each : planKeyMerges(movable, demand.slow, usable, options)) {
-            move(each, "back to their neighbours", now);
-        }
+    if (!lasting.empty() || now - m_mergedAt < m_times.mergeInterval) {
+        return;
+    }
+    m_mergedAt = now;
+    std::vector<float> highest = demand.slow;
+    for (std::size_t key = 0; key < highest.size(); ++key) {
+        highest[key] = std::max(highest[key], demand.fast[key]);
+    }
+    for (const KeyMove &each : planKeyMerges(movable, highest, usable)) {
+        move(each, "back to their neighbours", now);
     }
 }
 
--- a/include/snipevalve/ownership/key_authority.hpp
+++ b/include/snipevalve/ownership/key_authority.hpp
@@ -23,6 +23,7 @@
     Milliseconds retryInterval{60}; ///< after a call without an answer
     Milliseconds balanceInterval{200}; ///< between two rounds of moves off hot keys
     Milliseconds tidyInterval{2'000}; ///< between two rounds of moves for lasting differences
+    Milliseconds mergeInterval{4'000}; ///< between two rounds that join ranges; longer than most hot spells
     Milliseconds arrivalSlack{400}; ///< a call without an answer may arrive this long after it was given up
     double clockError = 0.02; ///< a server's clock may run this much slow
 };
@@ -103,8 +104,8 @@
     /// @brief What the keys' requests have asked for of late.
     struct Demand
     {
-        const std::vector<float> &fast; ///< by key: busy slots, averaged over `fastWindow`
-        const std::vector<float> &slow; ///< the same over `slowWindow`
+        std::vector<float> fast; ///< by key: busy slots, averaged over `fastWindow`
+        std::vector<float> slow; ///< the same over `slowWindow`
         Seconds fastWindow;
         Seconds slowWindow;
         Seconds meanWork; ///< of one request
@@ -207,6 +208,7 @@
     std::uint64_t m_lastCall = 0;
     TimePoint m_balancedAt;
     TimePoint m_tidiedAt;
+    TimePoint m_mergedAt;
     double m_movedKeys = 0;
     std::map<std::string, Calls> m_calls; ///< by server
     std::vector<std::string> m_notes;
--- a/include/snipevalve/ownership/key_balance.hpp
+++ b/include/snipevalve/ownership/key_balance.hpp
@@ -50,9 +50,9 @@
                                   const KeyBalanceOptions &options = {});
 
 /// @brief Narrow ranges whose neighbours on both sides belong to one other server: they go back to it once it is calm.
-/// @param loads by key: busy slots, averaged over a long time
+/// @param loads by key: busy slots, the highest of the averages
 std::vector<KeyMove> planKeyMerges(const std::vector<OwnedRange> &movable, const std::vector<float> &loads,
-                                   const std::map<std::string, double> &capacities, const KeyBalanceOptions &options);
+                                   const std::map<std::string, double> &capacities);
 
 } // namespace snipevalve
 
--- a/include/snipevalve/ownership/key_loads.hpp
+++ b/include/snipevalve/ownership/key_loads.hpp
@@ -1,6 +1,7 @@
 #ifndef SNIPEVALVE_OWNERSHIP_KEY_LOADS_HPP
 #define SNIPEVALVE_OWNERSHIP_KEY_LOADS_HPP
 
+#include <algorithm>
 #include <cmath>
 #include <cstdint>
 #include <vector>
@@ -34,17 +35,26 @@
         for (float &work : m_work) {
             work *= factor;
         }
+        m_missing *= factor;
     }
 
-    /// @brief By key: slots that its requests keep busy.
-    const std::vector<float> &byKey() const
+    /// @brief By key: slots that its requests keep busy. Corrected for the time before the first request, which counts as
+    /// unknown and not as idle.
+    std::vector<float> byKey() const
     {
-        return m_work;
+        constexpr float LeastKnown = 0.2F; ///< an average over less would be mostly chance
+        const float known = std::max(LeastKnown, 1.0F - m_missing);
+        std::vector<float> loads = m_work;
+        for (float &load : loads) {
+            load /= known;
+        }
+        return loads;
     }
 
 private:
     Seconds m_timeConstant;
     std::vector<float> m_work;
+    float m_missing = 1.0F; ///< the part of the average that lies before the start
 };
 
 } // namespace snipevalve
--- a/src/snipevalve/node/request_runner.cpp
+++ b/src/snipevalve/node/request_runner.cpp
@@ -114,15 +114,22 @@
     }
 }
 
-TimePoint RequestRunner::sendEndTime(const Placement &placement, TimePoint now) const
+bool RequestRunner::mayRepeat() const
 {
-    const TimePoint last = m_request.finalBy - AnswerMargin;
-    const bool mayRepeat = m_request.isIdempotent() && m_sendCount < m_request.route->maxAttempts;
-    if (!mayRepeat) {
-        return last;
+    return m_request.isIdempotent() && m_sendCount < m_request.route->maxAttempts;
+}
+
+/// Gives a server up that takes several times as long as expected, if the request may go to another one. While the node
+/// stops nothing is given up: the server may be about to answer, and another send may find no time.
+Awaitable<void> RequestRunner::watchServer(std::shared_ptr<asio::steady_timer> patience, UpstreamExchange &exchange)
+{
+    const auto self = shared_from_this();
+    ErrorCode error;
+    co_await patience->async_wait(awaitInto(error));
+    const bool isOver = error || m_exchange != &exchange;
+    if (!isOver && !m_traffic.stopping) {
+        exchange.giveUp();
     }
-    const auto patience = std::chrono::duration_cast<Duration>(Seconds(placement.expected) * PatienceFactor);
-    return std::min(last, now + patience + PatienceExtra);
 }
 
 Awaitable<ExchangeResult> RequestRunner::sendTo(const Placement &placement)
@@ -130,7 +137,13 @@
     ++m_sendCount;
     UpstreamExchange exchange(m_traffic.executor, m_traffic.pool, m_traffic.names, m_request);
     m_exchange = &exchange;
-    ExchangeResult result = co_await exchange.run(placement.server, sendEndTime(placement, Clock::now()));
+    const auto expected = std::chrono::duration_cast<Duration>(Seconds(placement.expected) * PatienceFactor);
+    const auto patience = std::make_shared<asio::steady_timer>(m_traffic.executor, expected + PatienceExtra);
+    if (mayRepeat()) {
+        asio::co_spawn(m_traffic.executor, watchServer(patience, exchange), asio::detached);
+    }
+    ExchangeResult result = co_await exchange.run(placement.server, m_request.finalBy - AnswerMargin);
+    patience->cancel();
     m_exchange = nullptr;
     m_traffic.placements.finish(placement.ticket, result.end, result.took);
     m_traffic.metrics.count(std::string("send_") + std::string(describe(result.end)));
--- a/src/snipevalve/node/request_runner.hpp
+++ b/src/snipevalve/node/request_runner.hpp
@@ -11,9 +11,10 @@
 namespace snipevalve {
 
 /// @brief Takes one request through its sends to servers until it has an answer or can have none.
-class RequestRunner
+class RequestRunner : public std::enable_shared_from_this<RequestRunner>
 {
 public:
+    /// @param traffic has to outlive the request
     RequestRunner(GatewayTraffic &traffic, GatewayRequest request);
 
     /// @brief Runs to the end. @return the answer for the caller; not to be sent when the caller has gone
@@ -26,8 +27,9 @@
 
 private:
     WorkItem toWorkItem() const;
-    TimePoint sendEndTime(const Placement &placement, TimePoint now) const;
     Awaitable<ExchangeResult> sendTo(const Placement &placement);
+    bool mayRepeat() const;
+    Awaitable<void> watchServer(std::shared_ptr<asio::steady_timer> patience, UpstreamExchange &exchange);
     AttemptEnd toAttemptEnd(WorkEnd end) const;
     http::response<http::string_body> answerOf(UpstreamAnswer answer) const;
     http::response<http::string_body> failure(Duration retryAfter, const std::string &reason) const;
--- a/src/snipevalve/node/upstream_exchange.cpp
+++ b/src/snipevalve/node/upstream_exchange.cpp
@@ -82,6 +82,14 @@
     }
 }
 
+void UpstreamExchange::giveUp()
+{
+    m_gaveUp = true;
+    if (m_connection) {
+        m_connection->stream.close();
+    }
+}
+
 Awaitable<void> UpstreamExchange::connect(const Endpoint &endpoint, TimePoint until, ExchangeResult &result)
 {
     const Milliseconds provenWithin = m_request.isIdempotent() ? IdempotentReuse : NonIdempotentReuse;
@@ -161,6 +169,11 @@
         result.detail = "cancelled";
         return;
     }
+    if (m_gaveUp) {
+        result.end = WorkEnd::Lost;
+        result.detail = "the server took too long";
+        return;
+    }
     const bool isComplete = !error && m_parser->is_done();
     if (!isComplete) {
         result.end = WorkEnd::Lost;
--- a/src/snipevalve/node/upstream_exchange.hpp
+++ b/src/snipevalve/node/upstream_exchange.hpp
@@ -44,6 +44,9 @@
     /// @brief Closes the connection, which has the server stop working; run() then ends as Abandoned.
     void cancel();
 
+    /// @brief The server takes too long: closes the connection; run() then ends as Lost.
+    void giveUp();
+
 private:
     Awaitable<void> connect(const Endpoint &endpoint, TimePoint until, ExchangeResult &result);
     Awaitable<void> send();
@@ -66,6 +69,7 @@
     bool m_sendDone = false;
     bool m_sawForeign = false; ///< an answer to another request came on this connection
     bool m_cancelled = false;
+    bool m_gaveUp = false;
 };
 
 } // namespace snipevalve
--- a/src/snipevalve/ownership/key_balance.cpp
+++ b/src/snipevalve/ownership/key_balance.cpp
@@ -15,6 +15,8 @@
 constexpr double LeastGain = 0.2;
 /// A server's capacity is never taken as less, so that a silent one does not divide by zero.
 constexpr double LeastCapacity = 0.05;
+/// Ranges are joined only where this utilisation is not passed, well below the one at which keys move off again.
+constexpr double MergedUtilisation = 0.6;
 /// A range as wide as this part of a server's even share of all keys is no fragment.
 constexpr double FragmentShare = 0.25;
 
@@ -244,15 +246,16 @@
 }
 
 std::vector<KeyMove> planKeyMerges(const std::vector<OwnedRange> &movable, const std::vector<float> &loads,
-                                   const std::map<std::string, double> &capacities, const KeyBalanceOptions &options)
+                                   const std::map<std::string, double> &capacities)
 {
+    constexpr std::size_t MostMerges = 4; ///< in one round
     std::vector<KeyMove> moves;
     std::map<std::string, double> byServer;
     for (const ServerLoad &server : loadsByServer(movable, loads, capacities)) {
         byServer[server.id] = server.load;
     }
     const double widest = FragmentShare * KeyCount / std::max<std::size_t>(1, capacities.size());
-    for (std::size_t at = 1; at + 1 < movable.size() && moves.size() < options.maxMoves; ++at) {
+    for (std::size_t at = 1; at + 1 < movable.size() && moves.size() < MostMerges; ++at) {
         const OwnedRange &left = movable[at - 1];
         const OwnedRange &middle = movable[at];
         const OwnedRange &right = movable[at + 1];
@@ -263,7 +266,7 @@
             continue;
         }
         const double load = loadOf(middle.keys, loads);
-        const bool fits = byServer[left.owner] + load <= options.calmUtilisation * capacity->second;
+        const bool fits = byServer[left.owner] + load <= MergedUtilisation * capacity->second;
         if (fits) {
             byServer[left.owner] += load;
             moves.push_back({middle.keys, middle.owner, left.owner});
