--- a/include/snipevalve/ownership/detail/key_authority_impl.hpp
+++ b/include/snipevalve/ownership/detail/key_authority_impl.hpp
@@ -475,22 +475,17 @@
     const std::vector<OwnedRange> movable = movableRanges(now);
     KeyBalanceOptions options;
     options.meanWork = demand.meanWork;
-    options.window = demand.fastWindow;
-    const auto hotMoves = planKeyMoves(movable, demand.fast, usable, options);
-    for (const KeyMove &each : hotMoves) {
-        move(each, "off hot keys", now);
-    }
-    if (!hotMoves.empty() || now - m_tidiedAt < m_times.tidyInterval) {
-        return;
-    }
-    m_tidiedAt = now;
+    // The slow average shows best where the load lies; the fast one shows what it does not know yet.
     options.window = demand.slowWindow;
-    options.shape = WindowShape::AtEnd;
-    const auto lasting = planKeyMoves(movable, demand.slow, usable, options);
-    for (const KeyMove &each : lasting) {
+    std::vector<KeyMove> moves = planKeyMoves(movable, demand.slow, usable, options);
+    if (moves.empty()) {
+        options.window = demand.fastWindow;
+        moves = planKeyMoves(movable, demand.fast, usable, options);
+    }
+    for (const KeyMove &each : moves) {
         move(each, "for their load", now);
     }
-    if (!lasting.empty() || now - m_mergedAt < m_times.mergeInterval) {
+    if (!moves.empty() || now - m_mergedAt < m_times.mergeInterval) {
         return;
     }
     m_mergedAt = now;
--- a/include/snipevalve/ownership/key_authority.hpp
+++ b/include/snipevalve/ownership/key_authority.hpp
@@ -21,8 +21,7 @@
     Milliseconds longHold{10'000}; ///< of a grant while the store is away: rides out its outages of up to 9 s
     Milliseconds renewInterval{1'200}; ///< leaves three tries within `hold`
     Milliseconds retryInterval{60}; ///< after a call without an answer
-    Milliseconds balanceInterval{200}; ///< between two rounds of moves off hot keys
-    Milliseconds tidyInterval{2'000}; ///< between two rounds of moves for lasting differences
+    Milliseconds balanceInterval{200}; ///< between two rounds of moves by load
     Milliseconds mergeInterval{4'000}; ///< between two rounds that join ranges; longer than most hot spells
     Milliseconds arrivalSlack{400}; ///< a call without an answer may arrive this long after it was given up
     double clockError = 0.02; ///< a server's clock may run this much slow
@@ -207,7 +206,6 @@
     std::uint64_t m_sequence = 0;
     std::uint64_t m_lastCall = 0;
     TimePoint m_balancedAt;
-    TimePoint m_tidiedAt;
     TimePoint m_mergedAt;
     double m_movedKeys = 0;
     std::map<std::string, Calls> m_calls; ///< by server
--- a/src/snipevalve/ownership/key_balance.cpp
+++ b/src/snipevalve/ownership/key_balance.cpp
@@ -16,7 +16,7 @@
 /// A server's capacity is never taken as less, so that a silent one does not divide by zero.
 constexpr double LeastCapacity = 0.05;
 /// Ranges are joined only where this utilisation is not passed, well below the one at which keys move off again.
-constexpr double MergedUtilisation = 0.6;
+constexpr double MergedUtilisation = 0.4;
 /// A range as wide as this part of a server's even share of all keys is no fragment.
 constexpr double FragmentShare = 0.25;
 
