--- a/include/snipevalve/ownership/detail/key_authority_impl.hpp
+++ b/include/snipevalve/ownership/detail/key_authority_impl.hpp
@@ -396,7 +396,8 @@
         break;
     case KeyCallEnd::NoAnswer:
         if (Rules::CountLateGrants) {
-            segment.lateEnd = now + m_times.arrivalSlack + longest(segment.callHold);
+            // An earlier one may have asked for a longer hold.
+            segment.lateEnd = std::max(segment.lateEnd, now + m_times.arrivalSlack + longest(segment.callHold));
         }
         segment.sendAt = now + m_times.retryInterval;
         break;
