Refuse heads that RFC 9112 has a server refuse, and name keys by normal paths

Cause: the parser lets missing and doubled Host headers and folded lines pass; keys were taken from the path's bytes, so /k1 and /%6b1 had two owners; a bad chunk size ended without an answer.

--- a/include/snipevalve/net/message_head.hpp
+++ b/include/snipevalve/net/message_head.hpp
@@ -25,6 +25,9 @@
 Awaitable<void> readUntilHeadEnd(beast::tcp_stream &stream, beast::flat_buffer &buffer, std::size_t limit,
                                  ErrorCode &error);
 
+/// @brief Whether a read failed because the peer sent bytes that are no message, and not because it left.
+bool isParseError(const ErrorCode &error);
+
 /// @brief Whether a header is for one connection only and is not passed on (RFC 9110, section 7.6.1).
 bool isHopByHop(http::field field);
 
--- a/src/snipevalve/entry/caller_request.cpp
+++ b/src/snipevalve/entry/caller_request.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <charconv>
 
+#include "snipevalve/net/message_head.hpp"
+
 namespace snipevalve {
 
 namespace {
@@ -52,7 +54,12 @@
     const auto &header = *request.header;
     const beast::string_view target = header.target();
     const std::string_view path = std::string_view(target.data(), target.size());
-    const std::string_view bare = path.substr(0, path.find('?'));
+    // Equal paths (RFC 3986, section 6.2.2) name one key; the bytes that are passed on stay the caller's.
+    const auto normal = normalizePath(path.substr(0, path.find('?')));
+    if (!normal) {
+        return RequestFault{http::status::bad_request, "the path leaves its root"};
+    }
+    const std::string_view bare = *normal;
     request.route = request.routing->routeFor(bare);
     if (request.route == nullptr) {
         return RequestFault{http::status::not_found, "no route fits this path"};
@@ -80,24 +87,9 @@
     return std::nullopt;
 }
 
-bool isHopByHop(http::field field, beast::string_view name)
+bool isPassedOn(http::field field, beast::string_view name)
 {
-    switch (field) {
-    case http::field::connection:
-    case http::field::keep_alive:
-    case http::field::te:
-    case http::field::trailer:
-    case http::field::transfer_encoding:
-    case http::field::upgrade:
-    case http::field::proxy_connection:
-    case http::field::proxy_authenticate:
-    case http::field::proxy_authorization:
-    case http::field::content_length:
-    case http::field::expect:
-        return true;
-    default:
-        return name.starts_with("snipevalve-");
-    }
+    return !isHopByHop(field) && !name.starts_with("snipevalve-");
 }
 
 } // namespace snipevalve
--- a/src/snipevalve/entry/caller_request.hpp
+++ b/src/snipevalve/entry/caller_request.hpp
@@ -54,8 +54,8 @@
 /// @return a fault when the request can't be served
 std::optional<RequestFault> classify(CallerRequest &request);
 
-/// @brief Whether a header is for one connection only and is not passed on (RFC 9110, section 7.6.1).
-bool isHopByHop(http::field field, beast::string_view name);
+/// @brief Whether a header goes on to the other side: it is not for one connection only and none of our own.
+bool isPassedOn(http::field field, beast::string_view name);
 
 } // namespace snipevalve
 
--- a/src/snipevalve/entry/forwarder.cpp
+++ b/src/snipevalve/entry/forwarder.cpp
@@ -139,7 +139,7 @@
     message.target(header.target());
     message.version(11);
     for (const auto &field : header) {
-        if (!isHopByHop(field.name(), field.name_string())) {
+        if (isPassedOn(field.name(), field.name_string())) {
             message.insert(field.name(), field.name_string(), field.value());
         }
     }
--- a/src/snipevalve/entry/session.cpp
+++ b/src/snipevalve/entry/session.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include "snipevalve/net/message_head.hpp"
+
 namespace snipevalve {
 
 namespace {
@@ -54,6 +56,12 @@
     }
 
     Awaitable<bool> next(std::string &part) override
+    {
+        ErrorCode ignored;
+        co_return co_await next(part, ignored);
+    }
+
+    Awaitable<bool> next(std::string &part, ErrorCode &error)
     {
         RequestParser &parser = *m_session.m_parser;
         part.clear();
@@ -64,7 +72,6 @@
         part.resize(PartBytes);
         parser.get().body().data = part.data();
         parser.get().body().size = part.size();
-        ErrorCode error;
         co_await http::async_read(m_session.m_stream, m_session.m_buffer, parser, awaitInto(error));
         if (error == http::error::need_buffer) {
             error = {};
@@ -118,8 +125,19 @@
     m_parser->body_limit(UINT64_MAX);
     m_stream.expires_after(m_traffic.settings.entryIdleTimeout);
     m_idleSince = Clock::now();
-    co_await http::async_read_header(m_stream, m_buffer, *m_parser, awaitInto(error));
+    co_await readUntilHeadEnd(m_stream, m_buffer, m_traffic.settings.entryMaxHeaderBytes, error);
     m_idleSince.reset();
+    if (error) {
+        co_return false;
+    }
+    const auto data = m_buffer.cdata();
+    const std::string_view text(static_cast<const char *>(data.data()), data.size());
+    m_headFault = findHeadFault(text.substr(0, findHeadEnd(text).value_or(0)));
+    if (m_headFault) {
+        error = http::error::bad_field;
+        co_return false;
+    }
+    co_await http::async_read_header(m_stream, m_buffer, *m_parser, awaitInto(error));
     co_return !error;
 }
 
@@ -135,7 +153,7 @@
         m_traffic.metrics.onBadRequest();
         const bool isTooLong = error == http::error::header_limit || error == http::error::buffer_overflow;
         const auto status = isTooLong ? http::status::request_header_fields_too_large : http::status::bad_request;
-        co_return co_await refuse(status, "the request can't be read: " + error.message());
+        co_return co_await refuse(status, "the request can't be read: " + m_headFault.value_or(error.message()));
     }
     CallerRequest request;
     request.header = &m_parser->get().base();
@@ -151,7 +169,11 @@
     }
     const auto id = m_parser->get()[headers::RequestId];
     request.id = id.empty() ? m_traffic.nextRequestId() : std::string(id);
-    if (!co_await readBodyStart(request)) {
+    if (!co_await readBodyStart(request, error)) {
+        if (isParseError(error)) {
+            m_traffic.metrics.onBadRequest();
+            co_return co_await refuse(http::status::bad_request, "the body can't be read: " + error.message());
+        }
         co_return false;
     }
     RequestTraits traits;
@@ -170,9 +192,8 @@
     co_return keep;
 }
 
-Awaitable<bool> Session::readBodyStart(CallerRequest &request)
+Awaitable<bool> Session::readBodyStart(CallerRequest &request, ErrorCode &error)
 {
-    ErrorCode error;
     if (beast::iequals(m_parser->get()[http::field::expect], "100-continue")) {
         const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
         co_await asio::async_write(m_stream, asio::buffer(interim), awaitInto(error));
@@ -184,7 +205,7 @@
         if (length > m_traffic.settings.entryReplayBytes && request.contentLength) {
             break;
         }
-        if (!co_await body.next(part)) {
+        if (!co_await body.next(part, error)) {
             co_return false;
         }
         request.body += part;
@@ -225,7 +246,7 @@
     message.result(header.result_int());
     message.version(11);
     for (const auto &field : header) {
-        if (!isHopByHop(field.name(), field.name_string())) {
+        if (isPassedOn(field.name(), field.name_string())) {
             message.insert(field.name(), field.name_string(), field.value());
         }
     }
--- a/src/snipevalve/entry/session.hpp
+++ b/src/snipevalve/entry/session.hpp
@@ -26,7 +26,7 @@
     /// @return false when the connection ends here
     Awaitable<bool> serveOne();
     Awaitable<bool> readHead(ErrorCode &error);
-    Awaitable<bool> readBodyStart(CallerRequest &request);
+    Awaitable<bool> readBodyStart(CallerRequest &request, ErrorCode &error);
     Awaitable<Attempt> runRequest(CallerRequest &request, RequestLife &life, Outcome &outcome);
     Awaitable<bool> answer(const CallerRequest &request, Attempt &attempt);
     Awaitable<bool> answerFailure(const CallerRequest &request, Outcome outcome, AttemptEnd last);
@@ -40,6 +40,7 @@
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
     std::unique_ptr<RequestParser> m_parser;
+    std::optional<std::string> m_headFault; ///< what is wrong with the head that was read last
     std::optional<TimePoint> m_idleSince; ///< set while waiting for a request
 };
 
--- a/src/snipevalve/net/message_head.cpp
+++ b/src/snipevalve/net/message_head.cpp
@@ -144,6 +144,12 @@
     }
 }
 
+bool isParseError(const ErrorCode &error)
+{
+    return error.category() == http::make_error_code(http::error::bad_version).category()
+        && error != http::error::end_of_stream && error != http::error::partial_message;
+}
+
 bool isHopByHop(http::field field)
 {
     switch (field) {
--- a/src/snipevalve/node/gateway_session.cpp
+++ b/src/snipevalve/node/gateway_session.cpp
@@ -17,13 +17,6 @@
 
 const CallerLimits DefaultLimits;
 
-/// Whether the error shows that the caller sent bytes that are no request.
-bool isParseError(const ErrorCode &error)
-{
-    return error.category() == http::make_error_code(http::error::bad_version).category()
-        && error != http::error::end_of_stream && error != http::error::partial_message;
-}
-
 } // namespace
 
 GatewaySession::GatewaySession(GatewayTraffic &traffic, Tcp::socket socket)
--- a/tests/process/bad_input_test.cpp
+++ b/tests/process/bad_input_test.cpp
@@ -6,8 +6,8 @@
 
 constexpr std::uint8_t Network = 34;
 
-/// Sends bytes as they are and reads until the entry closes or answers; empty when it closes without an answer.
-std::string sendRaw(const Endpoint &endpoint, const std::string &bytes)
+/// Sends bytes as they are and reads until the entry closes or answers.
+std::unique_ptr<http::response_parser<http::string_body>> exchangeRaw(const Endpoint &endpoint, const std::string &bytes)
 {
     asio::io_context context;
     Tcp::socket socket(context);
@@ -15,10 +15,17 @@
     ErrorCode error;
     asio::write(socket, asio::buffer(bytes), error);
     beast::flat_buffer buffer;
-    http::response_parser<http::string_body> parser;
-    http::read(socket, buffer, parser, error);
-    return parser.is_header_done()
-        ? std::to_string(parser.get().result_int()) + " " + std::string(parser.get()["snipevalve-outcome"])
+    auto parser = std::make_unique<http::response_parser<http::string_body>>();
+    http::read(socket, buffer, *parser, error);
+    return parser;
+}
+
+/// Status and outcome of the answer; empty when the entry closes without one.
+std::string sendRaw(const Endpoint &endpoint, const std::string &bytes)
+{
+    const auto parser = exchangeRaw(endpoint, bytes);
+    return parser->is_header_done()
+        ? std::to_string(parser->get().result_int()) + " " + std::string(parser->get()["snipevalve-outcome"])
         : std::string();
 }
 
@@ -46,6 +53,14 @@
         {"a length and chunks",
          "POST /ledger/a HTTP/1.1\r\n" + host + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
          "400 not-run"},
+        {"no Host", "GET /ledger/a HTTP/1.1\r\n\r\n", "400 not-run"},
+        {"two Hosts", "GET /ledger/a HTTP/1.1\r\n" + host + "Host: y\r\n\r\n", "400 not-run"},
+        {"a folded line", "GET /ledger/a HTTP/1.1\r\n" + host + "x: a\r\n b\r\n\r\n", "400 not-run"},
+        {"a chunk size of 17 digits",
+         "POST /ledger/a HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n11111111111111111\r\nx",
+         "400 not-run"},
+        {"a path that leaves its root", "GET /ledger/../../a HTTP/1.1\r\n" + host + "\r\n", "400 not-run"},
+        {"a path that leaves its route", "GET /ledger/../admin HTTP/1.1\r\n" + host + "\r\n", "404 not-run"},
         {"a bad length", "POST /ledger/a HTTP/1.1\r\n" + host + "Content-Length: many\r\n\r\n", "400 not-run"},
     };
     DeploymentOptions options = optionsFor("bad-input", Network);
@@ -64,4 +79,31 @@
     CHECK(sendRaw(entry, "GET /ledger/a HTTP/1.1\r\n" + host + "\r\n") == "200 answered");
 }
 
+TEST_CASE("equal paths name one key", "[promise-1]")
+{
+    struct Case
+    {
+        std::string first;
+        std::string second;
+    };
+    const std::vector<Case> cases = {
+        {"/ledger/k1", "/ledger/%6b1"}, {"/ledger/k2", "/ledger/./k2"},   {"/ledger/k3", "/ledger/x/../k3"},
+        {"/ledger/~k", "/ledger/%7Ek"}, {"/ledger/a%2fb", "/ledger/a%2Fb"}, {"/ledger/k5", "/%6cedger/%6B%35"},
+    };
+    DeploymentOptions options = optionsFor("equal-paths", Network);
+    Deployment deployment(smallDeployment(1), options);
+    REQUIRE(deployment.start(StartTimeout));
+    const Endpoint entry = deployment.entryOf(deployment.hosts().front());
+    const auto serverOf = [&entry](const std::string &path) {
+        const auto parser = exchangeRaw(entry, "GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n");
+        return std::string(parser->get()["snipevalve-server"]);
+    };
+    for (const Case &paths : cases) {
+        INFO(paths.first << " and " << paths.second);
+        const std::string server = serverOf(paths.first);
+        CHECK(!server.empty());
+        CHECK(serverOf(paths.second) == server);
+    }
+}
+
 } // namespace snipevalve::standins
