--- a/include/snipevalve/dispatch/dispatcher.hpp
+++ b/include/snipevalve/dispatch/dispatcher.hpp
@@ -43,6 +43,9 @@
     /// @brief For keyed services: who holds which keys. Without it every request goes to any server.
     void setOwners(KeyOwners owners, TimePoint now);
 
+    /// @brief Keys that nobody can hold for a while, each with the time when that ends.
+    void setDarkKeys(std::vector<DarkRange> ranges);
+
     /// @brief Changes the part of each server's slots that this dispatcher may fill.
     void setSlotShare(double share);
 
@@ -70,11 +73,20 @@
     double capacityOf(const std::string &server) const;
 
 private:
+    /// A failed server is tried again soon: the users' faults last some seconds, and its keys have no other owner.
+    static OutlierOptions ejection()
+    {
+        OutlierOptions options;
+        options.longestEjection = Milliseconds(2'000);
+        return options;
+    }
+
     struct ServerState
     {
         UpstreamServer server;
         Slowness slowness;
-        OutlierDetector outliers;
+        OutlierDetector outliers{ejection()};
+        double refuseShare = 0; ///< of the sends of late that the server refused, averaged
         unsigned busy = 0;
         bool gone = false; ///< takes no new work; kept for the requests that run there
         TimePoint lastUsedAt;
@@ -115,6 +127,8 @@
                       const std::string &name, TimePoint now) const;
     Forecast forecast(const WorkItem &item, const Lane &lane, const std::string &name, TimePoint now) const;
     bool canBeInTarget(const WorkItem &item, TimePoint now) const;
+    std::optional<TimePoint> darkUntil(const WorkItem &item) const;
+    double leftOver(const Lane &lane, const std::string &name) const;
     void average(Lane &lane, TimePoint now) const;
     bool goesBefore(const WorkItem &left, const WorkItem &right, TimePoint now) const;
     std::string laneName(const WorkItem &item);
@@ -132,6 +146,7 @@
     std::mt19937_64 m_random;
     bool m_keyed = false;
     KeyOwners m_owners;
+    std::vector<DarkRange> m_darkKeys;
     std::map<std::string, ServerState> m_servers; ///< by id
     std::map<std::string, Lane> m_lanes; ///< by owner's id for keyed services; one without a name for others
     TimePoint m_forecastAt;
--- a/include/snipevalve/dispatch/key_owners.hpp
+++ b/include/snipevalve/dispatch/key_owners.hpp
@@ -6,6 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "snipevalve/core/time.hpp"
+
 namespace snipevalve {
 
 /// @brief The number of keys of a keyed service; keys are numbers below it.
@@ -39,6 +41,13 @@
     bool operator==(const OwnedRange &) const = default;
 };
 
+/// @brief Keys of a lost server that no other one may hold before this time.
+struct DarkRange
+{
+    KeyRange keys;
+    TimePoint until;
+};
+
 /// @brief Which server holds each key, as ranges in rising order. Keys in no range have no owner now.
 class KeyOwners
 {
--- a/include/snipevalve/dispatch/repeat_window.hpp
+++ b/include/snipevalve/dispatch/repeat_window.hpp
@@ -36,10 +36,12 @@
         double requests = 0;
         double repeats = 1;
         for (const Bucket &each : m_buckets) {
-            requests += each.requests;
+            // The ring is longer than a window: its oldest bucket's repeats may count, its requests may not.
+            const bool isOldest = each.number <= bucket.number - (Buckets - 1);
+            requests += isOldest ? 0 : each.requests;
             repeats += each.repeats;
         }
-        if (repeats > m_limits.ratio * requests + m_limits.slack) {
+        if (repeats > m_limits.ratio * RatioShare * requests + m_limits.slack) {
             return false;
         }
         ++bucket.repeats;
@@ -54,6 +56,9 @@
         double repeats = 0;
     };
 
+    /// Windows that begin between two buckets may have a tenth less requests than the ring.
+    static constexpr double RatioShare = 0.9;
+
     /// The ring holds one bucket more than a window, so that it covers every sliding window whole.
     static constexpr std::int64_t Buckets = 11;
 
--- a/include/snipevalve/ownership/detail/key_authority_impl.hpp
+++ b/include/snipevalve/ownership/detail/key_authority_impl.hpp
@@ -545,6 +545,19 @@
     return KeyOwners(std::move(ranges));
 }
 
+template <typename Rules>
+std::vector<DarkRange> BasicKeyAuthority<Rules>::darkKeys(TimePoint now) const
+{
+    std::vector<DarkRange> dark;
+    for (const Segment &segment : m_segments) {
+        const TimePoint end = std::max(segment.holdEnd, segment.lateEnd);
+        if (segment.state == State::Orphaned && now < end) {
+            dark.push_back({segment.keys, end});
+        }
+    }
+    return dark;
+}
+
 template <typename Rules>
 const KeyPlan &BasicKeyAuthority<Rules>::plan() const
 {
--- a/include/snipevalve/ownership/key_authority.hpp
+++ b/include/snipevalve/ownership/key_authority.hpp
@@ -126,6 +126,9 @@
     /// @brief Who surely holds which keys now.
     KeyOwners owners(TimePoint now) const;
 
+    /// @brief Keys that can't have an owner before a time that is known.
+    std::vector<DarkRange> darkKeys(TimePoint now) const;
+
     const KeyPlan &plan() const;
     bool isPlanSaved() const;
 
--- a/src/snipevalve/dispatch/dispatcher.cpp
+++ b/src/snipevalve/dispatch/dispatcher.cpp
@@ -22,6 +22,9 @@
 constexpr Seconds AverageTime(1.5);
 /// Late work finds at least this part of the slots: forecasts are not so good that none would ever be free.
 constexpr double LeastLeftOver = 0.05;
+/// The last ten sends make two thirds of a server's share of refusals.
+constexpr double RefuseWeight = 0.1;
+constexpr double MostRefused = 0.95; ///< a server that refuses all still counts as able to serve one in twenty
 /// How often the whole queue is looked through for what has become hopeless.
 constexpr Milliseconds ForecastInterval(40);
 
@@ -135,6 +138,22 @@
     return owner == nullptr ? Unowned : *owner;
 }
 
+void Dispatcher::setDarkKeys(std::vector<DarkRange> ranges)
+{
+    m_darkKeys = std::move(ranges);
+}
+
+/// When the item's key can have an owner again; empty when it has one or may get one at any moment.
+std::optional<TimePoint> Dispatcher::darkUntil(const WorkItem &item) const
+{
+    for (const DarkRange &range : m_darkKeys) {
+        if (item.key && range.keys.contains(*item.key)) {
+            return range.until;
+        }
+    }
+    return std::nullopt;
+}
+
 unsigned Dispatcher::limitOf(const ServerState &state) const
 {
     return std::max(1U, static_cast<unsigned>(std::ceil(state.server.slots * m_options.slotShare)));
@@ -201,6 +220,22 @@
     lane.averagedAt = now;
 }
 
+/// The part of the slots that the work which keeps coming in time leaves for late work. A keyed server that is full for now
+/// gets rid of keys within a second if others have room, so there the whole service counts.
+double Dispatcher::leftOver(const Lane &lane, const std::string &name) const
+{
+    double work = lane.inTimeWork;
+    double capacity = capacityOfLane(name);
+    if (!name.empty()) {
+        work = 0;
+        for (const auto &[other, each] : m_lanes) {
+            work += each.inTimeWork;
+        }
+        capacity = capacityOfLane({});
+    }
+    return capacity <= 0 ? LeastLeftOver : std::max(LeastLeftOver, 1.0 - work / capacity);
+}
+
 /// @param inTimeAhead work that waits and goes before the item, and can be in time
 /// @param lateAhead work that waits and goes before it, and can only be late
 Dispatcher::Forecast Dispatcher::forecast(const WorkItem &item, Seconds inTimeAhead, Seconds lateAhead,
@@ -219,9 +254,8 @@
     const Seconds untilSlot = freeSlots(name, now) > 0 ? Seconds(0) : work / (2 * unit);
     const Seconds inTimeWait = untilSlot + inTimeAhead / capacity;
     result.inTarget = now + toDuration(inTimeWait + work * WorkMargin) <= item.targetBy;
-    // Late work gets what the work that keeps coming in time leaves over.
-    const double leftOver = std::max(LeastLeftOver, 1.0 - lane.inTimeWork / capacity);
-    result.wait = result.inTarget ? inTimeWait : inTimeWait + lateAhead / (capacity * leftOver);
+    const Seconds lateWait = lateAhead / (capacity * leftOver(lane, name));
+    result.wait = result.inTarget ? inTimeWait : inTimeWait + lateWait;
     result.inDeadline = now + toDuration(result.wait + work * WorkMargin) <= item.deadline;
     return result;
 }
@@ -271,6 +305,11 @@
     const std::string name = laneName(item);
     Lane &lane = m_lanes[name];
     average(lane, now);
+    const auto dark = darkUntil(item);
+    if (dark && *dark + toDuration(expectedWork(item) * WorkMargin) > item.deadline) {
+        reject(item, RejectReason::NoOwner, *dark - now);
+        return;
+    }
     const Forecast outlook = forecast(item, lane, name, now);
     if (!outlook.inTarget && !outlook.inDeadline) {
         reject(item, RejectReason::TooLate, outlook.wait);
@@ -320,7 +359,8 @@
         if (isAvoided || state.gone || state.outliers.isEjected(now)) {
             continue;
         }
-        const Seconds time = expectedOn(state, item) * (state.server.zone == item.zone ? 1.0 : OtherZonePenalty);
+        const Seconds time = expectedOn(state, item) * (state.server.zone == item.zone ? 1.0 : OtherZonePenalty)
+            / (1.0 - state.refuseShare);
         if (!isOpen(state, now)) {
             // On average half of the work of the request that is nearest to its end is left.
             bestBusy = std::min(bestBusy, time * (1.0 + 1.0 / (2.0 * limitOf(state))));
@@ -433,12 +473,16 @@
     case WorkEnd::Done:
         state.slowness.observe(m_times.observe(ended.workClass, took, state.slowness.factor()));
         state.outliers.onSuccess();
+        state.refuseShare *= 1.0 - RefuseWeight;
         break;
     case WorkEnd::Unreachable:
     case WorkEnd::Lost:
-    case WorkEnd::Refused:
         state.outliers.onFailure(now);
         break;
+    case WorkEnd::Refused:
+        // It answers at once, so trying costs little; servers that refuse less are preferred.
+        state.refuseShare += RefuseWeight * (MostRefused - state.refuseShare);
+        break;
     case WorkEnd::Abandoned:
         break;
     }
--- a/src/snipevalve/node/control/service_leader.hpp
+++ b/src/snipevalve/node/control/service_leader.hpp
@@ -110,6 +110,7 @@
         if (m_authority) {
             advanceAuthority(now);
             view.owners = m_authority->owners(now);
+            m_desk.setDarkKeys(m_service.name, m_authority->darkKeys(now));
         }
         m_desk.setView(view);
     }
--- a/src/snipevalve/node/dispatch_desk.cpp
+++ b/src/snipevalve/node/dispatch_desk.cpp
@@ -240,6 +240,14 @@
     flush();
 }
 
+void DispatchDesk::setDarkKeys(const std::string &service, std::vector<DarkRange> ranges)
+{
+    const auto led = m_led.find(service);
+    if (led != m_led.end()) {
+        led->second.dispatcher->setDarkKeys(std::move(ranges));
+    }
+}
+
 void DispatchDesk::setConfigVersion(std::uint64_t version)
 {
     m_configVersion = version;
--- a/src/snipevalve/node/dispatch_desk.hpp
+++ b/src/snipevalve/node/dispatch_desk.hpp
@@ -35,6 +35,9 @@
     /// @brief What is known of a led service has changed.
     void setView(const ServiceView &view);
 
+    /// @brief Keys of a led service that nobody can hold for a while.
+    void setDarkKeys(const std::string &service, std::vector<DarkRange> ranges);
+
     void setConfigVersion(std::uint64_t version);
 
     /// @brief Moves time on: late rejections, heartbeats, views that hosts have not seen. To be called every 20 ms or so.
