Let leaders on strong hosts answer for one lane at a time, and watch the store less

Cause: each end of a send served all lanes, each lane looked at all servers; at 252 servers and 1568 requests/s the leader was overrun. Hosts of 0.1 core led as often as those of 0.5.

--- a/include/snipevalve/dispatch/dispatcher.hpp
+++ b/include/snipevalve/dispatch/dispatcher.hpp
@@ -130,6 +130,7 @@
     std::optional<TimePoint> darkUntil(const WorkItem &item) const;
     double leftOver(const Lane &lane, const std::string &name) const;
     void average(Lane &lane, TimePoint now) const;
+    void updateTotals(TimePoint now);
     bool goesBefore(const WorkItem &left, const WorkItem &right, TimePoint now) const;
     std::string laneName(const WorkItem &item);
     void reject(const WorkItem &item, RejectReason reason, Seconds retryAfter);
@@ -150,6 +151,8 @@
     std::map<std::string, ServerState> m_servers; ///< by id
     std::map<std::string, Lane> m_lanes; ///< by owner's id for keyed services; one without a name for others
     TimePoint m_forecastAt;
+    double m_serviceCapacity = 0; ///< of all servers, as of the last advance()
+    double m_serviceWork = 0; ///< of all lanes, as of the last advance()
     std::map<Ticket, Running> m_running;
     std::vector<DispatchDecision> m_decisions;
 };
--- a/include/snipevalve/node/node_settings.hpp
+++ b/include/snipevalve/node/node_settings.hpp
@@ -21,6 +21,7 @@
     Endpoint control; ///< where the other hosts connect
     std::vector<Endpoint> seeds; ///< control addresses of some hosts; may be out of date
     Endpoint store;
+    double processorShare = 1.0; ///< of a core, over all cores
     std::size_t memoryBytes = 256 << 20;
     std::size_t maxDescriptors = 1024;
     Milliseconds heartbeatInterval{1000}; ///< how often servers renew their entry
--- a/src/snipevalve/dispatch/dispatcher.cpp
+++ b/src/snipevalve/dispatch/dispatcher.cpp
@@ -11,8 +11,9 @@
 constexpr double ColdSlowness = 2.0;
 /// The queue of requests whose key nobody holds now.
 constexpr const char *Unowned = "\n";
-/// A server further away than the asking host's zone has to be faster by this much to be chosen.
-constexpr double OtherZonePenalty = 1.05;
+/// A server further away than the asking host's zone has to be faster by this much to be chosen: bytes between zones are
+/// paid for, and estimates of equal servers differ by a tenth or two.
+constexpr double OtherZonePenalty = 1.3;
 
 /// So much of the mean work is kept for a request: nine in ten take less than 1.4 times the mean on the users' sites.
 constexpr double WorkMargin = 1.4;
@@ -199,10 +200,16 @@
 
 double Dispatcher::freeSlots(const std::string &name, TimePoint now) const
 {
+    const auto freeOf = [this, now](const ServerState &state) {
+        return isOpen(state, now) ? limitOf(state) - state.busy : 0;
+    };
+    if (!name.empty()) {
+        const auto owner = m_servers.find(name);
+        return owner == m_servers.end() ? 0 : freeOf(owner->second);
+    }
     double free = 0;
     for (const auto &[id, state] : m_servers) {
-        const bool counts = (name.empty() || id == name) && isOpen(state, now);
-        free += counts ? limitOf(state) - state.busy : 0;
+        free += freeOf(state);
     }
     return free;
 }
@@ -224,15 +231,8 @@
 /// gets rid of keys within a second if others have room, so there the whole service counts.
 double Dispatcher::leftOver(const Lane &lane, const std::string &name) const
 {
-    double work = lane.inTimeWork;
-    double capacity = capacityOfLane(name);
-    if (!name.empty()) {
-        work = 0;
-        for (const auto &[other, each] : m_lanes) {
-            work += each.inTimeWork;
-        }
-        capacity = capacityOfLane({});
-    }
+    const double work = name.empty() ? lane.inTimeWork : m_serviceWork;
+    const double capacity = name.empty() ? capacityOfLane(name) : m_serviceCapacity;
     return capacity <= 0 ? LeastLeftOver : std::max(LeastLeftOver, 1.0 - work / capacity);
 }
 
@@ -427,6 +427,16 @@
     });
 }
 
+void Dispatcher::updateTotals(TimePoint now)
+{
+    m_serviceCapacity = capacityOfLane({});
+    m_serviceWork = 0;
+    for (auto &[name, lane] : m_lanes) {
+        average(lane, now);
+        m_serviceWork += lane.inTimeWork;
+    }
+}
+
 void Dispatcher::advance(TimePoint now)
 {
     for (auto &[id, state] : m_servers) {
@@ -435,10 +445,10 @@
             state.lastUsedAt = now - std::chrono::milliseconds(500);
         }
     }
+    updateTotals(now);
     const bool isForecastDue = now - m_forecastAt >= ForecastInterval;
     m_forecastAt = isForecastDue ? now : m_forecastAt;
     for (auto &[name, lane] : m_lanes) {
-        average(lane, now);
         serveLane(name, lane, now);
         if (isForecastDue) {
             dropHopeless(name, lane, now);
@@ -486,7 +496,11 @@
     case WorkEnd::Abandoned:
         break;
     }
-    advance(now);
+    // Only the requests for this server, or of a pool for any, can go now.
+    const auto lane = m_lanes.find(m_keyed ? ended.server : std::string());
+    if (lane != m_lanes.end()) {
+        serveLane(lane->first, lane->second, now);
+    }
 }
 
 std::vector<DispatchDecision> Dispatcher::take()
--- a/src/snipevalve/node/control/node_control.hpp
+++ b/src/snipevalve/node/control/node_control.hpp
@@ -122,14 +122,21 @@
     static constexpr const char *PlansPrefix = "snipevalve/plan/";
     static constexpr Milliseconds TickInterval{20};
     static constexpr Milliseconds ElectionInterval{50};
-    /// Hosts try to take a free service over at different times, so that most of them see the winner first.
-    static constexpr Milliseconds LongestElectionDelay{250};
+    /// Hosts try to take a free service over at different times, so that most of them see the winner first. Stronger hosts
+    /// try sooner, since a leader works for all; each service that a host leads already makes it try later.
+    static constexpr Milliseconds ElectionSpread{100};
+    static constexpr Milliseconds DelayOfWholeCore{40};
+    static constexpr Milliseconds DelayOfLedService{150};
+    static constexpr Milliseconds LongestElectionDelay{900};
     /// Entries of servers change each heartbeat; reading them more often brings nothing for the bound on leaving servers.
     static constexpr Milliseconds ServersPause{400};
     /// Entries of servers lapse after three heartbeats; a shorter outage of the store removes none.
     static constexpr Milliseconds LapsingOutage{1'500};
-    static constexpr Milliseconds LeadersWait{4'000};
-    static constexpr Milliseconds ConfigWait{2'000};
+    static constexpr Milliseconds StoreWait{2'000};
+    /// While all leaders can be asked, their heartbeats tell the configuration's version, and a lost link a new leader.
+    /// Each watch is a call that the platform counts.
+    static constexpr Milliseconds CalmConfigWait{10'000};
+    static constexpr Milliseconds CalmLeadersWait{8'000};
 
     static LeaseTimes leaseTimes(const NodeSettings &settings)
     {
@@ -146,6 +153,9 @@
     FollowHandlers configHandlers()
     {
         FollowHandlers handlers;
+        handlers.isCalm = [this]() {
+            return m_led.empty() && !m_outputs.needsViews();
+        };
         handlers.onList = [this](const StoredList &list) {
             for (const StoredValue &value : list.values) {
                 applyConfig(value);
@@ -191,6 +201,9 @@
     FollowHandlers leaderHandlers()
     {
         FollowHandlers handlers;
+        handlers.isCalm = [this]() {
+            return !m_outputs.needsViews();
+        };
         handlers.onList = [this](const StoredList &list) {
             m_leaders.clear();
             for (const StoredValue &value : list.values) {
@@ -337,8 +350,7 @@
             if (service.empty()) {
                 continue;
             }
-            std::uniform_int_distribution<std::int64_t> delay(0, LongestElectionDelay.count());
-            timer.expires_after(Milliseconds(delay(m_random)));
+            timer.expires_after(electionDelay());
             co_await timer.async_wait(awaitInto(ignored));
             if (isFree(service)) {
                 co_await takeOver(service);
@@ -346,6 +358,15 @@
         }
     }
 
+    Milliseconds electionDelay()
+    {
+        std::uniform_int_distribution<std::int64_t> spread(0, ElectionSpread.count());
+        const auto byStrength = static_cast<std::int64_t>(static_cast<double>(DelayOfWholeCore.count())
+                                                          / m_settings.processorShare);
+        const Milliseconds byLoad = DelayOfLedService * static_cast<std::int64_t>(m_led.size());
+        return std::min(Milliseconds(byStrength) + byLoad, LongestElectionDelay) + Milliseconds(spread(m_random));
+    }
+
     bool isFree(const std::string &service) const
     {
         return m_leadersKnown && !m_resigned && !m_leaders.contains(service) && !m_led.contains(service);
@@ -465,11 +486,13 @@
     DispatchDesk m_desk;
     LeaseHolder<Store> m_lease;
     Tcp::acceptor m_acceptor;
-    StoreFollower<Store> m_configFollower{m_store, {Platform::configKey(), ConfigWait, {}}, configHandlers()};
-    StoreFollower<Store> m_leaderFollower{m_store, {LeadersPrefix, LeadersWait, {}}, leaderHandlers()};
+    StoreFollower<Store> m_configFollower{
+        m_store, {Platform::configKey(), StoreWait, CalmConfigWait, {}}, configHandlers()};
+    StoreFollower<Store> m_leaderFollower{
+        m_store, {LeadersPrefix, StoreWait, CalmLeadersWait, {}}, leaderHandlers()};
     StoreFollower<Store> m_serverFollower{
-        m_store, {Platform::serversPrefix(), ConfigWait, ServersPause}, serverHandlers()};
-    StoreFollower<Store> m_planFollower{m_store, {PlansPrefix, ConfigWait, ServersPause}, planHandlers()};
+        m_store, {Platform::serversPrefix(), StoreWait, StoreWait, ServersPause}, serverHandlers()};
+    StoreFollower<Store> m_planFollower{m_store, {PlansPrefix, StoreWait, StoreWait, ServersPause}, planHandlers()};
     std::shared_ptr<const GatewayConfig> m_config;
     bool m_isReadingConfig = false;
     std::map<std::string, Endpoint> m_leaders; ///< by service
--- a/src/snipevalve/node/control/service_leader.hpp
+++ b/src/snipevalve/node/control/service_leader.hpp
@@ -89,6 +89,7 @@
     {
         m_servers = std::move(servers);
         m_hasServers = true;
+        m_serversChanged = true;
     }
 
     void onKeyedAsk(std::uint16_t key, Seconds work)
@@ -130,7 +131,10 @@
         if (isFirstPlan) {
             return;
         }
-        m_authority->setServers(m_servers, now);
+        if (m_serversChanged) {
+            m_authority->setServers(m_servers, now);
+            m_serversChanged = false;
+        }
         m_authority->setAuthority(m_lease.until(), m_lease.storeAnswers(now));
         if (now - m_decayedAt >= DecayInterval) {
             const Duration elapsed = std::min<Duration>(now - m_decayedAt, SlowWindow);
@@ -251,6 +255,7 @@
     TimePoint m_startedAt;
     std::uint64_t m_planRevision = 0;
     std::vector<UpstreamServer> m_servers;
+    bool m_serversChanged = false; ///< since the authority was told
     bool m_hasServers = false; ///< false until service discovery has been read once
     bool m_stopped = false;
 };
--- a/src/snipevalve/node/control/store_follower.hpp
+++ b/src/snipevalve/node/control/store_follower.hpp
@@ -15,6 +15,7 @@
 {
     std::string prefix;
     Milliseconds wait{2'000}; ///< of one watch; a silent connection is noticed after it
+    Milliseconds calmWait{2'000}; ///< of one watch while the news would also come another way
     Milliseconds pause{0}; ///< after each watch that brought news; bounds the calls for what changes all the time
 };
 
@@ -25,6 +26,7 @@
     std::function<void(const StoreEvent &)> onEvent;
     std::function<void(Duration)> onReturn; ///< the store answers again after an outage of this length
     std::function<bool()> isWanted; ///< false pauses the following; empty: always
+    std::function<bool()> isCalm; ///< whether the news would also come another way; empty: never
 };
 
 /// @brief Follows the values below a prefix of the store for good: reads all once, then watches.
@@ -94,7 +96,9 @@
 
     Awaitable<absl::Status> watchOnce()
     {
-        auto events = co_await m_store.watch(m_options.prefix, m_revision, m_options.wait);
+        const bool isCalm = m_handlers.isCalm && m_handlers.isCalm();
+        const Milliseconds wait = isCalm ? m_options.calmWait : m_options.wait;
+        auto events = co_await m_store.watch(m_options.prefix, m_revision, wait);
         if (absl::IsOutOfRange(events.status())) {
             spdlog::info("store: event=history_gone prefix={} revision={}", m_options.prefix, m_revision);
             m_isListed = false;
--- a/src/snipevalve/node/dispatch_desk.cpp
+++ b/src/snipevalve/node/dispatch_desk.cpp
@@ -129,7 +129,10 @@
     spdlog::info("link: event=host_left host={} tickets={}", host->name, host->tickets.size());
     m_hosts.erase(host);
     const TimePoint now = Clock::now();
-    for (const auto &[hostTicket, ticket] : host->tickets) {
+    // What is decided below may concern other requests of this host, which would change its tickets.
+    std::map<Ticket, Ticket> tickets;
+    tickets.swap(host->tickets);
+    for (const auto &[hostTicket, ticket] : tickets) {
         const auto origin = m_origins.find(ticket);
         if (origin == m_origins.end()) {
             continue;
@@ -138,9 +141,11 @@
         m_origins.erase(origin);
         if (led != m_led.end()) {
             led->second.dispatcher->finish(ticket, WorkEnd::Abandoned, Duration::zero(), now);
-            collect(led->second);
         }
     }
+    for (auto &[service, led] : m_led) {
+        collect(led);
+    }
     flush();
 }
 
