--- a/include/snipevalve/dispatch/dispatcher.hpp
+++ b/include/snipevalve/dispatch/dispatcher.hpp
@@ -24,12 +24,12 @@
 
 /// @brief Places the requests of one service on its servers. No I/O, threads or clock.
 ///
-/// One queue in front of all servers, with late binding (as in Sparrow, SOSP 2013): a request gets a server only when one
-/// of that server's slots is free, so no server's own queue fills while others idle. Requests that can still be answered
-/// within their target go first, then those that can only be late. A request is taken only when it can be answered in
-/// time behind those that go before it; a late one has to find room beside the work that keeps coming in time.
-/// Otherwise it is rejected at once, so that under overload the slots serve answers of full worth and not a queue in
-/// which all become late.
+/// One queue in front of all servers, with late binding (as in Sparrow, SOSP 2013): a request gets a server only when
+/// one of that server's slots is free, so no server's own queue fills while others idle. Requests that can still be
+/// answered within their target go first, then those that can only be late. A request is taken only when it can be
+/// answered in time behind those that go before it; a late one has to find room beside the work that keeps coming in
+/// time. Otherwise it is rejected at once, so that under overload the slots serve answers of full worth and not a queue
+/// in which all become late.
 ///
 /// Answers the load pattern "all servers nearly full": bursts, overload, slow servers and hot keys.
 class Dispatcher
--- a/include/snipevalve/dispatch/work.hpp
+++ b/include/snipevalve/dispatch/work.hpp
@@ -44,6 +44,7 @@
     Ticket ticket = 0;
     UpstreamServer server;
     Duration expected{}; ///< how long the server will probably take
+    bool byLeader = false; ///< the service's leader decided; false: this host by itself
 };
 
 enum class RejectReason {
@@ -59,6 +60,8 @@
     Ticket ticket = 0;
     RejectReason reason = RejectReason::TooLate;
     Duration retryAfter{}; ///< when there is probably room
+    std::uint32_t waiting = 0; ///< requests that waited for the same servers when this was decided
+    bool byLeader = false; ///< the service's leader decided; false: this host by itself
 };
 
 using DispatchDecision = std::variant<Placement, Rejection>;
--- a/include/snipevalve/net/upstream_pool.hpp
+++ b/include/snipevalve/net/upstream_pool.hpp
@@ -24,7 +24,8 @@
     TimePoint answeredAt; ///< end of the last whole answer
 };
 
-/// @brief The idle connections to servers of one traffic thread. Only connections whose last answer was whole come back to it.
+/// @brief The idle connections to servers of one traffic thread. Only connections whose last answer was whole come back
+/// to it.
 class UpstreamPool
 {
 public:
--- a/include/snipevalve/ownership/detail/key_authority_impl.hpp
+++ b/include/snipevalve/ownership/detail/key_authority_impl.hpp
@@ -148,10 +148,10 @@
         return;
     }
     const auto position = m_servers.find(segment.owner.id);
-    const bool hasRestarted =
-        position != m_servers.end() && position->second.incarnation > segment.owner.incarnation;
+    const bool hasRestarted = position != m_servers.end() && position->second.incarnation > segment.owner.incarnation;
     if (hasRestarted) {
-        m_notes.push_back("keys " + detail::describe(segment.keys) + " are free: " + segment.owner.id + " has restarted");
+        m_notes.push_back("keys " + detail::describe(segment.keys) + " are free: " + segment.owner.id
+                          + " has restarted");
         setFree(segment);
         return;
     }
@@ -256,8 +256,8 @@
         const auto isCalm = [now](const Segment &each) {
             return each.state == State::Held && each.call == 0 && each.lateEnd < now;
         };
-        const bool joins = !merged.empty() && isCalm(segment) && isCalm(merged.back())
-            && merged.back().owner == segment.owner;
+        const bool joins =
+            !merged.empty() && isCalm(segment) && isCalm(merged.back()) && merged.back().owner == segment.owner;
         if (!joins) {
             merged.push_back(std::move(segment));
             continue;
--- a/include/snipevalve/ownership/key_authority.hpp
+++ b/include/snipevalve/ownership/key_authority.hpp
@@ -73,8 +73,10 @@
 struct StandardKeyRules
 {
     static constexpr bool SavePlanFirst = true; ///< a new owner stands in the plan before it is granted anything
-    static constexpr bool WaitForHold = true; ///< a lost holder's grant has surely run out before another server gets the keys
-    static constexpr bool CountLateGrants = true; ///< an unanswered grant counts from its latest arrival, also after a release
+    static constexpr bool WaitForHold =
+        true; ///< a lost holder's grant has surely run out before another server gets the keys
+    static constexpr bool CountLateGrants =
+        true; ///< an unanswered grant counts from its latest arrival, also after a release
     static constexpr bool CheckAuthority = true; ///< nothing is sent when another leader may exist
     static constexpr bool AllowForSlowClock = true; ///< holds may last longer on a server's clock
 };
--- a/include/snipevalve/ownership/key_loads.hpp
+++ b/include/snipevalve/ownership/key_loads.hpp
@@ -38,8 +38,8 @@
         m_missing *= factor;
     }
 
-    /// @brief By key: slots that its requests keep busy. Corrected for the time before the first request, which counts as
-    /// unknown and not as idle.
+    /// @brief By key: slots that its requests keep busy. Corrected for the time before the first request, which counts
+    /// as unknown and not as idle.
     std::vector<float> byKey() const
     {
         constexpr float LeastKnown = 0.2F; ///< an average over less would be mostly chance
--- a/src/snipevalve/dispatch/dispatcher.cpp
+++ b/src/snipevalve/dispatch/dispatcher.cpp
@@ -11,8 +11,8 @@
 constexpr double ColdSlowness = 2.0;
 /// The queue of requests whose key nobody holds now.
 constexpr const char *Unowned = "\n";
-/// A server further away than the asking host's zone has to be faster by this much to be chosen: bytes between zones are
-/// paid for, and estimates of equal servers differ by a tenth or two.
+/// A server further away than the asking host's zone has to be faster by this much to be chosen: bytes between zones
+/// are paid for, and estimates of equal servers differ by a tenth or two.
 constexpr double OtherZonePenalty = 1.3;
 
 /// So much of the mean work is kept for a request: nine in ten take less than 1.4 times the mean on the users' sites.
@@ -227,8 +227,8 @@
     lane.averagedAt = now;
 }
 
-/// The part of the slots that the work which keeps coming in time leaves for late work. A keyed server that is full for now
-/// gets rid of keys within a second if others have room, so there the whole service counts.
+/// The part of the slots that the work which keeps coming in time leaves for late work. A keyed server that is full for
+/// now gets rid of keys within a second if others have room, so there the whole service counts.
 double Dispatcher::leftOver(const Lane &lane, const std::string &name) const
 {
     const double work = name.empty() ? lane.inTimeWork : m_serviceWork;
@@ -336,7 +336,9 @@
     constexpr double LeastSpread = 0.8;
     constexpr double MostSpread = 1.2; ///< spreads returners over two fifths of the wait, so that they come as no wave
     std::uniform_real_distribution<double> spread(LeastSpread, MostSpread);
-    m_decisions.push_back(Rejection{item.ticket, reason, toDuration(retryAfter * spread(m_random))});
+    const auto lane = m_lanes.find(laneName(item));
+    const auto waiting = lane == m_lanes.end() ? 0 : static_cast<std::uint32_t>(lane->second.queue.size());
+    m_decisions.push_back(Rejection{item.ticket, reason, toDuration(retryAfter * spread(m_random)), waiting});
 }
 
 void Dispatcher::place(const WorkItem &item, ServerState &state, TimePoint now)
--- a/src/snipevalve/dispatch/dispatcher_test.cpp
+++ b/src/snipevalve/dispatch/dispatcher_test.cpp
@@ -226,8 +226,8 @@
         return total;
     };
     for (int from = 0; from + WindowTenths <= Tenths; ++from) {
-        const double most = std::max({sum(requests, from), sum(requests, from - WindowTenths / 2),
-                                      sum(requests, from - WindowTenths)});
+        const double most =
+            std::max({sum(requests, from), sum(requests, from - WindowTenths / 2), sum(requests, from - WindowTenths)});
         INFO("window from " << from);
         CHECK(sum(repeats, from) <= limits.slack + limits.ratio * most);
     }
--- a/src/snipevalve/dispatch_link/messages.cpp
+++ b/src/snipevalve/dispatch_link/messages.cpp
@@ -93,6 +93,7 @@
     placement.ticket = permit.ticket();
     placement.server = fromProto(permit.server(), {});
     placement.expected = std::chrono::microseconds(permit.expected_us());
+    placement.byLeader = true;
     return placement;
 }
 
@@ -102,6 +103,7 @@
     refusal.set_ticket(rejection.ticket);
     refusal.set_reason(static_cast<std::uint32_t>(rejection.reason));
     const auto retryAfter = std::chrono::duration_cast<Milliseconds>(rejection.retryAfter);
+    refusal.set_waiting(rejection.waiting);
     refusal.set_retry_after_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(0, retryAfter.count())));
     return refusal;
 }
@@ -113,6 +115,8 @@
     const auto last = static_cast<std::uint32_t>(RejectReason::RetryBudget);
     rejection.reason = static_cast<RejectReason>(std::min(refusal.reason(), last));
     rejection.retryAfter = Milliseconds(refusal.retry_after_ms());
+    rejection.waiting = refusal.waiting();
+    rejection.byLeader = true;
     return rejection;
 }
 
--- a/src/snipevalve/gateway/server_directory_test.cpp
+++ b/src/snipevalve/gateway/server_directory_test.cpp
@@ -94,7 +94,10 @@
         std::string route; ///< empty: none
     };
     const std::vector<Case> cases = {
-        {"x.example", "/a/b/c", "/a/b/"}, {"x.example", "/a/bc", "/a/"}, {"x.example", "/z", "/"}, {"y.example", "/a/", ""},
+        {"x.example", "/a/b/c", "/a/b/"},
+        {"x.example", "/a/bc", "/a/"},
+        {"x.example", "/z", "/"},
+        {"y.example", "/a/", ""},
     };
     for (const Case &each : cases) {
         INFO(each.host << each.path);
--- a/src/snipevalve/model/play.cpp
+++ b/src/snipevalve/model/play.cpp
@@ -402,7 +402,8 @@
             return;
         }
         --request.triesLeft;
-        const Seconds wait = std::clamp<Seconds>(retryAfter, LeastRetryWait, std::max(LeastRetryWait, left * HonouredShare));
+        const Seconds wait =
+            std::clamp<Seconds>(retryAfter, LeastRetryWait, std::max(LeastRetryWait, left * HonouredShare));
         after(wait, [this, number]() {
             tryOnce(number);
         });
@@ -465,7 +466,8 @@
         return speeds * m_load.slots * m_load.length.count();
     }
 
-    /// The worth of the classes' requests that fit into so much work, those of the highest worth a second of work first.
+    /// The worth of the classes' requests that fit into so much work, those of the highest worth a second of work
+    /// first.
     double worthOfBest(double work) const
     {
         std::vector<std::size_t> order(m_load.classes.size());
--- a/src/snipevalve/net/message_head.cpp
+++ b/src/snipevalve/net/message_head.cpp
@@ -61,8 +61,8 @@
     std::string decoded;
     constexpr int HexBase = 16;
     for (std::size_t at = 0; at < path.size(); ++at) {
-        const bool isEscape = path[at] == '%' && at + 2 < path.size() && hexValue(path[at + 1]) >= 0
-            && hexValue(path[at + 2]) >= 0;
+        const bool isEscape =
+            path[at] == '%' && at + 2 < path.size() && hexValue(path[at + 1]) >= 0 && hexValue(path[at + 2]) >= 0;
         if (!isEscape) {
             decoded += path[at];
             continue;
--- a/src/snipevalve/net/message_head_test.cpp
+++ b/src/snipevalve/net/message_head_test.cpp
@@ -53,10 +53,10 @@
         std::string normal; ///< empty: the path leaves its root
     };
     const std::vector<Case> cases = {
-        {"/a/b", "/a/b"},       {"/a/%62", "/a/b"},     {"/a/./b", "/a/b"},       {"/a/c/../b", "/a/b"},
-        {"/a/b/", "/a/b/"},     {"/a/b/.", "/a/b/"},    {"/a/b/c/..", "/a/b/"},   {"/a%2fb", "/a%2Fb"},
-        {"/%7ea", "/~a"},       {"/a/%2e%2e/b", "/b"},  {"/..", ""},              {"/a/../../b", ""},
-        {"/%zz", "/%zz"},       {"/a%", "/a%"},         {"/", "/"},               {"/a//b", "/a//b"},
+        {"/a/b", "/a/b"},    {"/a/%62", "/a/b"},     {"/a/./b", "/a/b"},   {"/a/c/../b", "/a/b"}, {"/a/b/", "/a/b/"},
+        {"/a/b/.", "/a/b/"}, {"/a/b/c/..", "/a/b/"}, {"/a%2fb", "/a%2Fb"}, {"/%7ea", "/~a"},      {"/a/%2e%2e/b", "/b"},
+        {"/..", ""},         {"/a/../../b", ""},     {"/%zz", "/%zz"},     {"/a%", "/a%"},        {"/", "/"},
+        {"/a//b", "/a//b"},
     };
     for (const Case &each : cases) {
         INFO(each.path);
--- a/src/snipevalve/node/control/node_control.hpp
+++ b/src/snipevalve/node/control/node_control.hpp
@@ -122,13 +122,14 @@
     static constexpr const char *PlansPrefix = "snipevalve/plan/";
     static constexpr Milliseconds TickInterval{20};
     static constexpr Milliseconds ElectionInterval{50};
-    /// Hosts try to take a free service over at different times, so that most of them see the winner first. Stronger hosts
-    /// try sooner, since a leader works for all; each service that a host leads already makes it try later.
+    /// Hosts try to take a free service over at different times, so that most of them see the winner first. Stronger
+    /// hosts try sooner, since a leader works for all; each service that a host leads already makes it try later.
     static constexpr Milliseconds ElectionSpread{100};
     static constexpr Milliseconds DelayOfWholeCore{40};
     static constexpr Milliseconds DelayOfLedService{150};
     static constexpr Milliseconds LongestElectionDelay{900};
-    /// Entries of servers change each heartbeat; reading them more often brings nothing for the bound on leaving servers.
+    /// Entries of servers change each heartbeat; reading them more often brings nothing for the bound on leaving
+    /// servers.
     static constexpr Milliseconds ServersPause{400};
     /// Entries of servers lapse after three heartbeats; a shorter outage of the store removes none.
     static constexpr Milliseconds LapsingOutage{1'500};
@@ -361,8 +362,8 @@
     Milliseconds electionDelay()
     {
         std::uniform_int_distribution<std::int64_t> spread(0, ElectionSpread.count());
-        const auto byStrength = static_cast<std::int64_t>(static_cast<double>(DelayOfWholeCore.count())
-                                                          / m_settings.processorShare);
+        const auto byStrength =
+            static_cast<std::int64_t>(static_cast<double>(DelayOfWholeCore.count()) / m_settings.processorShare);
         const Milliseconds byLoad = DelayOfLedService * static_cast<std::int64_t>(m_led.size());
         return std::min(Milliseconds(byStrength) + byLoad, LongestElectionDelay) + Milliseconds(spread(m_random));
     }
@@ -408,10 +409,10 @@
         }
         m_ownedRevisions[service] = result->current.revision;
         m_leaders[service] = m_settings.control;
-        spdlog::info("lead: event=taken_over service={} revision={} lease={}", service, result->current.revision, lease);
-        const auto leader = std::make_shared<ServiceLeader<Platform>>(m_executor, m_store, m_client, m_desk, m_lease,
-                                                                      *m_config->service(service),
-                                                                      m_settings.longestGrant);
+        spdlog::info("lead: event=taken_over service={} revision={} lease={}", service, result->current.revision,
+                     lease);
+        const auto leader = std::make_shared<ServiceLeader<Platform>>(
+            m_executor, m_store, m_client, m_desk, m_lease, *m_config->service(service), m_settings.longestGrant);
         m_led[service] = leader;
         m_viewsStale = true;
         if (!co_await leader->start()) {
@@ -488,8 +489,7 @@
     Tcp::acceptor m_acceptor;
     StoreFollower<Store> m_configFollower{
         m_store, {Platform::configKey(), StoreWait, CalmConfigWait, {}}, configHandlers()};
-    StoreFollower<Store> m_leaderFollower{
-        m_store, {LeadersPrefix, StoreWait, CalmLeadersWait, {}}, leaderHandlers()};
+    StoreFollower<Store> m_leaderFollower{m_store, {LeadersPrefix, StoreWait, CalmLeadersWait, {}}, leaderHandlers()};
     StoreFollower<Store> m_serverFollower{
         m_store, {Platform::serversPrefix(), StoreWait, StoreWait, ServersPause}, serverHandlers()};
     StoreFollower<Store> m_planFollower{m_store, {PlansPrefix, StoreWait, StoreWait, ServersPause}, planHandlers()};
--- a/src/snipevalve/node/control/node_process.hpp
+++ b/src/snipevalve/node/control/node_process.hpp
@@ -16,7 +16,8 @@
 {
 public:
     /// @param reload reads the settings anew and reports what changed; called at SIGHUP
-    NodeProcess(const NodeSettings &settings, const HeaderNames &names, std::uint64_t seed, std::function<void()> reload)
+    NodeProcess(const NodeSettings &settings, const HeaderNames &names, std::uint64_t seed,
+                std::function<void()> reload)
         : m_settings(settings)
         , m_traffic(settings, names, seed)
         , m_control(m_context.get_executor(), settings, outputs(), seed + 1)
--- a/src/snipevalve/node/control/platform_api.hpp
+++ b/src/snipevalve/node/control/platform_api.hpp
@@ -16,15 +16,30 @@
 /// @brief What the node needs of the platform that it runs on: its store, its documents and its calls to servers.
 template <typename Platform>
 concept PlatformApi = requires(std::string_view text, const GrantKeys &grant, const ReleaseKeys &release,
-                               const absl::StatusOr<HttpReply> &reply) {
+                               const absl::StatusOr<HttpReply> &reply)
+{
     requires ConfigStore<typename Platform::Store>;
-    { Platform::configKey() } -> std::convertible_to<std::string>;
-    { Platform::serversPrefix() } -> std::convertible_to<std::string>;
-    { Platform::parseConfig(text) } -> std::same_as<absl::StatusOr<std::shared_ptr<const GatewayConfig>>>;
-    { Platform::parseServer(text, text) } -> std::same_as<absl::StatusOr<UpstreamServer>>;
-    { Platform::toCall(grant) } -> std::same_as<HttpCall>;
-    { Platform::toCall(release) } -> std::same_as<HttpCall>;
-    { Platform::toCallEnd(reply) } -> std::same_as<KeyCallEnd>;
+    {
+        Platform::configKey()
+        } -> std::convertible_to<std::string>;
+    {
+        Platform::serversPrefix()
+        } -> std::convertible_to<std::string>;
+    {
+        Platform::parseConfig(text)
+        } -> std::same_as<absl::StatusOr<std::shared_ptr<const GatewayConfig>>>;
+    {
+        Platform::parseServer(text, text)
+        } -> std::same_as<absl::StatusOr<UpstreamServer>>;
+    {
+        Platform::toCall(grant)
+        } -> std::same_as<HttpCall>;
+    {
+        Platform::toCall(release)
+        } -> std::same_as<HttpCall>;
+    {
+        Platform::toCallEnd(reply)
+        } -> std::same_as<KeyCallEnd>;
 };
 
 } // namespace snipevalve
--- a/src/snipevalve/node/control/service_leader.hpp
+++ b/src/snipevalve/node/control/service_leader.hpp
@@ -224,8 +224,8 @@
                 co_return;
             }
             if (result.ok() && !result->committed) {
-                spdlog::warn("lead: event=superseded service={} term={} revision={} found={}", m_service.name, plan.term,
-                             m_planRevision, result->current.revision);
+                spdlog::warn("lead: event=superseded service={} term={} revision={} found={}", m_service.name,
+                             plan.term, m_planRevision, result->current.revision);
                 stop();
                 co_return;
             }
--- a/src/snipevalve/node/dispatch_desk.cpp
+++ b/src/snipevalve/node/dispatch_desk.cpp
@@ -11,8 +11,8 @@
 /// Views are for the time without a leader only, so changes of keys are bundled.
 constexpr Milliseconds ViewInterval(500);
 
-/// The leader's part of the repeats that the operators allow beside the ratio; the rest is for hosts that have to decide
-/// by themselves.
+/// The leader's part of the repeats that the operators allow beside the ratio; the rest is for hosts that have to
+/// decide by themselves.
 constexpr double LeaderSlackShare = 0.6;
 
 Ticket ticketOf(const DispatchDecision &decision)
--- a/src/snipevalve/node/dispatch_desk.hpp
+++ b/src/snipevalve/node/dispatch_desk.hpp
@@ -40,7 +40,8 @@
 
     void setConfigVersion(std::uint64_t version);
 
-    /// @brief Moves time on: late rejections, heartbeats, views that hosts have not seen. To be called every 20 ms or so.
+    /// @brief Moves time on: late rejections, heartbeats, views that hosts have not seen. To be called every 20 ms or
+    /// so.
     void advance();
 
     /// @brief The dispatcher of a led service; null for others.
--- a/src/snipevalve/node/first_deadlines.hpp
+++ b/src/snipevalve/node/first_deadlines.hpp
@@ -11,9 +11,9 @@
 
 /// @brief How long callers of each route wait in all, learned from their deadlines.
 ///
-/// A caller that was refused comes back with less time left, and its answer's worth still counts from its first attempt.
-/// No header tells which attempt it is, but a deadline that is shorter than the route's usual one shows how much time
-/// has passed. Answers the load pattern "refused callers return in a burst".
+/// A caller that was refused comes back with less time left, and its answer's worth still counts from its first
+/// attempt. No header tells which attempt it is, but a deadline that is shorter than the route's usual one shows how
+/// much time has passed. Answers the load pattern "refused callers return in a burst".
 class FirstDeadlines
 {
 public:
--- a/src/snipevalve/node/gateway_traffic.hpp
+++ b/src/snipevalve/node/gateway_traffic.hpp
@@ -15,8 +15,8 @@
 
 class GatewaySession;
 
-/// @brief Everything that the callers' connections of one traffic thread share. Only that thread touches it, but for the
-/// metrics.
+/// @brief Everything that the callers' connections of one traffic thread share. Only that thread touches it, but for
+/// the metrics.
 struct GatewayTraffic
 {
     /// Idle connections kept to one server; it runs 2 to 4 requests at once.
--- a/src/snipevalve/node/node_metrics.cpp
+++ b/src/snipevalve/node/node_metrics.cpp
@@ -48,7 +48,8 @@
         for (std::size_t at = 0; at < histogram.counts.size(); ++at) {
             sum += histogram.counts[at];
             const std::string bound = at < BucketsMs.size() ? std::to_string(BucketsMs[at]) : "+Inf";
-            text << "snipevalve_latency_ms_bucket{outcome=\"" << outcome << "\",le=\"" << bound << "\"} " << sum << "\n";
+            text << "snipevalve_latency_ms_bucket{outcome=\"" << outcome << "\",le=\"" << bound << "\"} " << sum
+                 << "\n";
         }
         text << "snipevalve_latency_ms_sum{outcome=\"" << outcome << "\"} " << histogram.sumMs << "\n";
         text << "snipevalve_latency_ms_count{outcome=\"" << outcome << "\"} " << sum << "\n";
--- a/src/snipevalve/node/node_metrics.hpp
+++ b/src/snipevalve/node/node_metrics.hpp
@@ -26,7 +26,7 @@
 
 private:
     /// Upper bounds in ms; each is about 1.6 times the one before, from a fast lookup to the longest deadline.
-    static constexpr std::array<int, 18> BucketsMs{5,   8,   13,  21,   34,   55,   90,   145,  235,
+    static constexpr std::array<int, 18> BucketsMs{5,   8,   13,  21,   34,   55,   90,   145,   235,
                                                    380, 600, 980, 1600, 2600, 4100, 6600, 10600, 17000};
 
     struct Histogram
--- a/src/snipevalve/node/placements.cpp
+++ b/src/snipevalve/node/placements.cpp
@@ -35,7 +35,8 @@
     std::unique_ptr<Dispatcher> &dispatcher = m_local[service];
     if (!dispatcher) {
         DispatcherOptions options;
-        options.repeats.ratio = m_settings.retryRatio / 2; // the leader's dispatcher may have used the window's other half
+        options.repeats.ratio =
+            m_settings.retryRatio / 2; // the leader's dispatcher may have used the window's other half
         options.repeats.window = m_settings.retryWindow;
         options.slotShare = FirstShare;
         options.seed = m_seed;
--- a/src/snipevalve/node/request_runner.cpp
+++ b/src/snipevalve/node/request_runner.cpp
@@ -88,6 +88,7 @@
         if (const auto *rejection = std::get_if<Rejection>(&decision)) {
             const std::string reason(describe(rejection->reason));
             auto response = failure(rejection->retryAfter, reason);
+            logRejection(*rejection);
             logEnd(response.result_int(), reason);
             co_return response;
         }
@@ -223,15 +224,26 @@
     return response;
 }
 
+void RequestRunner::logRejection(const Rejection &rejection) const
+{
+    spdlog::warn("request: event=reject id={} service={} key={} decided_by={} waiting={} retry_after_ms={} sends={} "
+                 "reason=\"{}\"",
+                 m_request.id, m_request.service, m_request.key ? static_cast<int>(*m_request.key) : -1,
+                 rejection.byLeader ? "leader" : "host", rejection.waiting, toMs(rejection.retryAfter), m_sendCount,
+                 describe(rejection.reason));
+}
+
 void RequestRunner::logSend(const Placement &placement, const ExchangeResult &result) const
 {
     const bool isWell = result.end == WorkEnd::Done;
     spdlog::log(isWell ? spdlog::level::info : spdlog::level::warn,
-                "request: event=send id={} service={} key={} server={} send={} expected_ms={} took_ms={} reused={} end={} "
+                "request: event=send id={} service={} key={} server={} decided_by={} send={} expected_ms={} took_ms={} "
+                "reused={} "
+                "end={} "
                 "detail=\"{}\"",
                 m_request.id, m_request.service, m_request.key ? static_cast<int>(*m_request.key) : -1,
-                placement.server.id, m_sendCount, toMs(placement.expected), toMs(result.took), result.reusedConnection,
-                describe(result.end), result.detail);
+                placement.server.id, placement.byLeader ? "leader" : "host", m_sendCount, toMs(placement.expected),
+                toMs(result.took), result.reusedConnection, describe(result.end), result.detail);
 }
 
 void RequestRunner::logEnd(unsigned status, const std::string &reason) const
@@ -239,12 +251,13 @@
     constexpr unsigned FirstFailure = 500;
     const Duration took = Clock::now() - m_request.arrivedAt;
     m_traffic.metrics.onRequest(m_request.isGone ? 0 : status, took);
-    spdlog::log(status < FirstFailure ? spdlog::level::info : spdlog::level::warn,
-                "request: event=end id={} route={} config={} service={} key={} status={} sends={} took_ms={} limit_ms={} "
-                "gone={} reason=\"{}\"",
-                m_request.id, m_request.route->name, m_request.config->version, m_request.service,
-                m_request.key ? static_cast<int>(*m_request.key) : -1, status, m_sendCount, toMs(took),
-                toMs(m_request.finalBy - m_request.arrivedAt), m_request.isGone, reason);
+    spdlog::log(
+        status < FirstFailure ? spdlog::level::info : spdlog::level::warn,
+        "request: event=end id={} route={} config={} service={} key={} status={} sends={} took_ms={} limit_ms={} "
+        "gone={} reason=\"{}\"",
+        m_request.id, m_request.route->name, m_request.config->version, m_request.service,
+        m_request.key ? static_cast<int>(*m_request.key) : -1, status, m_sendCount, toMs(took),
+        toMs(m_request.finalBy - m_request.arrivedAt), m_request.isGone, reason);
 }
 
 } // namespace snipevalve
--- a/src/snipevalve/node/request_runner.hpp
+++ b/src/snipevalve/node/request_runner.hpp
@@ -33,6 +33,7 @@
     AttemptEnd toAttemptEnd(WorkEnd end) const;
     http::response<http::string_body> answerOf(UpstreamAnswer answer) const;
     http::response<http::string_body> failure(Duration retryAfter, const std::string &reason) const;
+    void logRejection(const Rejection &rejection) const;
     void logSend(const Placement &placement, const ExchangeResult &result) const;
     void logEnd(unsigned status, const std::string &reason) const;
 
--- a/src/snipevalve/node/upstream_exchange.cpp
+++ b/src/snipevalve/node/upstream_exchange.cpp
@@ -180,8 +180,8 @@
         return;
     }
     auto &message = m_parser->get();
-    const bool isRefusal = message.find(m_names.notExecuted) != message.end()
-        || message.result() == http::status::misdirected_request;
+    const bool isRefusal =
+        message.find(m_names.notExecuted) != message.end() || message.result() == http::status::misdirected_request;
     if (isRefusal) {
         result.end = WorkEnd::Refused;
         result.detail = "refused with " + std::to_string(message.result_int());
--- a/src/snipevalve/ownership/key_balance_test.cpp
+++ b/src/snipevalve/ownership/key_balance_test.cpp
@@ -18,8 +18,8 @@
     std::vector<OwnedRange> ranges;
     for (std::uint32_t at = 0; at < Servers; ++at) {
         const std::uint32_t end = at + 1 == Servers ? KeyCount : (at + 1) * Share;
-        ranges.push_back({{static_cast<std::uint16_t>(at * Share), static_cast<std::uint16_t>(end - 1)},
-                          "s" + std::to_string(at)});
+        ranges.push_back(
+            {{static_cast<std::uint16_t>(at * Share), static_cast<std::uint16_t>(end - 1)}, "s" + std::to_string(at)});
     }
     return ranges;
 }
--- a/src/snipevalve/ownership/key_schedule_test.hpp
+++ b/src/snipevalve/ownership/key_schedule_test.hpp
@@ -369,8 +369,7 @@
                 m_servers[at].release(release.keys);
             }
         });
-        finish(number, release.call, chance(0.1) ? KeyCallEnd::NoAnswer : KeyCallEnd::Accepted,
-               way + between(1, 300));
+        finish(number, release.call, chance(0.1) ? KeyCallEnd::NoAnswer : KeyCallEnd::Accepted, way + between(1, 300));
     }
 
     void finish(std::size_t number, std::uint64_t call, KeyCallEnd end, Milliseconds after)
--- a/tests/process/bad_input_test.cpp
+++ b/tests/process/bad_input_test.cpp
@@ -7,7 +7,8 @@
 constexpr std::uint8_t Network = 34;
 
 /// Sends bytes as they are and reads until the entry closes or answers.
-std::unique_ptr<http::response_parser<http::string_body>> exchangeRaw(const Endpoint &endpoint, const std::string &bytes)
+std::unique_ptr<http::response_parser<http::string_body>> exchangeRaw(const Endpoint &endpoint,
+                                                                      const std::string &bytes)
 {
     asio::io_context context;
     Tcp::socket socket(context);
@@ -87,7 +88,7 @@
         std::string second;
     };
     const std::vector<Case> cases = {
-        {"/ledger/k1", "/ledger/%6b1"}, {"/ledger/k2", "/ledger/./k2"},   {"/ledger/k3", "/ledger/x/../k3"},
+        {"/ledger/k1", "/ledger/%6b1"}, {"/ledger/k2", "/ledger/./k2"},     {"/ledger/k3", "/ledger/x/../k3"},
         {"/ledger/~k", "/ledger/%7Ek"}, {"/ledger/a%2fb", "/ledger/a%2Fb"}, {"/ledger/k5", "/%6cedger/%6B%35"},
     };
     DeploymentOptions options = optionsFor("equal-paths", Network);
