--- a/include/snipevalve/ownership/key_balance.hpp
+++ b/include/snipevalve/ownership/key_balance.hpp
@@ -10,12 +10,6 @@
 
 namespace snipevalve {
 
-/// @brief Where the cut keys of a move may lie in a server's range.
-enum class WindowShape {
-    Anywhere, ///< the narrowest window: for hot keys, whose neighbours move off in a hurry
-    AtEnd, ///< from an end of a range: for lasting differences, so that ranges do not break up
-};
-
 struct KeyBalanceOptions
 {
     std::size_t maxMoves = 10; ///< in one round; each blocks its keys for about one request's time
@@ -26,7 +20,6 @@
     double leastMove = 0.12; ///< busy slots; less is not worth a move
     Seconds window{1.0}; ///< the time constant of the loads' average
     Seconds meanWork{0.15}; ///< of one request
-    WindowShape shape = WindowShape::Anywhere;
 };
 
 /// @brief Move these keys to another server.
--- a/src/snipevalve/node/gateway_session.cpp
+++ b/src/snipevalve/node/gateway_session.cpp
@@ -47,11 +47,6 @@
     }
 }
 
-bool GatewaySession::isBusy() const
-{
-    return !m_idleSince.has_value();
-}
-
 bool GatewaySession::mayKeepConnection() const
 {
     return !m_traffic.stopping && m_parser && m_parser->is_done() && m_parser->get().keep_alive();
--- a/src/snipevalve/node/gateway_session.hpp
+++ b/src/snipevalve/node/gateway_session.hpp
@@ -23,8 +23,6 @@
     /// @brief Closes the connection when it has waited for a request for at least `idle`.
     void closeIfIdle(TimePoint now, Duration idle);
 
-    bool isBusy() const;
-
 private:
     using Parser = http::request_parser<http::string_body>;
 
--- a/src/snipevalve/ownership/key_balance.cpp
+++ b/src/snipevalve/ownership/key_balance.cpp
@@ -119,7 +119,7 @@
     std::optional<Window> m_heaviest;
 };
 
-void searchAnywhere(WindowSearch &search, const KeyRange &range, const std::vector<float> &loads)
+void searchRange(WindowSearch &search, const KeyRange &range, const std::vector<float> &loads)
 {
     double sum = 0;
     std::uint32_t from = range.from;
@@ -137,30 +137,11 @@
     }
 }
 
-void searchEnds(WindowSearch &search, const KeyRange &range, const std::vector<float> &loads)
-{
-    double sum = 0;
-    for (std::uint32_t to = range.from; to < range.to && sum <= search.most(); ++to) {
-        sum += loads[to];
-        search.offer(range.from, to, sum);
-    }
-    sum = 0;
-    for (std::uint32_t from = range.to; from > range.from && sum <= search.most(); --from) {
-        sum += loads[from];
-        search.offer(from, range.to, sum);
-    }
-}
-
-std::optional<Window> findWindow(const ServerLoad &server, const std::vector<float> &loads, double wanted,
-                                 WindowShape shape)
+std::optional<Window> findWindow(const ServerLoad &server, const std::vector<float> &loads, double wanted)
 {
     WindowSearch search(wanted * LeastShare, wanted * MostShare);
     for (const KeyRange &range : server.ranges) {
-        if (shape == WindowShape::Anywhere) {
-            searchAnywhere(search, range, loads);
-        } else {
-            searchEnds(search, range, loads);
-        }
+        searchRange(search, range, loads);
     }
     const std::optional<Window> window = search.best();
     const bool isWorthIt = window && window->load >= wanted * LeastGain;
@@ -234,7 +215,7 @@
         if (wanted < options.leastMove && !isUnused) {
             break;
         }
-        const auto window = findWindow(*fullest, loads, wanted, options.shape);
+        const auto window = findWindow(*fullest, loads, wanted);
         if (!window) {
             // What is heavy here is a single key; it stays where it is.
             servers.erase(fullest);
