Run nodes as processes against a stand-in of the platform

The stand-in speaks the published wire: store with leases and watches, servers with grants, faults of answers. Four tests: owners through the loss of a leader and a server, answers that are no answers, a planned stop, configuration with the store away.

--- /dev/null
+++ b/tests/process/node_test.cpp
@@ -0,0 +1,276 @@
+#include <catch2/catch.hpp>
+
+#include <filesystem>
+#include <fstream>
+#include <set>
+
+#include "standins/platform_standin.hpp"
+#include "standins/process.hpp"
+
+namespace snipevalve::standins {
+
+namespace {
+
+constexpr std::uint8_t Network = 47;
+constexpr Milliseconds StartTimeout(15'000);
+
+/// What a caller got.
+struct Answer
+{
+    unsigned status = 0; ///< 0: the connection ended without an answer
+    std::string body;
+    std::string retryAfter;
+    Milliseconds took{0};
+};
+
+/// Nodes and the platform's stand-in, for one test.
+class NodeDeployment
+{
+public:
+    NodeDeployment(const std::string &name, std::uint8_t network, int nodes)
+        : m_folder(std::string(TEST_FOLDER) + "/" + name)
+        , m_network(network)
+        , platform(network)
+    {
+        std::filesystem::create_directories(m_folder);
+        platform.putConfig(config(2));
+        for (int at = 0; at < nodes; ++at) {
+            startNode(at);
+        }
+    }
+
+    static std::string config(int version)
+    {
+        return R"({"version":"r)" + std::to_string(version) + R"(","resources":[
+            {"type":"routes","metadata":{"name":"lookup"},"spec":{"host":"h.example","prefix":"/k/","kind":"safe",
+             "timeout_ms":3000,"target_latency_ms":500,"priority":2,"service":"ledger","max_attempts":2}},
+            {"type":"routes","metadata":{"name":"debit"},"spec":{"host":"h.example","prefix":"/p/","kind":"unsafe",
+             "timeout_ms":3000,"target_latency_ms":500,"priority":1,"service":"debits","max_attempts":2}},
+            {"type":"services","metadata":{"name":"ledger"},"spec":{"health_path":"/health","sharded":true}},
+            {"type":"services","metadata":{"name":"debits"},"spec":{"health_path":"/health"}},
+            {"type":"limits","metadata":{},"spec":{}}]})";
+    }
+
+    void startNode(int at)
+    {
+        const std::string address = addressOf(at);
+        const std::string path = m_folder + "/node-" + std::to_string(at) + ".toml";
+        std::ofstream file(path);
+        file << "node = \"node-" << at << "\"\nip = \"" << address
+             << "\"\nzone = \"z\"\nseeds = []\nheartbeat_ms = 200\n"
+             << "bounds = [\"grace_s=6\",\"retry_budget_slack=60\",\"hold_max_ms=10000\"]\n[listen]\nfront = \""
+             << address << ":8641\"\nready = \"" << address << ":8640\"\ncontrol = \"" << address << ":8649\"\n"
+             << "[limits]\ncpu_share = 1.0\ncores = 1\nmemory_mb = 260\nmax_fds = 1000\n[platform]\naddress = \""
+             << toString(platform.storeEndpoint()) << "\"\nttl_min_ms = 1000\n";
+        file.close();
+        const std::string program = std::string(BINARY_FOLDER) + "/snipevalve-node";
+        Process process(program, {"--settings=" + path}, m_folder + "/node-" + std::to_string(at) + ".log");
+        m_nodes.insert_or_assign(at, std::move(process));
+    }
+
+    Process &node(int at)
+    {
+        return m_nodes.at(at);
+    }
+
+    std::string addressOf(int at) const
+    {
+        return "127." + std::to_string(m_network) + ".1." + std::to_string(at + 1);
+    }
+
+    /// Sends one request on a connection of its own.
+    Answer ask(int at, const std::string &method, const std::string &path, int key = -1)
+    {
+        const TimePoint startedAt = Clock::now();
+        Answer answer;
+        asio::io_context context;
+        beast::tcp_stream stream(context);
+        ErrorCode error;
+        stream.socket().connect(toTcp({addressOf(at), 8641}), error);
+        if (error) {
+            return answer;
+        }
+        const std::string id = "id-" + std::to_string(++m_lastId);
+        std::string bytes = method + " " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Snipevalve-Request-Id: " + id
+            + "\r\nX-Snipevalve-Request-Deadline: 3000\r\n";
+        bytes += key >= 0 ? "X-Snipevalve-Shard-Key: " + std::to_string(key) + "\r\n" : "";
+        bytes += method == "POST" ? "Content-Length: 0\r\n\r\n" : "\r\n";
+        asio::write(stream.socket(), asio::buffer(bytes), error);
+        beast::flat_buffer buffer;
+        http::response_parser<http::string_body> parser;
+        http::read(stream.socket(), buffer, parser, error);
+        if (!error) {
+            answer.status = parser.get().result_int();
+            answer.body = parser.get().body();
+            answer.retryAfter = std::string(parser.get()[http::field::retry_after]);
+        }
+        answer.took = std::chrono::duration_cast<Milliseconds>(Clock::now() - startedAt);
+        answer.body = answer.body == "answer to " + id ? "own" : answer.body;
+        return answer;
+    }
+
+    bool waitUntil(const std::function<bool()> &condition, Milliseconds timeout)
+    {
+        const TimePoint end = Clock::now() + timeout;
+        while (!condition()) {
+            if (Clock::now() >= end) {
+                return false;
+            }
+            std::this_thread::sleep_for(Milliseconds(20));
+        }
+        return true;
+    }
+
+    bool serves(int at, int key)
+    {
+        return ask(at, "GET", "/k/x", key).status == 200;
+    }
+
+private:
+    std::string m_folder;
+    std::uint8_t m_network;
+    int m_lastId = 0;
+    std::map<int, Process> m_nodes;
+
+public:
+    PlatformStandin platform;
+};
+
+void addLedgers(PlatformStandin &platform, int count)
+{
+    for (int at = 0; at < count; ++at) {
+        platform.addServer("ledger-" + std::to_string(at), "ledger", true, Milliseconds(5));
+    }
+}
+
+} // namespace
+
+TEST_CASE("keys have one owner while hosts and servers are lost, and are served again")
+{
+    NodeDeployment deployment("node-owners", Network, 3);
+    addLedgers(deployment.platform, 3);
+    REQUIRE(deployment.waitUntil(
+        [&]() {
+            return deployment.serves(0, 0) && deployment.serves(1, 64 * 500);
+        },
+        StartTimeout));
+    for (int request = 0; request < 100; ++request) {
+        const Answer answer = deployment.ask(request % 3, "GET", "/k/x", 64 * (request % 64) * 16);
+        CHECK(answer.status == 200);
+        CHECK(answer.body == "own");
+    }
+    const std::string leader = deployment.platform.leaderOf("ledger");
+    REQUIRE(leader.size() > 5);
+    const int leaderAt = leader.back() - '0';
+    deployment.node(leaderAt).kill();
+    const int other = (leaderAt + 1) % 3;
+    constexpr Milliseconds ServedAgain(5'000);
+    CHECK(deployment.waitUntil(
+        [&]() {
+            return deployment.serves(other, 0) && deployment.platform.leaderOf("ledger") != leader;
+        },
+        ServedAgain));
+    deployment.platform.crashServer("ledger-1");
+    // The successor can't tell which hold was given last, so it waits for the longest: 10.6 s.
+    constexpr Milliseconds AfterTwoLosses(12'000);
+    for (int key = 0; key < 65'536; key += 64 * 128) {
+        INFO("key " << key);
+        CHECK(deployment.waitUntil(
+            [&]() {
+                return deployment.serves(other, key);
+            },
+            AfterTwoLosses));
+    }
+    CHECK(deployment.platform.ownershipBreaches() == 0);
+}
+
+TEST_CASE("what is no whole answer of the server never becomes a success or a false promise", "[promise-3]")
+{
+    struct Case
+    {
+        std::string name;
+        ServerFault fault;
+        std::set<unsigned> statuses;
+    };
+    const std::vector<Case> cases = {
+        {"no fault", ServerFault::None, {200}},
+        {"no stamp", ServerFault::NoStamp, {502, 504}},
+        {"another request's answer", ServerFault::OtherId, {502, 504}},
+        {"an encoded body", ServerFault::Encoded, {502, 504}},
+        {"no answer after a run", ServerFault::CutShort, {502, 504}},
+        {"503 after a run", ServerFault::ClaimsNotRun, {502, 504}},
+        {"refused without a run", ServerFault::Refuses, {503}},
+    };
+    NodeDeployment deployment("node-answers", Network + 1, 1);
+    deployment.platform.addServer("debit-0", "debits", false, Milliseconds(5));
+    REQUIRE(deployment.waitUntil(
+        [&]() {
+            return deployment.ask(0, "POST", "/p/x").status == 200;
+        },
+        StartTimeout));
+    for (const Case &each : cases) {
+        INFO(each.name);
+        deployment.platform.setFault("debits", each.fault);
+        const std::size_t before = deployment.platform.runs().size();
+        const Answer answer = deployment.ask(0, "POST", "/p/x");
+        CHECK(each.statuses.contains(answer.status));
+        const std::size_t ran = deployment.platform.runs().size() - before;
+        CHECK(ran <= 1);
+        if (answer.status == 503) {
+            CHECK(ran == 0);
+            CHECK(!answer.retryAfter.empty());
+        }
+    }
+}
+
+TEST_CASE("a planned stop ends what is under way and exits well", "[promise-7]")
+{
+    NodeDeployment deployment("node-stop", Network + 2, 1);
+    deployment.platform.addServer("debit-0", "debits", false, Milliseconds(1'500));
+    REQUIRE(deployment.waitUntil(
+        [&]() {
+            return deployment.ask(0, "POST", "/p/x").status == 200;
+        },
+        StartTimeout));
+    Answer answer;
+    std::thread caller([&]() {
+        answer = deployment.ask(0, "POST", "/p/slow");
+    });
+    std::this_thread::sleep_for(Milliseconds(300));
+    deployment.node(0).terminate();
+    caller.join();
+    CHECK(answer.status == 200);
+    CHECK(answer.body == "own");
+    CHECK(deployment.node(0).wait(Milliseconds(6'000)) == 0);
+}
+
+TEST_CASE("a configuration is in force within the bound and goes on without the store", "[promise-8]")
+{
+    NodeDeployment deployment("node-config", Network + 3, 2);
+    deployment.platform.addServer("debit-0", "debits", false, Milliseconds(5));
+    REQUIRE(deployment.waitUntil(
+        [&]() {
+            return deployment.ask(0, "POST", "/p/x").status == 200 && deployment.ask(1, "POST", "/p/x").status == 200;
+        },
+        StartTimeout));
+    std::string next = NodeDeployment::config(7);
+    next.replace(next.find("/p/"), 3, "/q/");
+    deployment.platform.putConfig(next);
+    constexpr Milliseconds ConfigBound(2'000);
+    for (int at = 0; at < 2; ++at) {
+        CHECK(deployment.waitUntil(
+            [&]() {
+                return deployment.ask(at, "POST", "/q/x").status == 200;
+            },
+            ConfigBound));
+    }
+    deployment.platform.putConfig(NodeDeployment::config(6)); // an older version: nobody goes back
+    std::this_thread::sleep_for(ConfigBound);
+    CHECK(deployment.ask(0, "POST", "/p/x").status == 404);
+    deployment.platform.setStoreAway(true);
+    std::this_thread::sleep_for(Milliseconds(3'000));
+    CHECK(deployment.ask(0, "POST", "/q/x").status == 200);
+    CHECK(deployment.ask(1, "POST", "/q/x").status == 200);
+}
+
+} // namespace snipevalve::standins
--- /dev/null
+++ b/tests/standins/platform_standin.cpp
@@ -0,0 +1,422 @@
+#include "standins/platform_standin.hpp"
+
+#include <absl/strings/escaping.h>
+
+namespace snipevalve::standins {
+
+namespace {
+
+constexpr std::uint16_t StorePort = 8642;
+constexpr std::uint16_t ServerPort = 8080;
+constexpr Milliseconds BeatInterval(200);
+constexpr Milliseconds PollInterval(5);
+/// Keys are looked at in this distance; the tests use multiples of it.
+constexpr std::uint32_t ProbeWidth = 64;
+constexpr std::uint32_t Keys = 65536;
+
+std::string addressOf(std::uint8_t network, int host)
+{
+    return "127." + std::to_string(network) + ".9." + std::to_string(host);
+}
+
+std::int64_t unixMs()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<Milliseconds>(now).count();
+}
+
+Awaitable<void> sleepFor(Milliseconds time)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, time);
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+} // namespace
+
+PlatformStandin::PlatformStandin(std::uint8_t network)
+    : m_network(network)
+{
+    m_acceptor = std::make_unique<Tcp::acceptor>(listenOn(m_context.get_executor(), storeEndpoint()));
+    asio::co_spawn(m_context,
+                   serveHttp(*m_acceptor,
+                             [this](const HttpRequest &request) {
+                                 return answerStore(request);
+                             }),
+                   asio::detached);
+    asio::co_spawn(m_context, expireLeases(), asio::detached);
+    m_thread = std::thread([this]() {
+        m_context.run();
+    });
+}
+
+PlatformStandin::~PlatformStandin()
+{
+    m_context.stop();
+    m_thread.join();
+}
+
+Endpoint PlatformStandin::storeEndpoint() const
+{
+    return {addressOf(m_network, 1), StorePort};
+}
+
+void PlatformStandin::putConfig(const std::string &text)
+{
+    const std::lock_guard lock(m_mutex);
+    put("op/config", absl::Base64Escape(text), 0);
+}
+
+void PlatformStandin::addServer(const std::string &id, const std::string &service, bool keyed, Milliseconds work)
+{
+    const auto server = std::make_shared<Server>();
+    server->id = id;
+    server->service = service;
+    server->keyed = keyed;
+    server->work = work;
+    server->born = unixMs();
+    const std::lock_guard lock(m_mutex);
+    constexpr int FirstServerHost = 10;
+    server->endpoint = {addressOf(m_network, FirstServerHost + static_cast<int>(m_servers.size())), ServerPort};
+    server->acceptor = std::make_unique<Tcp::acceptor>(listenOn(m_context.get_executor(), server->endpoint));
+    m_servers[id] = server;
+    asio::co_spawn(m_context,
+                   serveHttp(*server->acceptor,
+                             [this, server](const HttpRequest &request) {
+                                 return answerServer(server, request);
+                             }),
+                   asio::detached);
+    asio::co_spawn(m_context, beat(server), asio::detached);
+}
+
+void PlatformStandin::crashServer(const std::string &id)
+{
+    const std::lock_guard lock(m_mutex);
+    Server &server = *m_servers.at(id);
+    server.crashed = true;
+    server.holds.clear();
+    erase("servers/" + id);
+}
+
+void PlatformStandin::drainServer(const std::string &id)
+{
+    const std::lock_guard lock(m_mutex);
+    m_servers.at(id)->draining = true;
+}
+
+void PlatformStandin::setFault(const std::string &service, ServerFault fault)
+{
+    const std::lock_guard lock(m_mutex);
+    m_faults[service] = fault;
+}
+
+void PlatformStandin::setStoreAway(bool away)
+{
+    const std::lock_guard lock(m_mutex);
+    m_storeAway = away;
+}
+
+std::vector<PlatformRun> PlatformStandin::runs() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_runs;
+}
+
+int PlatformStandin::ownershipBreaches() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_breaches;
+}
+
+std::string PlatformStandin::leaderOf(const std::string &service) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto item = m_items.find("snipevalve/leader/" + service);
+    std::string value;
+    if (item == m_items.end() || !absl::Base64Unescape(item->second.value, &value)) {
+        return {};
+    }
+    return Json::parse(value).value("host", std::string());
+}
+
+HttpResponse PlatformStandin::reply(http::status status, const Json &json)
+{
+    return jsonResponse(status, json.dump());
+}
+
+PlatformStandin::Json PlatformStandin::toJson(const std::string &key, const Item &item) const
+{
+    return {{"key", key},
+            {"value", item.value},
+            {"revision", item.revision},
+            {"created", item.created},
+            {"lease", item.lease}};
+}
+
+void PlatformStandin::put(const std::string &key, const std::string &value, std::uint64_t lease)
+{
+    Item &item = m_items[key];
+    ++m_revision;
+    item.created = item.created == 0 ? m_revision : item.created;
+    item.value = value;
+    item.revision = m_revision;
+    item.lease = lease;
+    m_changes.push_back({key, m_revision, toJson(key, item)});
+}
+
+void PlatformStandin::erase(const std::string &key)
+{
+    if (m_items.erase(key) > 0) {
+        ++m_revision;
+        m_changes.push_back({key, m_revision, {{"key", key}, {"revision", m_revision}, {"deleted", true}}});
+    }
+}
+
+Awaitable<void> PlatformStandin::expireLeases()
+{
+    while (true) {
+        co_await sleepFor(PollInterval);
+        const std::lock_guard lock(m_mutex);
+        for (auto lease = m_leases.begin(); lease != m_leases.end();) {
+            if (Clock::now() < lease->second.second) {
+                ++lease;
+                continue;
+            }
+            std::vector<std::string> keys;
+            for (const auto &[key, item] : m_items) {
+                if (item.lease == lease->first) {
+                    keys.push_back(key);
+                }
+            }
+            for (const std::string &key : keys) {
+                erase(key);
+            }
+            lease = m_leases.erase(lease);
+        }
+    }
+}
+
+Awaitable<HttpResponse> PlatformStandin::answerStore(const HttpRequest &request)
+{
+    const Target target(std::string_view(request.target().data(), request.target().size()));
+    if (target.path() == "/kv-watch") {
+        co_return co_await watch(target);
+    }
+    const std::lock_guard lock(m_mutex);
+    if (m_storeAway) {
+        co_return reply(http::status::service_unavailable, Json::object());
+    }
+    if (target.path() == "/kv-key") {
+        const std::string key = target.parameter("key");
+        const auto item = m_items.find(key);
+        if (item == m_items.end()) {
+            co_return reply(http::status::not_found, {{"current_rev", m_revision}});
+        }
+        Json json = toJson(key, item->second);
+        json["current_rev"] = m_revision;
+        co_return reply(http::status::ok, json);
+    }
+    if (target.path() == "/kv-range") {
+        Json items = Json::array();
+        const std::string prefix = target.parameter("prefix");
+        for (const auto &[key, item] : m_items) {
+            if (key.rfind(prefix, 0) == 0 && key > target.parameter("after")) {
+                items.push_back(toJson(key, item));
+            }
+        }
+        co_return reply(http::status::ok, {{"items", items}, {"has_more", false}, {"current_rev", m_revision}});
+    }
+    if (target.path() == "/kv-txn") {
+        co_return commit(Json::parse(request.body()));
+    }
+    if (target.path() == "/kv-lease") {
+        const Milliseconds time(Json::parse(request.body()).at("ttl_ms").get<std::int64_t>());
+        m_leases[++m_lastLease] = {time, Clock::now() + time};
+        co_return reply(http::status::ok, {{"lease", m_lastLease}, {"ttl_ms", time.count()}});
+    }
+    const std::string keep = "/kv-keep/";
+    if (target.path().rfind(keep, 0) == 0) {
+        const auto lease = m_leases.find(std::stoull(target.path().substr(keep.size())));
+        if (lease == m_leases.end()) {
+            co_return reply(http::status::not_found, Json::object());
+        }
+        lease->second.second = Clock::now() + lease->second.first;
+        co_return reply(http::status::ok, {{"ttl_ms", lease->second.first.count()}});
+    }
+    co_return reply(http::status::bad_request, Json::object());
+}
+
+HttpResponse PlatformStandin::commit(const Json &body)
+{
+    Json found = Json::array();
+    bool holds = true;
+    for (const Json &row : body.at("expect")) {
+        const std::string key = row.at("key");
+        const auto item = m_items.find(key);
+        const std::uint64_t revision = item == m_items.end() ? 0 : item->second.revision;
+        holds = holds && revision == row.at("revision").get<std::uint64_t>();
+        found.push_back(item == m_items.end() ? Json{{"key", key}, {"revision", 0}} : toJson(key, item->second));
+    }
+    if (!holds) {
+        return reply(http::status::precondition_failed, {{"items", found}, {"current_rev", m_revision}});
+    }
+    for (const Json &write : body.at("writes")) {
+        const std::uint64_t lease = write.value("lease", std::uint64_t(0));
+        if (lease != 0 && !m_leases.contains(lease)) {
+            return reply(http::status::not_found, Json::object());
+        }
+        put(write.at("key"), write.at("value"), lease);
+    }
+    for (const Json &key : body.at("deletes")) {
+        erase(key);
+    }
+    return reply(http::status::ok, {{"revision", m_revision}});
+}
+
+Awaitable<HttpResponse> PlatformStandin::watch(const Target &target)
+{
+    const std::string prefix = target.parameter("prefix");
+    const std::uint64_t after = target.number("after", 0);
+    const TimePoint end = Clock::now() + Milliseconds(target.number("wait_ms", 0));
+    while (true) {
+        {
+            const std::lock_guard lock(m_mutex);
+            if (m_storeAway) {
+                co_return reply(http::status::service_unavailable, Json::object());
+            }
+            Json events = Json::array();
+            for (const Change &change : m_changes) {
+                if (change.revision > after && change.key.rfind(prefix, 0) == 0) {
+                    events.push_back(change.event);
+                }
+            }
+            if (!events.empty() || Clock::now() >= end) {
+                co_return reply(http::status::ok, {{"events", events}, {"current_rev", m_revision}});
+            }
+        }
+        co_await sleepFor(PollInterval);
+    }
+}
+
+Awaitable<void> PlatformStandin::beat(std::shared_ptr<Server> server)
+{
+    while (true) {
+        {
+            const std::lock_guard lock(m_mutex);
+            if (server->crashed) {
+                co_return;
+            }
+            const Json entry{{"service", server->service},
+                             {"address", toString(server->endpoint)},
+                             {"zone", "z"},
+                             {"version", "v1"},
+                             {"slots", 2},
+                             {"state", server->draining ? "draining" : "ready"},
+                             {"warmup_left_ms", 0},
+                             {"seq", ++server->beats},
+                             {"born", server->born}};
+            if (!m_storeAway) {
+                put("servers/" + server->id, absl::Base64Escape(entry.dump()), 0);
+            }
+        }
+        co_await sleepFor(BeatInterval);
+    }
+}
+
+HttpResponse PlatformStandin::grant(Server &server, const Json &body)
+{
+    const auto from = body.at("from").get<std::uint32_t>();
+    const auto to = body.at("to").get<std::uint32_t>();
+    const auto fence = body.at("fence").get<std::uint64_t>();
+    const TimePoint now = Clock::now();
+    for (std::uint32_t key = 0; key < Keys; key += ProbeWidth) {
+        const auto hold = server.holds.find(static_cast<std::uint16_t>(key));
+        if (key >= from && key <= to && hold != server.holds.end() && hold->second.fence > fence) {
+            return reply(http::status::conflict, Json::object());
+        }
+    }
+    for (std::uint32_t key = 0; key < Keys; key += ProbeWidth) {
+        if (key < from || key > to) {
+            continue;
+        }
+        const auto probe = static_cast<std::uint16_t>(key);
+        for (const auto &[id, other] : m_servers) {
+            const auto hold = other->holds.find(probe);
+            const bool isHeldElsewhere = id != server.id && other->service == server.service && !other->crashed
+                && hold != other->holds.end() && now < hold->second.until;
+            m_breaches += isHeldElsewhere ? 1 : 0;
+        }
+        server.holds[probe] = {fence, now + Milliseconds(body.at("hold_ms").get<std::int64_t>())};
+    }
+    return reply(http::status::ok, Json::object());
+}
+
+HttpResponse PlatformStandin::release(Server &server, const Json &body)
+{
+    for (std::uint32_t key = 0; key < Keys; key += ProbeWidth) {
+        const auto hold = server.holds.find(static_cast<std::uint16_t>(key));
+        if (key >= body.at("from").get<std::uint32_t>() && key <= body.at("to").get<std::uint32_t>()
+            && hold != server.holds.end()) {
+            hold->second.until = {};
+        }
+    }
+    HttpResponse response = reply(http::status::ok, Json::object());
+    response.set("X-Snipevalve-Handover", "handover-" + server.id);
+    return response;
+}
+
+Awaitable<HttpResponse> PlatformStandin::answerServer(std::shared_ptr<Server> server, const HttpRequest &request)
+{
+    const std::string id(request["X-Snipevalve-Request-Id"]);
+    Milliseconds work(0);
+    ServerFault fault = ServerFault::None;
+    {
+        const std::lock_guard lock(m_mutex);
+        if (server->crashed) {
+            co_return HttpResponse(http::status::unknown, 11);
+        }
+        if (request.target() == "/grant") {
+            co_return grant(*server, Json::parse(request.body()));
+        }
+        if (request.target() == "/release") {
+            co_return release(*server, Json::parse(request.body()));
+        }
+        fault = m_faults[server->service];
+        HttpResponse refusal(http::status::service_unavailable, 11);
+        refusal.set("X-Snipevalve-Request-Id", id);
+        refusal.set("X-Snipevalve-Not-Executed", "1");
+        const std::string key(request["X-Snipevalve-Shard-Key"]);
+        const auto hold =
+            key.empty() ? server->holds.end() : server->holds.find(static_cast<std::uint16_t>(std::stoul(key)));
+        const bool holdsKey = hold != server->holds.end() && Clock::now() < hold->second.until;
+        const bool isMeant = request["X-Snipevalve-Expect-Instance"] == server->id;
+        if (!isMeant || (server->keyed && !holdsKey)) {
+            refusal.result(http::status::misdirected_request);
+            co_return refusal;
+        }
+        if (fault == ServerFault::Refuses) {
+            co_return refusal;
+        }
+        m_runs.push_back({server->id, id, server->service});
+        work = server->work;
+    }
+    co_await sleepFor(work);
+    HttpResponse response(http::status::ok, 11);
+    response.set("X-Snipevalve-Request-Id", fault == ServerFault::OtherId ? "0000" : id);
+    if (fault != ServerFault::NoStamp) {
+        response.set("X-Snipevalve-Response-Stamp", "stamp-" + id);
+    }
+    if (fault == ServerFault::Encoded) {
+        response.set(http::field::content_encoding, "br");
+    }
+    if (fault == ServerFault::ClaimsNotRun) {
+        response.result(http::status::service_unavailable);
+    }
+    response.body() = "answer to " + id;
+    if (fault == ServerFault::CutShort) {
+        // The length is set by hand and the connection closed: the answer never becomes whole.
+        co_return HttpResponse(http::status::unknown, 11);
+    }
+    co_return response;
+}
+
+} // namespace snipevalve::standins
