Name the server that is meant in grants and releases

Ruled out: the authority, whose plan named the old life only. The header that requests carry already makes another server answer 421.

--- a/include/snipevalve/net/http_client.hpp
+++ b/include/snipevalve/net/http_client.hpp
@@ -23,6 +23,7 @@
     std::string authorization;
     std::string ifMatch;
     std::string contentType;
+    std::map<std::string, std::string> headers; ///< further headers, by name
     std::string replyHeader; ///< the header of the answer that HttpReply::header is to hold
     Milliseconds timeout{1000};
 };
--- a/src/snipevalve/net/http_client.cpp
+++ b/src/snipevalve/net/http_client.cpp
@@ -21,6 +21,9 @@
     if (!call.contentType.empty()) {
         request.set(http::field::content_type, call.contentType);
     }
+    for (const auto &[name, value] : call.headers) {
+        request.set(name, value);
+    }
     request.body() = std::move(call.body);
     request.prepare_payload();
     return request;
--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -374,6 +374,10 @@
         if (server->crashed) {
             co_return HttpResponse(http::status::unknown, 11);
         }
+        const bool isOrder = request.target() == "/grant" || request.target() == "/release";
+        if (isOrder && request["X-Snipevalve-Expect-Instance"] != server->id) {
+            co_return HttpResponse(http::status::misdirected_request, 11);
+        }
         if (request.target() == "/grant") {
             co_return grant(*server, Json::parse(request.body()));
         }
