Keep one copy of the hexadecimal digit and of the socket's time limit; drop unused accessors

Cause, found on reading the change again: message_head.cpp had a twin of http_server.cpp's digit reader, frame_channel.cpp one of upstream_pool.cpp's TCP_USER_TIMEOUT; DispatchDesk::hosts, KeyAuthority::isPlanSaved and movedShare had no caller. Behaviour is unchanged. Ruled out: joining StoreClient and HttpStore, which speak two protocols behind one concept. Run after it: message_head, platform_documents, key_authority (1000 schedules), process_bad_input and process_node tests, all passed; linter on the changed files; formatter.

--- a/include/snipevalve/ownership/detail/key_authority_impl.hpp
+++ b/include/snipevalve/ownership/detail/key_authority_impl.hpp
@@ -237,7 +237,6 @@
         const bool isWantedUsable = wanted != m_servers.end() && !wanted->second.draining;
         const std::string target = isWantedUsable ? segment.next : leastLoaded();
         const ServerLife life = lifeOf(m_servers.at(target));
-        m_movedKeys += segment.owner.id.empty() || segment.owner == life ? 0 : segment.keys.size();
         segment.state = State::Planned;
         segment.owner = life;
         segment.next.clear();
@@ -564,18 +563,6 @@
     return m_plan;
 }
 
-template <typename Rules>
-bool BasicKeyAuthority<Rules>::isPlanSaved() const
-{
-    return m_planSaved;
-}
-
-template <typename Rules>
-double BasicKeyAuthority<Rules>::movedShare() const
-{
-    return m_movedKeys / KeyCount;
-}
-
 } // namespace snipevalve
 
 #endif // SNIPEVALVE_OWNERSHIP_DETAIL_KEY_AUTHORITY_IMPL_HPP
--- a/include/snipevalve/ownership/key_authority.hpp
+++ b/include/snipevalve/ownership/key_authority.hpp
@@ -132,10 +132,6 @@
     std::vector<DarkRange> darkKeys(TimePoint now) const;
 
     const KeyPlan &plan() const;
-    bool isPlanSaved() const;
-
-    /// @brief Keys that have changed hands since the start, as a share of all keys.
-    double movedShare() const;
 
 private:
     enum class State {
@@ -212,7 +208,6 @@
     std::uint64_t m_lastCall = 0;
     TimePoint m_balancedAt;
     TimePoint m_mergedAt;
-    double m_movedKeys = 0;
     std::map<std::string, Calls> m_calls; ///< by server
     std::vector<std::string> m_notes;
 };
--- a/src/snipevalve/dispatch_link/frame_channel.cpp
+++ b/src/snipevalve/dispatch_link/frame_channel.cpp
@@ -1,10 +1,10 @@
 #include "snipevalve/dispatch_link/frame_channel.hpp"
 
-#include <netinet/tcp.h>
-
 #include <boost/endian/conversion.hpp>
 #include <spdlog/spdlog.h>
 
+#include "snipevalve/net/unacknowledged_limit.hpp"
+
 namespace snipevalve {
 
 namespace {
@@ -22,8 +22,7 @@
 {
     ErrorCode ignored;
     socket.set_option(Tcp::no_delay(true), ignored);
-    const auto limit = static_cast<unsigned>(UnacknowledgedLimit.count());
-    ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof(limit));
+    limitUnacknowledged(socket, UnacknowledgedLimit);
 }
 
 } // namespace
--- a/src/snipevalve/net/http_server.cpp
+++ b/src/snipevalve/net/http_server.cpp
@@ -4,6 +4,8 @@
 #include <charconv>
 #include <memory>
 
+#include "snipevalve/net/hex_digit.hpp"
+
 namespace snipevalve {
 
 namespace {
@@ -39,15 +41,6 @@
     }
 }
 
-int hexDigit(char digit)
-{
-    if (digit >= '0' && digit <= '9') {
-        return digit - '0';
-    }
-    const int lower = std::tolower(static_cast<unsigned char>(digit));
-    return lower >= 'a' && lower <= 'f' ? lower - 'a' + 10 : -1;
-}
-
 std::string decodeParameter(std::string_view text)
 {
     std::string decoded;
--- a/src/snipevalve/net/message_head.cpp
+++ b/src/snipevalve/net/message_head.cpp
@@ -3,6 +3,8 @@
 #include <cctype>
 #include <vector>
 
+#include "snipevalve/net/hex_digit.hpp"
+
 namespace snipevalve {
 
 namespace {
@@ -40,16 +42,6 @@
     return std::nullopt;
 }
 
-int hexValue(char digit)
-{
-    if (digit >= '0' && digit <= '9') {
-        return digit - '0';
-    }
-    const int lower = std::tolower(static_cast<unsigned char>(digit));
-    constexpr int Ten = 10;
-    return lower >= 'a' && lower <= 'f' ? lower - 'a' + Ten : -1;
-}
-
 bool isUnreserved(char character)
 {
     return std::isalnum(static_cast<unsigned char>(character)) != 0 || character == '-' || character == '.'
@@ -62,12 +54,12 @@
     constexpr int HexBase = 16;
     for (std::size_t at = 0; at < path.size(); ++at) {
         const bool isEscape =
-            path[at] == '%' && at + 2 < path.size() && hexValue(path[at + 1]) >= 0 && hexValue(path[at + 2]) >= 0;
+            path[at] == '%' && at + 2 < path.size() && hexDigit(path[at + 1]) >= 0 && hexDigit(path[at + 2]) >= 0;
         if (!isEscape) {
             decoded += path[at];
             continue;
         }
-        const auto character = static_cast<char>(hexValue(path[at + 1]) * HexBase + hexValue(path[at + 2]));
+        const auto character = static_cast<char>(hexDigit(path[at + 1]) * HexBase + hexDigit(path[at + 2]));
         if (isUnreserved(character)) {
             decoded += character;
         } else {
--- /dev/null
+++ b/src/snipevalve/net/unacknowledged_limit.cpp
@@ -0,0 +1,13 @@
+#include "snipevalve/net/unacknowledged_limit.hpp"
+
+#include <netinet/tcp.h>
+
+namespace snipevalve {
+
+void limitUnacknowledged(Tcp::socket &socket, Milliseconds timeout)
+{
+    const auto value = static_cast<unsigned>(timeout.count());
+    ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &value, sizeof(value));
+}
+
+} // namespace snipevalve
--- a/src/snipevalve/net/upstream_pool.cpp
+++ b/src/snipevalve/net/upstream_pool.cpp
@@ -1,22 +1,10 @@
 #include "snipevalve/net/upstream_pool.hpp"
 
-#include <netinet/tcp.h>
-
 #include "snipevalve/net/idle_connection.hpp"
+#include "snipevalve/net/unacknowledged_limit.hpp"
 
 namespace snipevalve {
 
-namespace {
-
-/// Has the kernel give up a connection whose bytes nobody acknowledges (TCP_USER_TIMEOUT, RFC 5482).
-void limitUnacknowledged(Tcp::socket &socket, Milliseconds timeout)
-{
-    const auto value = static_cast<unsigned>(timeout.count());
-    ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &value, sizeof(value));
-}
-
-} // namespace
-
 UpstreamPool::UpstreamPool(asio::any_io_executor executor, std::string sourceAddress, std::size_t idleLimit)
     : m_executor(std::move(executor))
     , m_sourceAddress(std::move(sourceAddress))
--- a/src/snipevalve/node/dispatch_desk.cpp
+++ b/src/snipevalve/node/dispatch_desk.cpp
@@ -290,9 +290,4 @@
     return led == m_led.end() ? nullptr : led->second.dispatcher.get();
 }
 
-std::size_t DispatchDesk::hosts() const
-{
-    return m_hosts.size();
-}
-
 } // namespace snipevalve
--- a/src/snipevalve/node/dispatch_desk.hpp
+++ b/src/snipevalve/node/dispatch_desk.hpp
@@ -47,8 +47,6 @@
     /// @brief The dispatcher of a led service; null for others.
     const Dispatcher *dispatcher(const std::string &service) const;
 
-    std::size_t hosts() const;
-
 private:
     struct Host
     {
