Leaders tell hosts the configuration and the leaders; a store that is away is asked less often

Cause: each host watched op/config and the leaders for itself. Change: frames of leaders carry the newest version, how long ago it was known to be the newest, and who leads what. A host asks the leader for what has changed since its version (whole if the leader does not know that one), and asks the store only while no leader has confirmed for 1.4 s. Calls to a store that is away are paced by one StoreReach a host. Routes are looked up by prefix. A host without a leader reads servers after 0.3 s, each 0.9 s.

--- a/include/snipevalve/gateway/gateway_config.hpp
+++ b/include/snipevalve/gateway/gateway_config.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -23,6 +24,15 @@
 {
     std::string service;
     unsigned weight = 1;
+
+    bool operator==(const WeightedService &) const = default;
+};
+
+/// @brief What tells routes apart: no configuration has two routes at one place.
+struct RoutePlace
+{
+    std::string host;
+    std::string pathPrefix;
 };
 
 /// @brief Where requests of one host and path prefix go, and within which limits.
@@ -37,6 +47,8 @@
     int priority = 0; ///< 0 is the highest
     int maxAttempts = 1; ///< servers that one request may be sent to
     std::vector<WeightedService> services; ///< at least one
+
+    bool operator==(const GatewayRoute &) const = default;
 };
 
 /// @brief A group of servers that do the same work.
@@ -67,14 +79,33 @@
 
     const GatewayService *service(const std::string &name) const;
 
+    /// @brief Adds a route; where there is one already, that one stays.
     void addRoute(GatewayRoute route);
 
+    void removeRoute(const RoutePlace &place);
+
+    /// @return the route at just this place; null when there is none
+    const GatewayRoute *routeAt(const RoutePlace &place) const;
+
+    template <typename Visit>
+    void forEachRoute(Visit visit) const
+    {
+        for (const auto &[host, routes] : m_routesByHost) {
+            for (const auto &[prefix, route] : routes) {
+                visit(*route);
+            }
+        }
+    }
+
     std::uint64_t version = 0;
     CallerLimits limits;
     std::map<std::string, GatewayService> services;
 
 private:
-    std::map<std::string, std::vector<GatewayRoute>, std::less<>> m_routesByHost; ///< longest prefix first
+    /// Routes of one host by path prefix. Versions share the routes that they have in common.
+    using HostRoutes = std::map<std::string, std::shared_ptr<const GatewayRoute>, std::less<>>;
+
+    std::map<std::string, HostRoutes, std::less<>> m_routesByHost;
 };
 
 } // namespace snipevalve
--- a/include/snipevalve/store/config_store.hpp
+++ b/include/snipevalve/store/config_store.hpp
@@ -95,7 +95,8 @@
 template <ConfigStore Store>
 Awaitable<absl::StatusOr<WriteResult>> writeSurely(Store &store, StoreWrite write, TimePoint deadline)
 {
-    constexpr Milliseconds RetryDelay(50);
+    constexpr Milliseconds LongestRetryDelay(400); ///< each try is a call that the store counts
+    Milliseconds retryDelay(50);
     bool mayHaveRun = false;
     asio::steady_timer timer(co_await asio::this_coro::executor);
     while (true) {
@@ -109,12 +110,13 @@
             co_return result;
         }
         mayHaveRun = mayHaveRun || absl::IsUnavailable(result.status());
-        if (Clock::now() + RetryDelay > deadline) {
+        if (Clock::now() + retryDelay > deadline) {
             const std::string message(result.status().message());
             co_return mayHaveRun ? absl::UnavailableError(message) : absl::FailedPreconditionError(message);
         }
-        timer.expires_after(RetryDelay);
+        timer.expires_after(retryDelay);
         co_await timer.async_wait(asio::use_awaitable);
+        retryDelay = std::min(2 * retryDelay, LongestRetryDelay);
     }
 }
 
--- a/src/snipevalve/dispatch_link/messages.cpp
+++ b/src/snipevalve/dispatch_link/messages.cpp
@@ -40,6 +40,43 @@
     return server;
 }
 
+proto::Route toProto(const GatewayRoute &route)
+{
+    proto::Route message;
+    message.set_name(route.name);
+    message.set_host(route.host);
+    message.set_path_prefix(route.pathPrefix);
+    message.set_kind(static_cast<std::uint32_t>(route.kind));
+    message.set_timeout_ms(static_cast<std::uint32_t>(route.timeout.count()));
+    message.set_target_latency_ms(static_cast<std::uint32_t>(route.targetLatency.count()));
+    message.set_priority(route.priority);
+    message.set_max_attempts(static_cast<std::uint32_t>(route.maxAttempts));
+    for (const WeightedService &share : route.services) {
+        proto::RouteShare *out = message.add_services();
+        out->set_service(share.service);
+        out->set_weight(share.weight);
+    }
+    return message;
+}
+
+GatewayRoute fromProto(const proto::Route &message)
+{
+    GatewayRoute route;
+    route.name = message.name();
+    route.host = message.host();
+    route.pathPrefix = message.path_prefix();
+    const auto last = static_cast<std::uint32_t>(RequestKind::Upload);
+    route.kind = static_cast<RequestKind>(std::min(message.kind(), last));
+    route.timeout = Milliseconds(message.timeout_ms());
+    route.targetLatency = Milliseconds(message.target_latency_ms());
+    route.priority = message.priority();
+    route.maxAttempts = static_cast<int>(message.max_attempts());
+    for (const proto::RouteShare &share : message.services()) {
+        route.services.push_back({share.service(), share.weight()});
+    }
+    return route;
+}
+
 } // namespace
 
 proto::Ask toProto(const std::string &service, const WorkItem &item, TimePoint now)
@@ -162,6 +199,81 @@
     return view;
 }
 
+proto::ConfigChange toProto(const ConfigChange &change)
+{
+    proto::ConfigChange message;
+    message.set_base(change.base);
+    message.set_version(change.version);
+    message.set_max_header_bytes(change.limits.maxHeaderBytes);
+    message.set_max_body_bytes(change.limits.maxBodyBytes);
+    message.set_header_timeout_ms(static_cast<std::uint32_t>(change.limits.headerTimeout.count()));
+    message.set_idle_timeout_ms(static_cast<std::uint32_t>(change.limits.idleTimeout.count()));
+    for (const auto &[name, service] : change.services) {
+        proto::Service *out = message.add_services();
+        out->set_name(name);
+        out->set_health_path(service.healthPath);
+        out->set_max_connections(service.maxConnections);
+        out->set_keyed(service.keyed);
+        out->set_warm_ms(static_cast<std::uint32_t>(service.warmTime.count()));
+    }
+    for (const GatewayRoute &route : change.routes) {
+        *message.add_routes() = toProto(route);
+    }
+    for (const RoutePlace &place : change.removed) {
+        proto::RoutePlace *out = message.add_removed();
+        out->set_host(place.host);
+        out->set_path_prefix(place.pathPrefix);
+    }
+    return message;
+}
+
+ConfigChange fromProto(const proto::ConfigChange &message)
+{
+    ConfigChange change;
+    change.base = message.base();
+    change.version = message.version();
+    change.limits.maxHeaderBytes = message.max_header_bytes();
+    change.limits.maxBodyBytes = message.max_body_bytes();
+    change.limits.headerTimeout = Milliseconds(message.header_timeout_ms());
+    change.limits.idleTimeout = Milliseconds(message.idle_timeout_ms());
+    for (const proto::Service &service : message.services()) {
+        change.services[service.name()] = {service.name(), service.health_path(), service.max_connections(),
+                                           service.keyed(), Milliseconds(service.warm_ms())};
+    }
+    for (const proto::Route &route : message.routes()) {
+        change.routes.push_back(fromProto(route));
+    }
+    for (const proto::RoutePlace &place : message.removed()) {
+        change.removed.push_back({place.host(), place.path_prefix()});
+    }
+    return change;
+}
+
+proto::Leaders toProto(const LeaderTable &table)
+{
+    proto::Leaders message;
+    message.set_revision(table.revision);
+    for (const auto &[service, leader] : table.leaders) {
+        proto::Leader *out = message.add_leaders();
+        out->set_service(service);
+        out->set_address(leader.endpoint.address);
+        out->set_port(leader.endpoint.port);
+        out->set_revision(leader.revision);
+    }
+    return message;
+}
+
+LeaderTable fromProto(const proto::Leaders &message)
+{
+    LeaderTable table;
+    table.revision = message.revision();
+    for (const proto::Leader &leader : message.leaders()) {
+        table.leaders[leader.service()] = {{leader.address(), static_cast<std::uint16_t>(leader.port())},
+                                           leader.revision()};
+    }
+    return table;
+}
+
 WorkEnd toWorkEnd(std::uint32_t number)
 {
     const auto last = static_cast<std::uint32_t>(WorkEnd::Abandoned);
--- a/src/snipevalve/dispatch_link/messages.hpp
+++ b/src/snipevalve/dispatch_link/messages.hpp
@@ -3,6 +3,8 @@
 
 #include "snipevalve/dispatch/work.hpp"
 #include "snipevalve/dispatch_link/generated/dispatch.pb.h"
+#include "snipevalve/gateway/config_change.hpp"
+#include "snipevalve/gateway/leader_table.hpp"
 #include "snipevalve/node/service_view.hpp"
 
 namespace snipevalve {
@@ -22,6 +24,11 @@
 proto::View toProto(const ServiceView &view);
 ServiceView fromProto(const proto::View &view);
 
+proto::ConfigChange toProto(const ConfigChange &change);
+ConfigChange fromProto(const proto::ConfigChange &message);
+proto::Leaders toProto(const LeaderTable &table);
+LeaderTable fromProto(const proto::Leaders &message);
+
 /// @brief The end of a send; Abandoned when the number is unknown.
 WorkEnd toWorkEnd(std::uint32_t number);
 
--- a/src/snipevalve/node/control/node_control.hpp
+++ b/src/snipevalve/node/control/node_control.hpp
@@ -12,6 +12,7 @@
 #include "snipevalve/gateway/server_directory.hpp"
 #include "snipevalve/node/control/service_leader.hpp"
 #include "snipevalve/node/control/store_follower.hpp"
+#include "snipevalve/node/relayed_news.hpp"
 #include "snipevalve/supervisor/supervisor.hpp"
 
 namespace snipevalve {
@@ -30,6 +31,7 @@
         std::function<void(std::shared_ptr<const GatewayConfig>)> config;
         std::function<void(std::map<std::string, Endpoint>)> leaders;
         std::function<void(ServiceView)> view;
+        std::function<void(std::uint64_t)> requestConfig; ///< asks a leader for what has changed since a version
         std::function<bool()> needsViews; ///< whether some service has no leader that can be asked
     };
 
@@ -86,13 +88,19 @@
         return m_config != nullptr;
     }
 
-    /// @brief A leader knows this version of the configuration.
-    void onConfigVersion(std::uint64_t version)
+    /// @brief A leader has told what stands in the store.
+    void onNews(const RelayedNews &news)
     {
-        const bool isNewer = m_config && version > m_config->version;
-        if (isNewer && !m_isReadingConfig) {
-            m_isReadingConfig = true;
-            asio::co_spawn(m_executor, readConfig(), asio::detached);
+        m_relayedAt = std::max(m_relayedAt, news.current);
+        if (news.leaders) {
+            applyLeaders(*news.leaders);
+        }
+        if (news.change) {
+            applyChangeOfConfig(*news.change);
+        }
+        const bool isNewer = news.configVersion > configVersion();
+        if (isNewer) {
+            catchUp();
         }
     }
 
@@ -131,13 +139,21 @@
     /// Entries of servers change each heartbeat; reading them more often brings nothing for the bound on leaving
     /// servers.
     static constexpr Milliseconds ServersPause{400};
+    /// A host that others do not depend on reads servers and plans only while some service has no leader, and then less
+    /// often: the last leader's view is half a second old at most, and leaving servers have 2 s.
+    static constexpr Milliseconds CalmServersPause{900};
+    /// Most services have a leader again sooner than this, since it resigned or the link only broke.
+    static constexpr Milliseconds ViewsDelay{300};
     /// Entries of servers lapse after three heartbeats; a shorter outage of the store removes none.
     static constexpr Milliseconds LapsingOutage{1'500};
     static constexpr Milliseconds StoreWait{2'000};
-    /// While all leaders can be asked, their heartbeats tell the configuration's version, and a lost link a new leader.
-    /// Each watch is a call that the platform counts.
-    static constexpr Milliseconds CalmConfigWait{10'000};
-    static constexpr Milliseconds CalmLeadersWait{8'000};
+    /// A leader confirms this often that it knows the newest configuration; other hosts rely on it.
+    static constexpr Milliseconds LeaderWait{900};
+    /// So long after a leader's last confirmation a host asks the store itself: `LeaderWait`, a heartbeat of 0.3 s and
+    /// the ways. Together with a read it stays within the 2 s that the operators allow.
+    static constexpr Milliseconds RelayTrust{1'400};
+    /// A leader that does not answer a wish for the configuration for so long is passed over for the store.
+    static constexpr Milliseconds RelayAnswerTime{250};
 
     static LeaseTimes leaseTimes(const NodeSettings &settings)
     {
@@ -151,11 +167,20 @@
         return LeadersPrefix + service;
     }
 
+    /// Whether leaders tell this host all that it would ask the store for.
+    bool isRelayed() const
+    {
+        return m_led.empty() && m_config != nullptr && Clock::now() - m_relayedAt < RelayTrust;
+    }
+
     FollowHandlers configHandlers()
     {
         FollowHandlers handlers;
+        handlers.isWanted = [this]() {
+            return !isRelayed();
+        };
         handlers.isCalm = [this]() {
-            return m_led.empty() && !m_outputs.needsViews();
+            return m_led.empty();
         };
         handlers.onList = [this](const StoredList &list) {
             for (const StoredValue &value : list.values) {
@@ -179,22 +204,65 @@
                           std::string(config.status().message()));
             return;
         }
-        const bool isNewer = !m_config || (*config)->version > m_config->version;
-        if (!isNewer) {
+        putInForce(*config, "store", value.revision);
+    }
+
+    std::uint64_t configVersion() const
+    {
+        return m_config ? m_config->version : 0;
+    }
+
+    /// @param revision the store's; 0 when a leader told the configuration
+    void putInForce(std::shared_ptr<const GatewayConfig> config, const char *source, std::uint64_t revision)
+    {
+        if (config->version <= configVersion()) {
             return;
         }
-        m_config = *config;
-        spdlog::info("config: event=in_force version={} revision={} services={}", m_config->version, value.revision,
-                     m_config->services.size());
-        m_desk.setConfigVersion(m_config->version);
+        m_config = std::move(config);
+        spdlog::info("config: event=in_force version={} source={} revision={} services={}", m_config->version, source,
+                     revision, m_config->services.size());
+        m_desk.setConfig(m_config);
         m_outputs.config(m_config);
     }
 
+    void applyChangeOfConfig(const ConfigChange &change)
+    {
+        auto config = applyChange(m_config.get(), change);
+        if (!config) {
+            spdlog::info("config: event=change_not_used base={} version={} known={}", change.base, change.version,
+                         configVersion());
+            return;
+        }
+        putInForce(std::move(config), "leader", 0);
+    }
+
+    /// A leader knows a newer version. It is asked first, then the store.
+    void catchUp()
+    {
+        const TimePoint now = Clock::now();
+        const bool isAskedAlready = m_askedBase == configVersion();
+        if (!isAskedAlready) {
+            m_askedBase = configVersion();
+            m_askedAt = now;
+            m_outputs.requestConfig(configVersion());
+        } else if (now - m_askedAt >= RelayAnswerTime && !m_isReadingConfig && m_reach.mayCall(now)) {
+            m_isReadingConfig = true;
+            asio::co_spawn(m_executor, readConfig(), asio::detached);
+        }
+    }
+
     Awaitable<void> readConfig()
     {
         const auto value = co_await m_store.read(Platform::configKey());
         m_isReadingConfig = false;
-        if (value.ok() && value->revision != 0) {
+        m_askedBase.reset();
+        if (!value.ok()) {
+            m_reach.onFailure(Clock::now());
+            spdlog::warn("config: event=not_read reason=\"{}\"", std::string(value.status().message()));
+            co_return;
+        }
+        m_reach.onAnswer();
+        if (value->revision != 0) {
             applyConfig(*value);
         }
     }
@@ -202,21 +270,25 @@
     FollowHandlers leaderHandlers()
     {
         FollowHandlers handlers;
+        handlers.isWanted = [this]() {
+            return !isRelayed();
+        };
         handlers.isCalm = [this]() {
-            return !m_outputs.needsViews();
+            return m_led.empty();
         };
         handlers.onList = [this](const StoredList &list) {
-            m_leaders.clear();
+            m_leaders.leaders.clear();
             for (const StoredValue &value : list.values) {
                 applyLeader(value);
             }
             m_leadersKnown = true;
+            m_leaders.revision = std::max(m_leaders.revision, list.revision);
             announceLeaders();
         };
         handlers.onEvent = [this](const StoreEvent &event) {
             if (event.removed) {
                 const std::string service = event.value.key.substr(std::string(LeadersPrefix).size());
-                m_leaders.erase(service);
+                m_leaders.leaders.erase(service);
                 spdlog::info("lead: event=leader_gone service={} revision={}", service, event.value.revision);
                 const auto owned = m_ownedRevisions.find(service);
                 if (owned != m_ownedRevisions.end() && event.value.revision > owned->second) {
@@ -225,11 +297,31 @@
             } else {
                 applyLeader(event.value);
             }
+            m_leaders.revision = std::max(m_leaders.revision, event.value.revision);
             announceLeaders();
         };
         return handlers;
     }
 
+    /// What a leader says of all leaders; older news than this host's own are ignored.
+    void applyLeaders(const LeaderTable &table)
+    {
+        const bool isUsed = m_led.empty() && table.revision > m_leaders.revision;
+        if (!isUsed) {
+            return;
+        }
+        for (const auto &[service, leader] : table.leaders) {
+            const auto known = m_leaders.leaders.find(service);
+            if (known == m_leaders.leaders.end() || !(known->second == leader)) {
+                spdlog::info("lead: event=leader service={} address={} revision={} source=leader", service,
+                             toString(leader.endpoint), leader.revision);
+            }
+        }
+        m_leaders = table;
+        m_leadersKnown = true;
+        announceLeaders();
+    }
+
     void applyLeader(const StoredValue &value)
     {
         const std::string service = value.key.substr(std::string(LeadersPrefix).size());
@@ -239,7 +331,7 @@
             spdlog::error("lead: event=unreadable service={} revision={}", service, value.revision);
             return;
         }
-        m_leaders[service] = *endpoint;
+        m_leaders.leaders[service] = {*endpoint, value.revision};
         spdlog::info("lead: event=leader service={} host={} revision={}", service, json.value("host", std::string()),
                      value.revision);
         const auto owned = m_ownedRevisions.find(service);
@@ -251,17 +343,35 @@
 
     void announceLeaders()
     {
-        m_outputs.leaders(m_leaders);
+        m_desk.setLeaders(m_leaders);
+        std::map<std::string, Endpoint> endpoints;
+        for (const auto &[service, leader] : m_leaders.leaders) {
+            endpoints[service] = leader.endpoint;
+        }
+        m_outputs.leaders(std::move(endpoints));
+    }
+
+    /// Whether servers and plans have to be read from the store, since some service has had no leader for a moment.
+    bool needsViews()
+    {
+        const TimePoint now = Clock::now();
+        if (!m_outputs.needsViews()) {
+            m_ledAt = now;
+        }
+        return now - m_ledAt >= ViewsDelay;
     }
 
     FollowHandlers serverHandlers()
     {
         FollowHandlers handlers;
         handlers.isWanted = [this]() {
-            const bool isWanted = !m_led.empty() || m_outputs.needsViews();
+            const bool isWanted = !m_led.empty() || needsViews();
             m_serversKnown = m_serversKnown && isWanted;
             return isWanted;
         };
+        handlers.isCalm = [this]() {
+            return m_led.empty();
+        };
         handlers.onReturn = [this](Duration outage) {
             if (outage >= LapsingOutage) {
                 m_directory.onStoreBack(Clock::now());
@@ -312,7 +422,10 @@
     {
         FollowHandlers handlers;
         handlers.isWanted = [this]() {
-            return m_outputs.needsViews();
+            return needsViews();
+        };
+        handlers.isCalm = [this]() {
+            return m_led.empty();
         };
         handlers.onList = [this](const StoredList &list) {
             for (const StoredValue &value : list.values) {
@@ -353,7 +466,7 @@
             }
             timer.expires_after(electionDelay());
             co_await timer.async_wait(awaitInto(ignored));
-            if (isFree(service)) {
+            if (isFree(service) && m_reach.mayCall(Clock::now())) {
                 co_await takeOver(service);
             }
         }
@@ -370,7 +483,7 @@
 
     bool isFree(const std::string &service) const
     {
-        return m_leadersKnown && !m_resigned && !m_leaders.contains(service) && !m_led.contains(service);
+        return m_leadersKnown && !m_resigned && !m_leaders.leaders.contains(service) && !m_led.contains(service);
     }
 
     std::string freeService() const
@@ -390,8 +503,10 @@
     {
         const std::uint64_t lease = co_await m_lease.open();
         if (lease == 0) {
+            m_reach.onFailure(Clock::now());
             co_return;
         }
+        m_reach.onAnswer();
         nlohmann::json json{{"host", m_settings.host},
                             {"address", toString(m_settings.control)},
                             {"nonce", std::to_string(m_random())}};
@@ -408,7 +523,7 @@
             co_return;
         }
         m_ownedRevisions[service] = result->current.revision;
-        m_leaders[service] = m_settings.control;
+        m_leaders.leaders[service] = {m_settings.control, result->current.revision};
         spdlog::info("lead: event=taken_over service={} revision={} lease={}", service, result->current.revision,
                      lease);
         const auto leader = std::make_shared<ServiceLeader<Platform>>(
@@ -460,9 +575,10 @@
         for (const std::string &service : lost) {
             stopLeading(service, "superseded");
         }
-        if (serversChanged && m_serversKnown && m_config && m_outputs.needsViews()) {
+        if (serversChanged && m_serversKnown && m_config && needsViews()) {
             publishViews();
         }
+        m_desk.setCurrent(std::min(m_configFollower.currentAt(), m_leaderFollower.currentAt()));
         m_desk.advance();
     }
 
@@ -487,15 +603,25 @@
     DispatchDesk m_desk;
     LeaseHolder<Store> m_lease;
     Tcp::acceptor m_acceptor;
+    StoreReach m_reach;
     StoreFollower<Store> m_configFollower{
-        m_store, {Platform::configKey(), StoreWait, CalmConfigWait, {}}, configHandlers()};
-    StoreFollower<Store> m_leaderFollower{m_store, {LeadersPrefix, StoreWait, CalmLeadersWait, {}}, leaderHandlers()};
+        m_store, m_reach, {Platform::configKey(), LeaderWait, StoreWait, {}, {}}, configHandlers()};
+    StoreFollower<Store> m_leaderFollower{
+        m_store, m_reach, {LeadersPrefix, LeaderWait, StoreWait, {}, {}}, leaderHandlers()};
     StoreFollower<Store> m_serverFollower{
-        m_store, {Platform::serversPrefix(), StoreWait, StoreWait, ServersPause}, serverHandlers()};
-    StoreFollower<Store> m_planFollower{m_store, {PlansPrefix, StoreWait, StoreWait, ServersPause}, planHandlers()};
+        m_store,
+        m_reach,
+        {Platform::serversPrefix(), StoreWait, StoreWait, ServersPause, CalmServersPause},
+        serverHandlers()};
+    StoreFollower<Store> m_planFollower{
+        m_store, m_reach, {PlansPrefix, StoreWait, StoreWait, ServersPause, CalmServersPause}, planHandlers()};
     std::shared_ptr<const GatewayConfig> m_config;
     bool m_isReadingConfig = false;
-    std::map<std::string, Endpoint> m_leaders; ///< by service
+    std::optional<std::uint64_t> m_askedBase; ///< the version from which a leader was last asked to go on
+    TimePoint m_askedAt;
+    TimePoint m_relayedAt; ///< a leader knew the newest configuration and leaders at this time
+    TimePoint m_ledAt; ///< when each service last had a leader that could be asked
+    LeaderTable m_leaders;
     bool m_leadersKnown = false;
     std::map<std::string, std::uint64_t> m_ownedRevisions; ///< of the leader keys that this host has written
     std::map<std::string, std::shared_ptr<ServiceLeader<Platform>>> m_led;
--- a/src/snipevalve/node/control/node_process.hpp
+++ b/src/snipevalve/node/control/node_process.hpp
@@ -41,9 +41,9 @@
                 return answerReadiness(request);
             });
         });
-        m_traffic.onConfigVersion([this](std::uint64_t version) {
-            asio::post(m_context, [this, version]() {
-                m_control.onConfigVersion(version);
+        m_traffic.onNews([this](RelayedNews news) {
+            asio::post(m_context, [this, news = std::move(news)]() {
+                m_control.onNews(news);
             });
         });
         waitForReload();
@@ -79,6 +79,9 @@
         outputs.view = [this](ServiceView view) {
             m_traffic.setStoreView(std::move(view));
         };
+        outputs.requestConfig = [this](std::uint64_t base) {
+            m_traffic.requestConfig(base);
+        };
         outputs.needsViews = [this]() {
             return m_traffic.needsStoreViews();
         };
--- a/src/snipevalve/node/control/store_follower.hpp
+++ b/src/snipevalve/node/control/store_follower.hpp
@@ -6,6 +6,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include "snipevalve/node/control/store_reach.hpp"
 #include "snipevalve/store/config_store.hpp"
 
 namespace snipevalve {
@@ -15,8 +16,9 @@
 {
     std::string prefix;
     Milliseconds wait{2'000}; ///< of one watch; a silent connection is noticed after it
-    Milliseconds calmWait{2'000}; ///< of one watch while the news would also come another way
+    Milliseconds calmWait{2'000}; ///< of one watch while nobody depends on this host's view
     Milliseconds pause{0}; ///< after each watch that brought news; bounds the calls for what changes all the time
+    Milliseconds calmPause{0}; ///< the same while nobody depends on this host's view
 };
 
 /// @brief What is done with the news. All are called on the control thread.
@@ -26,7 +28,7 @@
     std::function<void(const StoreEvent &)> onEvent;
     std::function<void(Duration)> onReturn; ///< the store answers again after an outage of this length
     std::function<bool()> isWanted; ///< false pauses the following; empty: always
-    std::function<bool()> isCalm; ///< whether the news would also come another way; empty: never
+    std::function<bool()> isCalm; ///< whether nobody else depends on this host's view; empty: never
 };
 
 /// @brief Follows the values below a prefix of the store for good: reads all once, then watches.
@@ -37,8 +39,9 @@
 class StoreFollower
 {
 public:
-    StoreFollower(Store &store, FollowOptions options, FollowHandlers handlers)
+    StoreFollower(Store &store, StoreReach &reach, FollowOptions options, FollowHandlers handlers)
         : m_store(store)
+        , m_reach(reach)
         , m_options(std::move(options))
         , m_handlers(std::move(handlers))
     {
@@ -53,24 +56,43 @@
                 co_await sleep(timer, UnwantedPause);
                 continue;
             }
+            if (!m_reach.mayCall(Clock::now())) {
+                co_await sleep(timer, UnwantedPause);
+                continue;
+            }
             absl::Status status;
             if (m_isListed) {
                 status = co_await watchOnce();
             } else {
                 status = co_await listOnce();
             }
-            if (!status.ok()) {
-                co_await sleep(timer, RetryDelay);
-            } else if (m_options.pause > Milliseconds::zero()) {
-                co_await sleep(timer, m_options.pause);
+            const Milliseconds pause = isCalm() ? m_options.calmPause : m_options.pause;
+            if (status.ok() && pause > Milliseconds::zero()) {
+                co_await sleep(timer, pause);
             }
         }
     }
 
+    /// @brief When all that stood in the store was last known here; long ago before the first answer.
+    TimePoint currentAt() const
+    {
+        return m_isListed ? m_currentAt : TimePoint();
+    }
+
+    /// @brief The store's revision up to which everything is known.
+    std::uint64_t revision() const
+    {
+        return m_revision;
+    }
+
 private:
-    static constexpr Milliseconds RetryDelay{150}; ///< between calls to a store that does not answer
     static constexpr Milliseconds UnwantedPause{50};
 
+    bool isCalm() const
+    {
+        return m_handlers.isCalm && m_handlers.isCalm();
+    }
+
     static Awaitable<void> sleep(asio::steady_timer &timer, Milliseconds time)
     {
         ErrorCode ignored;
@@ -96,12 +118,12 @@
 
     Awaitable<absl::Status> watchOnce()
     {
-        const bool isCalm = m_handlers.isCalm && m_handlers.isCalm();
-        const Milliseconds wait = isCalm ? m_options.calmWait : m_options.wait;
+        const Milliseconds wait = isCalm() ? m_options.calmWait : m_options.wait;
         auto events = co_await m_store.watch(m_options.prefix, m_revision, wait);
         if (absl::IsOutOfRange(events.status())) {
             spdlog::info("store: event=history_gone prefix={} revision={}", m_options.prefix, m_revision);
             m_isListed = false;
+            m_reach.onAnswer();
             co_return absl::OkStatus();
         }
         noteReach(events.status());
@@ -118,6 +140,7 @@
     {
         const TimePoint now = Clock::now();
         if (!status.ok()) {
+            m_reach.onFailure(now);
             if (!m_lostAt) {
                 m_lostAt = now;
                 spdlog::warn("store: event=lost prefix={} revision={} reason=\"{}\"", m_options.prefix, m_revision,
@@ -125,6 +148,8 @@
             }
             return;
         }
+        m_reach.onAnswer();
+        m_currentAt = now;
         if (m_lostAt) {
             const Duration outage = now - *m_lostAt;
             spdlog::info("store: event=regained prefix={} revision={} outage_ms={}", m_options.prefix, m_revision,
@@ -137,10 +162,12 @@
     }
 
     Store &m_store;
+    StoreReach &m_reach;
     FollowOptions m_options;
     FollowHandlers m_handlers;
     std::uint64_t m_revision = 0;
     bool m_isListed = false;
+    TimePoint m_currentAt;
     std::optional<TimePoint> m_lostAt;
 };
 
--- a/src/snipevalve/node/dispatch_desk.cpp
+++ b/src/snipevalve/node/dispatch_desk.cpp
@@ -15,6 +15,9 @@
 /// decide by themselves.
 constexpr double LeaderSlackShare = 0.6;
 
+/// Versions kept to tell hosts what has changed; a host that is further behind gets a whole configuration.
+constexpr std::size_t KeptConfigs = 8;
+
 Ticket ticketOf(const DispatchDecision &decision)
 {
     return std::visit(
@@ -73,6 +76,9 @@
         host->zone = frame.zone();
         spdlog::info("link: event=host_joined host={} hosts={}", host->name, m_hosts.size());
     }
+    if (frame.has_config_base()) {
+        addConfigChange(*host, frame.config_base());
+    }
     for (const proto::Done &done : frame.dones()) {
         onDone(host, done, now);
     }
@@ -178,11 +184,16 @@
     const TimePoint now = Clock::now();
     for (const std::shared_ptr<Host> &host : m_hosts) {
         const proto::LeaderFrame &pending = host->pending;
-        const bool hasNews = pending.permits_size() + pending.refusals_size() + pending.views_size() > 0;
+        const bool isRelayDue = addRelayed(*host);
+        const bool hasNews = isRelayDue || pending.has_config()
+            || pending.permits_size() + pending.refusals_size() + pending.views_size() > 0;
         if (!hasNews && now - host->sentAt < HeartbeatInterval) {
             continue;
         }
-        host->pending.set_config_version(m_configVersion);
+        if (m_current != TimePoint()) {
+            const auto age = std::chrono::duration_cast<Milliseconds>(now - m_current);
+            host->pending.set_store_age_ms(static_cast<std::uint32_t>(age.count()));
+        }
         host->pending.set_hosts(static_cast<std::uint32_t>(m_hosts.size()));
         host->channel->send(host->pending);
         host->pending.Clear();
@@ -253,9 +264,55 @@
     }
 }
 
-void DispatchDesk::setConfigVersion(std::uint64_t version)
+void DispatchDesk::setConfig(std::shared_ptr<const GatewayConfig> config)
+{
+    m_configs.push_back(std::move(config));
+    if (m_configs.size() > KeptConfigs) {
+        m_configs.pop_front();
+    }
+    flush();
+}
+
+void DispatchDesk::setLeaders(LeaderTable leaders)
+{
+    m_leaders = std::move(leaders);
+    flush();
+}
+
+void DispatchDesk::setCurrent(TimePoint current)
+{
+    m_current = current;
+}
+
+std::uint64_t DispatchDesk::configVersion() const
+{
+    return m_configs.empty() ? 0 : m_configs.back()->version;
+}
+
+void DispatchDesk::addConfigChange(Host &host, std::uint64_t base) const
+{
+    if (m_configs.empty() || base >= configVersion()) {
+        return;
+    }
+    const auto known = std::find_if(m_configs.begin(), m_configs.end(), [base](const auto &config) {
+        return config->version == base;
+    });
+    const GatewayConfig *from = known == m_configs.end() ? nullptr : known->get();
+    *host.pending.mutable_config() = toProto(changeBetween(from, *m_configs.back()));
+}
+
+/// @return whether the host has to be told now
+bool DispatchDesk::addRelayed(Host &host) const
 {
-    m_configVersion = version;
+    host.pending.set_config_version(configVersion());
+    const bool isConfigNew = host.configVersion != configVersion();
+    host.configVersion = configVersion();
+    const bool areLeadersNew = host.leadersRevision != m_leaders.revision;
+    if (areLeadersNew) {
+        *host.pending.mutable_leaders() = toProto(m_leaders);
+        host.leadersRevision = m_leaders.revision;
+    }
+    return isConfigNew || areLeadersNew;
 }
 
 void DispatchDesk::sendViews(TimePoint now)
--- a/src/snipevalve/node/dispatch_desk.hpp
+++ b/src/snipevalve/node/dispatch_desk.hpp
@@ -1,6 +1,7 @@
 #ifndef SNIPEVALVE_NODE_DISPATCH_DESK_HPP
 #define SNIPEVALVE_NODE_DISPATCH_DESK_HPP
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -38,7 +39,14 @@
     /// @brief Keys of a led service that nobody can hold for a while.
     void setDarkKeys(const std::string &service, std::vector<DarkRange> ranges);
 
-    void setConfigVersion(std::uint64_t version);
+    /// @brief The newest configuration; hosts are told its version at once and ask for what has changed.
+    void setConfig(std::shared_ptr<const GatewayConfig> config);
+
+    /// @brief Who leads what, for the hosts.
+    void setLeaders(LeaderTable leaders);
+
+    /// @brief At this time configuration and leaders were the newest ones of the store.
+    void setCurrent(TimePoint current);
 
     /// @brief Moves time on: late rejections, heartbeats, views that hosts have not seen. To be called every 20 ms or
     /// so.
@@ -55,6 +63,8 @@
         std::string zone;
         proto::LeaderFrame pending; ///< decisions that have not been sent yet
         TimePoint sentAt;
+        std::uint64_t configVersion = 0; ///< the last that it was told
+        std::uint64_t leadersRevision = 0; ///< the last that it was told
         std::map<Ticket, Ticket> tickets; ///< the host's ticket to ours
     };
 
@@ -81,6 +91,9 @@
     void collect(Led &led);
     void flush();
     void sendViews(TimePoint now);
+    void addConfigChange(Host &host, std::uint64_t base) const;
+    bool addRelayed(Host &host) const;
+    std::uint64_t configVersion() const;
 
     asio::any_io_executor m_executor;
     const NodeSettings &m_settings;
@@ -89,7 +102,9 @@
     std::map<std::string, Led> m_led;
     std::map<Ticket, Origin> m_origins;
     Ticket m_lastTicket = 0;
-    std::uint64_t m_configVersion = 0;
+    std::deque<std::shared_ptr<const GatewayConfig>> m_configs; ///< the latest versions, the newest last
+    LeaderTable m_leaders;
+    TimePoint m_current;
 };
 
 } // namespace snipevalve
--- a/src/snipevalve/node/gateway_thread.cpp
+++ b/src/snipevalve/node/gateway_thread.cpp
@@ -88,10 +88,17 @@
     });
 }
 
-void GatewayThread::onConfigVersion(std::function<void(std::uint64_t)> handler)
+void GatewayThread::onNews(std::function<void(RelayedNews)> handler)
 {
     asio::post(m_context, [this, handler = std::move(handler)]() {
-        m_traffic.placements.onConfigVersion = handler;
+        m_traffic.placements.onNews = handler;
+    });
+}
+
+void GatewayThread::requestConfig(std::uint64_t base)
+{
+    asio::post(m_context, [this, base]() {
+        m_traffic.placements.requestConfig(base);
     });
 }
 
--- a/src/snipevalve/node/gateway_thread.hpp
+++ b/src/snipevalve/node/gateway_thread.hpp
@@ -24,7 +24,8 @@
     void setConfig(std::shared_ptr<const GatewayConfig> config);
     void setLeaders(std::map<std::string, Endpoint> leaders);
     void setStoreView(ServiceView view);
-    void onConfigVersion(std::function<void(std::uint64_t)> handler);
+    void onNews(std::function<void(RelayedNews)> handler);
+    void requestConfig(std::uint64_t base);
     bool needsStoreViews() const;
 
     /// @brief Answers from now on end their connections.
--- a/src/snipevalve/node/placements.cpp
+++ b/src/snipevalve/node/placements.cpp
@@ -192,8 +192,8 @@
         handlers.onOpen = [this](LeaderLink &link) {
             onLinkOpen(link);
         };
-        handlers.onFrame = [this](LeaderLink &, const proto::LeaderFrame &frame) {
-            onFrame(frame);
+        handlers.onFrame = [this](LeaderLink &link, const proto::LeaderFrame &frame) {
+            onFrame(link, frame);
         };
         handlers.onLost = [this](LeaderLink &link) {
             onLinkLost(link);
@@ -243,7 +243,44 @@
     }
 }
 
-void Placements::onFrame(const proto::LeaderFrame &frame)
+/// News go to another thread, so those that only confirm what is known are passed on now and then.
+void Placements::passNews(LeaderLink &link, const proto::LeaderFrame &frame)
+{
+    constexpr Milliseconds ConfirmInterval(200);
+    RelayedNews news;
+    news.configVersion = frame.config_version();
+    if (frame.has_store_age_ms()) {
+        news.current = Clock::now() - Milliseconds(frame.store_age_ms());
+    }
+    if (frame.has_leaders()) {
+        news.leaders = fromProto(frame.leaders());
+    }
+    if (frame.has_config()) {
+        news.change = fromProto(frame.config());
+    }
+    if (news.configVersion >= m_passed.configVersion) {
+        m_newest = link.weak_from_this();
+    }
+    const bool isNew = news.leaders || news.change || news.configVersion > m_passed.configVersion
+        || news.current - m_passed.current >= ConfirmInterval;
+    if (!isNew || !onNews) {
+        return;
+    }
+    m_passed.configVersion = std::max(m_passed.configVersion, news.configVersion);
+    m_passed.current = std::max(m_passed.current, news.current);
+    onNews(std::move(news));
+}
+
+void Placements::requestConfig(std::uint64_t base)
+{
+    if (const auto link = m_newest.lock()) {
+        proto::HostFrame frame;
+        frame.set_config_base(base);
+        link->send(frame);
+    }
+}
+
+void Placements::onFrame(LeaderLink &link, const proto::LeaderFrame &frame)
 {
     m_hosts = std::max<std::uint32_t>(1, frame.hosts());
     for (const proto::View &view : frame.views()) {
@@ -267,9 +304,7 @@
             position->second.link.reset();
         }
     }
-    if (onConfigVersion && frame.config_version() > 0) {
-        onConfigVersion(frame.config_version());
-    }
+    passNews(link, frame);
 }
 
 void Placements::setView(const ServiceView &view)
--- a/src/snipevalve/node/placements.hpp
+++ b/src/snipevalve/node/placements.hpp
@@ -9,6 +9,7 @@
 
 #include "snipevalve/dispatch/dispatcher.hpp"
 #include "snipevalve/node/leader_link.hpp"
+#include "snipevalve/node/relayed_news.hpp"
 
 namespace snipevalve {
 
@@ -44,8 +45,11 @@
     /// @brief Whether some service has no leader that can be asked. May be called on any thread.
     bool needsStoreViews() const;
 
-    /// @brief Called with the newest version of the configuration that a leader knows.
-    std::function<void(std::uint64_t)> onConfigVersion;
+    /// @brief Asks a leader for what has changed in the configuration since this version; 0: for all of it.
+    void requestConfig(std::uint64_t base);
+
+    /// @brief Called with what a leader tells of the store.
+    std::function<void(RelayedNews)> onNews;
 
 private:
     /// One send of one request, from the wish for a server to the end of the send.
@@ -66,7 +70,8 @@
     void deliverLocal(Dispatcher &dispatcher);
     void onLinkOpen(LeaderLink &link);
     void onLinkLost(LeaderLink &link);
-    void onFrame(const proto::LeaderFrame &frame);
+    void onFrame(LeaderLink &link, const proto::LeaderFrame &frame);
+    void passNews(LeaderLink &link, const proto::LeaderFrame &frame);
     void setView(const ServiceView &view);
     void report(const Send &send, Ticket ticket, WorkEnd end, Duration took);
 
@@ -81,6 +86,8 @@
     std::map<Endpoint, std::shared_ptr<LeaderLink>> m_links;
     std::set<std::string> m_services; ///< all that a request or a view has named
     std::atomic<bool> m_needsStoreViews = true;
+    RelayedNews m_passed; ///< the newest of what has been passed on
+    std::weak_ptr<LeaderLink> m_newest; ///< to the leader that told of the newest configuration
 };
 
 } // namespace snipevalve
