A fault soak with real nodes as processes

The platform's stand-in grew for it: slots and queue, releases that wait for work, late orders, a store that is slow, loses answers, forgets its history; node settings in one place. Weighed: a proxy between nodes too (settings give no way to advertise another control address; SIGSTOP silences them instead).

--- a/tests/process/node_test.cpp
+++ b/tests/process/node_test.cpp
@@ -1,9 +1,9 @@
 #include <catch2/catch.hpp>
 
 #include <filesystem>
-#include <fstream>
 #include <set>
 
+#include "standins/node_settings_file.hpp"
 #include "standins/platform_standin.hpp"
 #include "standins/process.hpp"
 
@@ -33,36 +33,17 @@
         , platform(network)
     {
         std::filesystem::create_directories(m_folder);
-        platform.putConfig(config(2));
+        platform.putConfig(smallConfig(2));
         for (int at = 0; at < nodes; ++at) {
             startNode(at);
         }
     }
 
-    static std::string config(int version)
-    {
-        return R"({"version":"r)" + std::to_string(version) + R"(","resources":[
-            {"type":"routes","metadata":{"name":"lookup"},"spec":{"host":"h.example","prefix":"/k/","kind":"safe",
-             "timeout_ms":3000,"target_latency_ms":500,"priority":2,"service":"ledger","max_attempts":2}},
-            {"type":"routes","metadata":{"name":"debit"},"spec":{"host":"h.example","prefix":"/p/","kind":"unsafe",
-             "timeout_ms":3000,"target_latency_ms":500,"priority":1,"service":"debits","max_attempts":2}},
-            {"type":"services","metadata":{"name":"ledger"},"spec":{"health_path":"/health","sharded":true}},
-            {"type":"services","metadata":{"name":"debits"},"spec":{"health_path":"/health"}},
-            {"type":"limits","metadata":{},"spec":{}}]})";
-    }
-
     void startNode(int at)
     {
         const std::string address = addressOf(at);
         const std::string path = m_folder + "/node-" + std::to_string(at) + ".toml";
-        std::ofstream file(path);
-        file << "node = \"node-" << at << "\"\nip = \"" << address
-             << "\"\nzone = \"z\"\nseeds = []\nheartbeat_ms = 200\n"
-             << "bounds = [\"grace_s=6\",\"retry_budget_slack=60\",\"hold_max_ms=10000\"]\n[listen]\nfront = \""
-             << address << ":8641\"\nready = \"" << address << ":8640\"\ncontrol = \"" << address << ":8649\"\n"
-             << "[limits]\ncpu_share = 1.0\ncores = 1\nmemory_mb = 260\nmax_fds = 1000\n[platform]\naddress = \""
-             << toString(platform.storeEndpoint()) << "\"\nttl_min_ms = 1000\n";
-        file.close();
+        writeNodeSettings(path, "node-" + std::to_string(at), address, platform.storeEndpoint());
         const std::string program = std::string(BINARY_FOLDER) + "/snipevalve-node";
         Process process(program, {"--settings=" + path}, m_folder + "/node-" + std::to_string(at) + ".log");
         m_nodes.insert_or_assign(at, std::move(process));
@@ -86,7 +67,7 @@
         asio::io_context context;
         beast::tcp_stream stream(context);
         ErrorCode error;
-        stream.socket().connect(toTcp({addressOf(at), 8641}), error);
+        stream.socket().connect(toTcp({addressOf(at), NodeCallersPort}), error);
         if (error) {
             return answer;
         }
@@ -253,7 +234,7 @@
             return deployment.ask(0, "POST", "/p/x").status == 200 && deployment.ask(1, "POST", "/p/x").status == 200;
         },
         StartTimeout));
-    std::string next = NodeDeployment::config(7);
+    std::string next = smallConfig(7);
     next.replace(next.find("/p/"), 3, "/q/");
     deployment.platform.putConfig(next);
     constexpr Milliseconds ConfigBound(2'000);
@@ -264,10 +245,10 @@
             },
             ConfigBound));
     }
-    deployment.platform.putConfig(NodeDeployment::config(6)); // an older version: nobody goes back
+    deployment.platform.putConfig(smallConfig(6)); // an older version: nobody goes back
     std::this_thread::sleep_for(ConfigBound);
     CHECK(deployment.ask(0, "POST", "/p/x").status == 404);
-    deployment.platform.setStoreAway(true);
+    deployment.platform.setStoreFault(StoreFault::Away);
     std::this_thread::sleep_for(Milliseconds(3'000));
     CHECK(deployment.ask(0, "POST", "/q/x").status == 200);
     CHECK(deployment.ask(1, "POST", "/q/x").status == 200);
--- /dev/null
+++ b/tests/soak/schedule.cpp
@@ -0,0 +1,114 @@
+#include "soak/schedule.hpp"
+
+#include <algorithm>
+#include <array>
+#include <sstream>
+
+namespace snipevalve::soak {
+
+namespace {
+
+constexpr std::array<std::string_view, static_cast<std::size_t>(FaultKind::LastKind) + 1> Names = {
+    "kill node",      "stop node",           "freeze node",    "reload node",   "delay store",
+    "reset store",    "cut store there",     "cut store back", "silence store", "store away",
+    "store slow",     "store loses answers", "store forgets",  "delay server",  "reset server",
+    "silence server", "crash server",        "drain server",   "late grants",   "server answers wrong",
+    "change config"};
+
+/// SplitMix64 (Steele, Lea, Flood, 2014): the standard library's distributions differ between implementations.
+class Draw
+{
+public:
+    explicit Draw(std::uint64_t seed)
+        : m_state(seed)
+    {
+    }
+
+    std::uint64_t below(std::uint64_t end)
+    {
+        m_state += 0x9E3779B97F4A7C15ULL;
+        std::uint64_t value = m_state;
+        value = (value ^ (value >> 30)) * 0xBF58476D1CE4E5B9ULL;
+        value = (value ^ (value >> 27)) * 0x94D049BB133111EBULL;
+        return (value ^ (value >> 31)) % end;
+    }
+
+private:
+    std::uint64_t m_state;
+};
+
+/// Each seed uses a part of all kinds (swarm testing, Groce et al., 2012): with all of them at once no node would ever
+/// be left alone for long enough for its bounds to hold. Changes of the configuration are always among them.
+std::vector<FaultKind> drawKinds(Draw &draw)
+{
+    constexpr std::uint64_t OneIn = 3;
+    std::vector<FaultKind> kinds = {FaultKind::ChangeConfig};
+    for (std::size_t kind = 0; kind < Names.size(); ++kind) {
+        if (draw.below(OneIn) == 0) {
+            kinds.push_back(static_cast<FaultKind>(kind));
+        }
+    }
+    return kinds;
+}
+
+} // namespace
+
+std::string_view describe(FaultKind kind)
+{
+    return Names.at(static_cast<std::size_t>(kind));
+}
+
+bool isPlanned(FaultKind kind)
+{
+    return kind == FaultKind::StopNode || kind == FaultKind::ReloadNode || kind == FaultKind::ChangeConfig
+        || kind == FaultKind::DrainServer;
+}
+
+std::vector<Fault> makeSchedule(std::uint64_t seed, Milliseconds length)
+{
+    constexpr std::uint64_t MeanGapMs = 1'200;
+    constexpr std::uint64_t LongestMs = 5'000;
+    constexpr std::uint64_t ShortestMs = 200;
+    constexpr std::uint64_t Targets = 1'000;
+    Draw draw(seed);
+    const std::vector<FaultKind> kinds = drawKinds(draw);
+    std::vector<Fault> faults;
+    Milliseconds at(0);
+    while (true) {
+        at += Milliseconds(draw.below(2 * MeanGapMs));
+        if (at >= length) {
+            return faults;
+        }
+        Fault fault;
+        fault.kind = kinds[draw.below(kinds.size())];
+        fault.at = at;
+        fault.duration = Milliseconds(ShortestMs + draw.below(LongestMs - ShortestMs));
+        fault.target = static_cast<unsigned>(draw.below(Targets));
+        faults.push_back(fault);
+        // One fault in four comes as a series on neighbouring targets, whose parts overlap.
+        constexpr std::uint64_t SeriesOneIn = 4;
+        constexpr unsigned SeriesLength = 3;
+        constexpr Milliseconds SeriesGap(400);
+        if (draw.below(SeriesOneIn) != 0) {
+            continue;
+        }
+        for (unsigned part = 1; part < SeriesLength && at + part * SeriesGap < length; ++part) {
+            Fault next = fault;
+            next.at = at + part * SeriesGap;
+            next.target = fault.target + part;
+            faults.push_back(next);
+        }
+    }
+}
+
+std::string describe(const std::vector<Fault> &schedule)
+{
+    std::ostringstream text;
+    for (const Fault &fault : schedule) {
+        text << "  " << fault.at.count() << " ms: " << describe(fault.kind) << " " << fault.target << " for "
+             << fault.duration.count() << " ms\n";
+    }
+    return text.str();
+}
+
+} // namespace snipevalve::soak
--- /dev/null
+++ b/tests/standins/node_settings_file.hpp
@@ -0,0 +1,23 @@
+#ifndef SNIPEVALVE_STANDINS_NODE_SETTINGS_FILE_HPP
+#define SNIPEVALVE_STANDINS_NODE_SETTINGS_FILE_HPP
+
+#include <cstdint>
+#include <string>
+
+#include "snipevalve/net/endpoint.hpp"
+
+namespace snipevalve::standins {
+
+constexpr std::uint16_t NodeCallersPort = 8641;
+
+/// @brief Writes a node's settings as the platform would.
+void writeNodeSettings(const std::string &path, const std::string &node, const std::string &address,
+                       const Endpoint &store);
+
+/// @brief The operators' configuration of the tests: a keyed service `ledger` below /k/ and a pool `debits` below /p/.
+/// @param routes further routes to `debits`, below /v1/ to /vN/
+std::string smallConfig(std::uint64_t version, std::uint64_t routes = 0);
+
+} // namespace snipevalve::standins
+
+#endif // SNIPEVALVE_STANDINS_NODE_SETTINGS_FILE_HPP
--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -13,6 +13,11 @@
 /// Keys are looked at in this distance; the tests use multiples of it.
 constexpr std::uint32_t ProbeWidth = 64;
 constexpr std::uint32_t Keys = 65536;
+constexpr std::chrono::seconds HistoryTime(20);
+constexpr Milliseconds SlowAnswer(240);
+constexpr unsigned Slots = 2;
+constexpr unsigned QueueLength = 8;
+constexpr std::uint64_t LoseOneWriteIn = 3;
 
 std::string addressOf(std::uint8_t network, int host)
 {
@@ -66,8 +71,17 @@
     put("op/config", absl::Base64Escape(text), 0);
 }
 
-void PlatformStandin::addServer(const std::string &id, const std::string &service, bool keyed, Milliseconds work)
+Endpoint PlatformStandin::nextServerEndpoint() const
 {
+    constexpr int FirstServerHost = 10;
+    const std::lock_guard lock(m_mutex);
+    return {addressOf(m_network, FirstServerHost + static_cast<int>(m_servers.size())), ServerPort};
+}
+
+void PlatformStandin::addServer(const std::string &id, const std::string &service, bool keyed, Milliseconds work,
+                                std::optional<Endpoint> registeredAs)
+{
+    const Endpoint listen = nextServerEndpoint();
     const auto server = std::make_shared<Server>();
     server->id = id;
     server->service = service;
@@ -75,9 +89,8 @@
     server->work = work;
     server->born = unixMs();
     const std::lock_guard lock(m_mutex);
-    constexpr int FirstServerHost = 10;
-    server->endpoint = {addressOf(m_network, FirstServerHost + static_cast<int>(m_servers.size())), ServerPort};
-    server->acceptor = std::make_unique<Tcp::acceptor>(listenOn(m_context.get_executor(), server->endpoint));
+    server->endpoint = registeredAs.value_or(listen);
+    server->acceptor = std::make_unique<Tcp::acceptor>(listenOn(m_context.get_executor(), listen));
     m_servers[id] = server;
     asio::co_spawn(m_context,
                    serveHttp(*server->acceptor,
@@ -97,6 +110,20 @@
     erase("servers/" + id);
 }
 
+void PlatformStandin::restartServer(const std::string &id)
+{
+    const std::lock_guard lock(m_mutex);
+    const std::shared_ptr<Server> server = m_servers.at(id);
+    if (!server->crashed) {
+        return;
+    }
+    server->crashed = false;
+    server->working.clear();
+    server->born = unixMs();
+    server->beats = 0;
+    asio::co_spawn(m_context, beat(server), asio::detached);
+}
+
 void PlatformStandin::drainServer(const std::string &id)
 {
     const std::lock_guard lock(m_mutex);
@@ -109,16 +136,38 @@
     m_faults[service] = fault;
 }
 
-void PlatformStandin::setStoreAway(bool away)
+void PlatformStandin::setStoreFault(StoreFault fault)
+{
+    const std::lock_guard lock(m_mutex);
+    m_storeFault = fault;
+}
+
+void PlatformStandin::forgetHistory()
 {
     const std::lock_guard lock(m_mutex);
-    m_storeAway = away;
+    m_changes.clear();
+    m_forgotten = m_revision;
+}
+
+void PlatformStandin::setLateOrders(bool late)
+{
+    const std::lock_guard lock(m_mutex);
+    m_lateOrders = late;
 }
 
 std::vector<PlatformRun> PlatformStandin::runs() const
+{
+    std::vector<PlatformRun> all = arrivals();
+    std::erase_if(all, [](const PlatformRun &arrival) {
+        return !arrival.ran;
+    });
+    return all;
+}
+
+std::vector<PlatformRun> PlatformStandin::arrivals() const
 {
     const std::lock_guard lock(m_mutex);
-    return m_runs;
+    return m_arrivals;
 }
 
 int PlatformStandin::ownershipBreaches() const
@@ -160,14 +209,19 @@
     item.value = value;
     item.revision = m_revision;
     item.lease = lease;
-    m_changes.push_back({key, m_revision, toJson(key, item)});
+    m_changes.push_back({key, m_revision, toJson(key, item), Clock::now()});
+    while (Clock::now() - m_changes.front().at > HistoryTime) {
+        m_forgotten = m_changes.front().revision;
+        m_changes.pop_front();
+    }
 }
 
 void PlatformStandin::erase(const std::string &key)
 {
     if (m_items.erase(key) > 0) {
         ++m_revision;
-        m_changes.push_back({key, m_revision, {{"key", key}, {"revision", m_revision}, {"deleted", true}}});
+        m_changes.push_back(
+            {key, m_revision, {{"key", key}, {"revision", m_revision}, {"deleted", true}}, Clock::now()});
     }
 }
 
@@ -198,22 +252,35 @@
 Awaitable<HttpResponse> PlatformStandin::answerStore(const HttpRequest &request)
 {
     const Target target(std::string_view(request.target().data(), request.target().size()));
+    StoreFault fault = StoreFault::None;
+    {
+        const std::lock_guard lock(m_mutex);
+        fault = m_storeFault;
+    }
+    if (fault == StoreFault::Slow) {
+        co_await sleepFor(SlowAnswer);
+    }
     if (target.path() == "/kv-watch") {
         co_return co_await watch(target);
     }
     const std::lock_guard lock(m_mutex);
-    if (m_storeAway) {
-        co_return reply(http::status::service_unavailable, Json::object());
+    co_return answerStoreNow(request, target);
+}
+
+HttpResponse PlatformStandin::answerStoreNow(const HttpRequest &request, const Target &target)
+{
+    if (m_storeFault == StoreFault::Away) {
+        return reply(http::status::service_unavailable, Json::object());
     }
     if (target.path() == "/kv-key") {
         const std::string key = target.parameter("key");
         const auto item = m_items.find(key);
         if (item == m_items.end()) {
-            co_return reply(http::status::not_found, {{"current_rev", m_revision}});
+            return reply(http::status::not_found, {{"current_rev", m_revision}});
         }
         Json json = toJson(key, item->second);
         json["current_rev"] = m_revision;
-        co_return reply(http::status::ok, json);
+        return reply(http::status::ok, json);
     }
     if (target.path() == "/kv-range") {
         Json items = Json::array();
@@ -223,26 +290,28 @@
                 items.push_back(toJson(key, item));
             }
         }
-        co_return reply(http::status::ok, {{"items", items}, {"has_more", false}, {"current_rev", m_revision}});
+        return reply(http::status::ok, {{"items", items}, {"has_more", false}, {"current_rev", m_revision}});
     }
     if (target.path() == "/kv-txn") {
-        co_return commit(Json::parse(request.body()));
+        HttpResponse response = commit(Json::parse(request.body()));
+        const bool isLost = m_storeFault == StoreFault::LosesAnswers && ++m_writes % LoseOneWriteIn == 0;
+        return isLost ? HttpResponse(http::status::unknown, 11) : response;
     }
     if (target.path() == "/kv-lease") {
         const Milliseconds time(Json::parse(request.body()).at("ttl_ms").get<std::int64_t>());
         m_leases[++m_lastLease] = {time, Clock::now() + time};
-        co_return reply(http::status::ok, {{"lease", m_lastLease}, {"ttl_ms", time.count()}});
+        return reply(http::status::ok, {{"lease", m_lastLease}, {"ttl_ms", time.count()}});
     }
     const std::string keep = "/kv-keep/";
     if (target.path().rfind(keep, 0) == 0) {
         const auto lease = m_leases.find(std::stoull(target.path().substr(keep.size())));
         if (lease == m_leases.end()) {
-            co_return reply(http::status::not_found, Json::object());
+            return reply(http::status::not_found, Json::object());
         }
         lease->second.second = Clock::now() + lease->second.first;
-        co_return reply(http::status::ok, {{"ttl_ms", lease->second.first.count()}});
+        return reply(http::status::ok, {{"ttl_ms", lease->second.first.count()}});
     }
-    co_return reply(http::status::bad_request, Json::object());
+    return reply(http::status::bad_request, Json::object());
 }
 
 HttpResponse PlatformStandin::commit(const Json &body)
@@ -280,13 +349,20 @@
     while (true) {
         {
             const std::lock_guard lock(m_mutex);
-            if (m_storeAway) {
+            if (m_storeFault == StoreFault::Away) {
                 co_return reply(http::status::service_unavailable, Json::object());
             }
+            if (after < m_forgotten) {
+                co_return reply(http::status::gone, {{"current_rev", m_revision}});
+            }
             Json events = Json::array();
-            for (const Change &change : m_changes) {
-                if (change.revision > after && change.key.rfind(prefix, 0) == 0) {
-                    events.push_back(change.event);
+            auto first = m_changes.end();
+            while (first != m_changes.begin() && std::prev(first)->revision > after) {
+                --first;
+            }
+            for (; first != m_changes.end(); ++first) {
+                if (first->key.rfind(prefix, 0) == 0) {
+                    events.push_back(first->event);
                 }
             }
             if (!events.empty() || Clock::now() >= end) {
@@ -314,7 +390,7 @@
                              {"warmup_left_ms", 0},
                              {"seq", ++server->beats},
                              {"born", server->born}};
-            if (!m_storeAway) {
+            if (m_storeFault != StoreFault::Away) {
                 put("servers/" + server->id, absl::Base64Escape(entry.dump()), 0);
             }
         }
@@ -322,12 +398,14 @@
     }
 }
 
-HttpResponse PlatformStandin::grant(Server &server, const Json &body)
+/// A hold runs from the call's arrival, also when the grant takes effect later.
+HttpResponse PlatformStandin::grant(Server &server, const Json &body, TimePoint arrival)
 {
     const auto from = body.at("from").get<std::uint32_t>();
     const auto to = body.at("to").get<std::uint32_t>();
     const auto fence = body.at("fence").get<std::uint64_t>();
     const TimePoint now = Clock::now();
+    const TimePoint end = arrival + Milliseconds(body.at("hold_ms").get<std::int64_t>());
     for (std::uint32_t key = 0; key < Keys; key += ProbeWidth) {
         const auto hold = server.holds.find(static_cast<std::uint16_t>(key));
         if (key >= from && key <= to && hold != server.holds.end() && hold->second.fence > fence) {
@@ -341,69 +419,158 @@
         const auto probe = static_cast<std::uint16_t>(key);
         for (const auto &[id, other] : m_servers) {
             const auto hold = other->holds.find(probe);
-            const bool isHeldElsewhere = id != server.id && other->service == server.service && !other->crashed
-                && hold != other->holds.end() && now < hold->second.until;
-            m_breaches += isHeldElsewhere ? 1 : 0;
+            const bool isOther = id != server.id && other->service == server.service && !other->crashed;
+            const bool isHeld = hold != other->holds.end() && now < hold->second.until;
+            const bool isWorkedOn =
+                other->working.contains(probe) && hold != other->holds.end() && now < hold->second.granted;
+            m_breaches += isOther && end > now && (isHeld || isWorkedOn) ? 1 : 0;
         }
-        server.holds[probe] = {fence, now + Milliseconds(body.at("hold_ms").get<std::int64_t>())};
+        server.holds[probe] = {fence, end, end};
     }
     return reply(http::status::ok, Json::object());
 }
 
-HttpResponse PlatformStandin::release(Server &server, const Json &body)
+/// Answers when the work on the keys has ended.
+Awaitable<HttpResponse> PlatformStandin::release(std::shared_ptr<Server> server, Json body)
 {
-    for (std::uint32_t key = 0; key < Keys; key += ProbeWidth) {
-        const auto hold = server.holds.find(static_cast<std::uint16_t>(key));
-        if (key >= body.at("from").get<std::uint32_t>() && key <= body.at("to").get<std::uint32_t>()
-            && hold != server.holds.end()) {
-            hold->second.until = {};
+    const auto from = body.at("from").get<std::uint32_t>();
+    const auto to = body.at("to").get<std::uint32_t>();
+    {
+        const std::lock_guard lock(m_mutex);
+        for (auto &[key, hold] : server->holds) {
+            if (key >= from && key <= to) {
+                hold.until = {};
+            }
         }
     }
+    bool isWorking = true;
+    while (isWorking) {
+        co_await sleepFor(PollInterval);
+        const std::lock_guard lock(m_mutex);
+        const auto first = server->working.lower_bound(static_cast<std::uint16_t>(from));
+        isWorking = !server->crashed && first != server->working.end() && *first <= to;
+    }
     HttpResponse response = reply(http::status::ok, Json::object());
-    response.set("X-Snipevalve-Handover", "handover-" + server.id);
+    response.set("X-Snipevalve-Handover", "handover-" + server->id);
+    co_return response;
+}
+
+Awaitable<HttpResponse> PlatformStandin::answerOrder(std::shared_ptr<Server> server, const HttpRequest &request)
+{
+    const TimePoint arrival = Clock::now();
+    const Json body = Json::parse(request.body());
+    const bool isGrant = request.target() == "/grant";
+    bool isLate = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        constexpr std::uint64_t LateOnes = 3; ///< of ten
+        isLate = m_lateOrders && ++m_orders % 10 < LateOnes;
+    }
+    if (isLate) {
+        constexpr std::int64_t ShortestMs = 2'000;
+        constexpr std::uint64_t SpreadMs = 2'000;
+        co_await sleepFor(Milliseconds(ShortestMs + static_cast<std::int64_t>(m_orders * 397 % SpreadMs)));
+    }
+    if (!isGrant) {
+        HttpResponse response = co_await release(server, body);
+        co_return isLate ? HttpResponse(http::status::unknown, 11) : response;
+    }
+    const std::lock_guard lock(m_mutex);
+    if (server->crashed) {
+        co_return HttpResponse(http::status::unknown, 11);
+    }
+    HttpResponse response = grant(*server, body, arrival);
+    co_return isLate ? HttpResponse(http::status::unknown, 11) : response;
+}
+
+/// @return false when the server's queue is full
+Awaitable<bool> PlatformStandin::waitForSlot(std::shared_ptr<Server> server)
+{
+    bool isQueued = false;
+    while (true) {
+        {
+            const std::lock_guard lock(m_mutex);
+            if (server->running < Slots) {
+                ++server->running;
+                server->queued -= isQueued ? 1 : 0;
+                co_return true;
+            }
+            if (!isQueued && server->queued >= QueueLength) {
+                co_return false;
+            }
+            server->queued += isQueued ? 0 : 1;
+            isQueued = true;
+        }
+        co_await sleepFor(PollInterval);
+    }
+}
+
+HttpResponse PlatformStandin::refusal(const Server &server, const std::string &requestId, http::status status)
+{
+    m_arrivals.push_back({server.id, requestId, server.service, Clock::now(), false});
+    HttpResponse response(status, 11);
+    response.set("X-Snipevalve-Request-Id", requestId);
+    response.set("X-Snipevalve-Not-Executed", "1");
     return response;
 }
 
 Awaitable<HttpResponse> PlatformStandin::answerServer(std::shared_ptr<Server> server, const HttpRequest &request)
 {
     const std::string id(request["X-Snipevalve-Request-Id"]);
-    Milliseconds work(0);
+    const std::string keyText(request["X-Snipevalve-Shard-Key"]);
+    const auto key = static_cast<std::uint16_t>(keyText.empty() ? 0 : std::stoul(keyText));
+    const std::int64_t life = server->born;
+    const bool isOrder = request.target() == "/grant" || request.target() == "/release";
     ServerFault fault = ServerFault::None;
     {
         const std::lock_guard lock(m_mutex);
         if (server->crashed) {
             co_return HttpResponse(http::status::unknown, 11);
         }
-        const bool isOrder = request.target() == "/grant" || request.target() == "/release";
-        if (isOrder && request["X-Snipevalve-Expect-Instance"] != server->id) {
+        const bool isMeant = request["X-Snipevalve-Expect-Instance"] == server->id;
+        if (!isMeant && isOrder) {
             co_return HttpResponse(http::status::misdirected_request, 11);
         }
-        if (request.target() == "/grant") {
-            co_return grant(*server, Json::parse(request.body()));
+        fault = m_faults[server->service];
+        if (!isMeant) {
+            co_return refusal(*server, id, http::status::misdirected_request);
         }
-        if (request.target() == "/release") {
-            co_return release(*server, Json::parse(request.body()));
+        if (!isOrder && fault == ServerFault::Refuses) {
+            co_return refusal(*server, id, http::status::service_unavailable);
         }
-        fault = m_faults[server->service];
-        HttpResponse refusal(http::status::service_unavailable, 11);
-        refusal.set("X-Snipevalve-Request-Id", id);
-        refusal.set("X-Snipevalve-Not-Executed", "1");
-        const std::string key(request["X-Snipevalve-Shard-Key"]);
-        const auto hold =
-            key.empty() ? server->holds.end() : server->holds.find(static_cast<std::uint16_t>(std::stoul(key)));
+    }
+    if (isOrder) {
+        co_return co_await answerOrder(server, request);
+    }
+    const bool hasSlot = co_await waitForSlot(server);
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto hold = server->holds.find(key);
         const bool holdsKey = hold != server->holds.end() && Clock::now() < hold->second.until;
-        const bool isMeant = request["X-Snipevalve-Expect-Instance"] == server->id;
-        if (!isMeant || (server->keyed && !holdsKey)) {
-            refusal.result(http::status::misdirected_request);
-            co_return refusal;
+        const bool isGone = server->crashed || server->born != life;
+        if (!hasSlot || isGone || (server->keyed && !holdsKey)) {
+            server->running -= hasSlot ? 1 : 0;
+            if (isGone) {
+                co_return HttpResponse(http::status::unknown, 11);
+            }
+            co_return refusal(*server, id,
+                              hasSlot ? http::status::misdirected_request : http::status::service_unavailable);
         }
-        if (fault == ServerFault::Refuses) {
-            co_return refusal;
+        m_arrivals.push_back({server->id, id, server->service, Clock::now(), true});
+        server->working.insert(key);
+    }
+    co_await sleepFor(server->work);
+    {
+        const std::lock_guard lock(m_mutex);
+        --server->running;
+        const auto working = server->working.find(key);
+        if (working != server->working.end()) {
+            server->working.erase(working);
+        }
+        if (server->crashed || server->born != life) {
+            co_return HttpResponse(http::status::unknown, 11);
         }
-        m_runs.push_back({server->id, id, server->service});
-        work = server->work;
     }
-    co_await sleepFor(work);
     HttpResponse response(http::status::ok, 11);
     response.set("X-Snipevalve-Request-Id", fault == ServerFault::OtherId ? "0000" : id);
     if (fault != ServerFault::NoStamp) {
@@ -417,7 +584,7 @@
     }
     response.body() = "answer to " + id;
     if (fault == ServerFault::CutShort) {
-        // The length is set by hand and the connection closed: the answer never becomes whole.
+        // The connection closes without an answer: it never becomes whole.
         co_return HttpResponse(http::status::unknown, 11);
     }
     co_return response;
--- a/tests/standins/platform_standin.hpp
+++ b/tests/standins/platform_standin.hpp
@@ -8,6 +8,8 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -30,12 +32,22 @@
     Refuses, ///< it refuses each request and says that it ran nothing
 };
 
-/// @brief One run of one request at one server.
+/// @brief How the store misbehaves.
+enum class StoreFault {
+    None,
+    Away, ///< 503; leases go on running out
+    Slow, ///< its answers take 240 ms
+    LosesAnswers, ///< every third write takes effect and its connection is closed without an answer
+};
+
+/// @brief One arrival of one request at one server.
 struct PlatformRun
 {
     std::string server;
     std::string requestId;
     std::string service;
+    TimePoint at;
+    bool ran = true; ///< false: refused, nothing ran
 };
 
 /// @brief Stands in for the users' platform in tests: its store and its servers, which speak the published wire.
@@ -54,21 +66,38 @@
     void putConfig(const std::string &text);
 
     /// @brief Starts a server, which registers itself and renews its entry.
-    void addServer(const std::string &id, const std::string &service, bool keyed, Milliseconds work);
+    /// @param registeredAs the address in its entry, if a relay stands in front of it
+    void addServer(const std::string &id, const std::string &service, bool keyed, Milliseconds work,
+                   std::optional<Endpoint> registeredAs = std::nullopt);
+
+    /// @brief The address at which the next server that is added will listen.
+    Endpoint nextServerEndpoint() const;
 
     /// @brief The server ends without a word: no answers, no entry.
     void crashServer(const std::string &id);
 
+    /// @brief A crashed server starts again under its id; it holds and knows nothing.
+    void restartServer(const std::string &id);
+
     /// @brief The server says that it leaves; it goes on serving.
     void drainServer(const std::string &id);
     void setFault(const std::string &service, ServerFault fault);
 
-    /// @brief While it is away the store answers nothing useful (503).
-    void setStoreAway(bool away);
+    void setStoreFault(StoreFault fault);
+
+    /// @brief The store drops its history; watches have to begin anew.
+    void forgetHistory();
 
+    /// @brief While set, three orders in ten get no answer and are carried out 2 to 4 s later.
+    void setLateOrders(bool late);
+
+    /// @brief Requests that servers have begun to run.
     std::vector<PlatformRun> runs() const;
 
-    /// @brief Times at which a server was granted a key that another one held.
+    /// @brief All requests that came to servers, refused ones included.
+    std::vector<PlatformRun> arrivals() const;
+
+    /// @brief Times at which a server was granted a key that another one held or still worked on.
     int ownershipBreaches() const;
 
     /// @brief The host that leads a service; empty for none.
@@ -90,12 +119,14 @@
         std::string key;
         std::uint64_t revision = 0;
         Json event;
+        TimePoint at;
     };
 
     struct Hold
     {
         std::uint64_t fence = 0;
-        TimePoint until;
+        TimePoint until; ///< no work begins later
+        TimePoint granted; ///< the same, as if it had not been released
     };
 
     struct Server
@@ -111,14 +142,21 @@
         std::uint64_t beats = 0;
         std::unique_ptr<Tcp::acceptor> acceptor;
         std::map<std::uint16_t, Hold> holds; ///< by probe key; grants cover ranges of them
+        std::multiset<std::uint16_t> working; ///< keys of requests that run
+        unsigned running = 0; ///< requests, with or without a key
+        unsigned queued = 0;
     };
 
     Awaitable<HttpResponse> answerStore(const HttpRequest &request);
     Awaitable<HttpResponse> watch(const Target &target);
     HttpResponse commit(const Json &body);
+    HttpResponse answerStoreNow(const HttpRequest &request, const Target &target);
+    Awaitable<HttpResponse> answerOrder(std::shared_ptr<Server> server, const HttpRequest &request);
+    Awaitable<bool> waitForSlot(std::shared_ptr<Server> server);
+    HttpResponse refusal(const Server &server, const std::string &requestId, http::status status);
     Awaitable<HttpResponse> answerServer(std::shared_ptr<Server> server, const HttpRequest &request);
-    HttpResponse grant(Server &server, const Json &body);
-    HttpResponse release(Server &server, const Json &body);
+    HttpResponse grant(Server &server, const Json &body, TimePoint arrival);
+    Awaitable<HttpResponse> release(std::shared_ptr<Server> server, Json body);
     Awaitable<void> beat(std::shared_ptr<Server> server);
     Awaitable<void> expireLeases();
     void put(const std::string &key, const std::string &value, std::uint64_t lease);
@@ -135,10 +173,14 @@
     std::uint64_t m_revision = 1;
     std::uint64_t m_lastLease = 0;
     std::map<std::uint64_t, std::pair<Milliseconds, TimePoint>> m_leases;
-    bool m_storeAway = false;
+    StoreFault m_storeFault = StoreFault::None;
+    std::uint64_t m_writes = 0;
+    std::uint64_t m_forgotten = 0; ///< the history up to this revision is gone
+    bool m_lateOrders = false;
+    std::uint64_t m_orders = 0;
     std::map<std::string, std::shared_ptr<Server>> m_servers;
     std::map<std::string, ServerFault> m_faults;
-    std::vector<PlatformRun> m_runs;
+    std::vector<PlatformRun> m_arrivals;
     int m_breaches = 0;
     std::thread m_thread;
 };
