Keep objects until their coroutines have started

The patience of a send names the send by number, no longer by its address, which the next send may have again.

--- a/src/snipevalve/dispatch_link/frame_channel.cpp
+++ b/src/snipevalve/dispatch_link/frame_channel.cpp
@@ -3,6 +3,7 @@
 #include <boost/endian/conversion.hpp>
 #include <spdlog/spdlog.h>
 
+#include "snipevalve/net/spawn.hpp"
 #include "snipevalve/net/unacknowledged_limit.hpp"
 
 namespace snipevalve {
@@ -51,13 +52,12 @@
     boost::endian::store_big_u32(reinterpret_cast<unsigned char *>(m_outbox.data() + start), length);
     if (!m_isWriting) {
         m_isWriting = true;
-        asio::co_spawn(m_stream.get_executor(), writeAll(), asio::detached);
+        spawnMember(m_stream.get_executor(), shared_from_this(), &FrameChannel::writeAll);
     }
 }
 
 Awaitable<void> FrameChannel::writeAll()
 {
-    const auto self = shared_from_this();
     ErrorCode error;
     while (!error && m_isOpen && !m_outbox.empty()) {
         m_writing.clear();
--- a/src/snipevalve/node/control/service_leader.hpp
+++ b/src/snipevalve/node/control/service_leader.hpp
@@ -8,6 +8,7 @@
 
 #include "snipevalve/core/suspension.hpp"
 #include "snipevalve/net/http_client.hpp"
+#include "snipevalve/net/spawn.hpp"
 #include "snipevalve/node/control/lease_holder.hpp"
 #include "snipevalve/node/control/platform_api.hpp"
 #include "snipevalve/node/dispatch_desk.hpp"
@@ -176,19 +177,18 @@
 
     void start(const SaveKeyPlan &save)
     {
-        asio::co_spawn(m_executor, this->shared_from_this()->savePlan(save.plan), asio::detached);
+        spawnMember(m_executor, this->shared_from_this(), &ServiceLeader::savePlan, save.plan);
     }
 
     template <typename Order>
     void start(const Order &order)
     {
-        asio::co_spawn(m_executor, this->shared_from_this()->callServer(order), asio::detached);
+        spawnMember(m_executor, this->shared_from_this(), &ServiceLeader::template callServer<Order>, order);
     }
 
     template <typename Order>
     Awaitable<void> callServer(Order order)
     {
-        const auto self = this->shared_from_this();
         // The process may have been suspended since the decision.
         const bool mayStillSend = m_lease.isHeld(Clock::now());
         KeyCallEnd end = KeyCallEnd::NotSent;
@@ -213,7 +213,6 @@
 
     Awaitable<void> savePlan(KeyPlan plan)
     {
-        const auto self = this->shared_from_this();
         StoreWrite write;
         write.key = planKey(m_service.name);
         write.value = toText(plan);
--- a/src/snipevalve/node/gateway_session.cpp
+++ b/src/snipevalve/node/gateway_session.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include "snipevalve/net/message_head.hpp"
+#include "snipevalve/net/spawn.hpp"
 
 namespace snipevalve {
 
@@ -150,7 +151,7 @@
     m_traffic.bodyBytes += bodyBytes;
     const auto runner = std::make_shared<RequestRunner>(m_traffic, std::move(request));
     m_stream.expires_never();
-    asio::co_spawn(m_traffic.executor, watchCaller(runner), asio::detached);
+    spawnMember(m_traffic.executor, shared_from_this(), &GatewaySession::watchCaller, runner);
     http::response<http::string_body> response = co_await runner->run();
     m_traffic.bodyBytes -= bodyBytes;
     ErrorCode ignored;
@@ -168,7 +169,6 @@
 /// Waits until the caller sends something more or closes; of these only the close matters here.
 Awaitable<void> GatewaySession::watchCaller(std::shared_ptr<RequestRunner> runner)
 {
-    const auto self = shared_from_this();
     ErrorCode error;
     co_await m_stream.socket().async_wait(Tcp::socket::wait_read, awaitInto(error));
     if (error) {
--- a/src/snipevalve/node/leader_link.cpp
+++ b/src/snipevalve/node/leader_link.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include "snipevalve/net/spawn.hpp"
+
 namespace snipevalve {
 
 namespace {
@@ -21,7 +23,7 @@
 
 void LeaderLink::start()
 {
-    asio::co_spawn(m_executor, run(), asio::detached);
+    spawnMember(m_executor, shared_from_this(), &LeaderLink::run);
 }
 
 void LeaderLink::stop()
@@ -61,7 +63,6 @@
 
 Awaitable<void> LeaderLink::run()
 {
-    const auto self = shared_from_this();
     asio::steady_timer timer(m_executor);
     while (!m_stopped) {
         m_channel = co_await connectChannel(m_settings.address, toTcp(m_leader), ConnectTimeout);
--- a/src/snipevalve/node/request_runner.cpp
+++ b/src/snipevalve/node/request_runner.cpp
@@ -7,6 +7,7 @@
 
 #include "snipevalve/core/hash.hpp"
 #include "snipevalve/net/message_head.hpp"
+#include "snipevalve/net/spawn.hpp"
 
 namespace snipevalve {
 
@@ -122,14 +123,13 @@
 
 /// Gives a server up that takes several times as long as expected, if the request may go to another one. While the node
 /// stops nothing is given up: the server may be about to answer, and another send may find no time.
-Awaitable<void> RequestRunner::watchServer(std::shared_ptr<asio::steady_timer> patience, UpstreamExchange &exchange)
+Awaitable<void> RequestRunner::watchServer(std::shared_ptr<asio::steady_timer> patience, int send)
 {
-    const auto self = shared_from_this();
     ErrorCode error;
     co_await patience->async_wait(awaitInto(error));
-    const bool isOver = error || m_exchange != &exchange;
+    const bool isOver = error || m_exchange == nullptr || m_sendCount != send;
     if (!isOver && !m_traffic.stopping) {
-        exchange.giveUp();
+        m_exchange->giveUp();
     }
 }
 
@@ -141,7 +141,7 @@
     const auto expected = std::chrono::duration_cast<Duration>(Seconds(placement.expected) * PatienceFactor);
     const auto patience = std::make_shared<asio::steady_timer>(m_traffic.executor, expected + PatienceExtra);
     if (mayRepeat()) {
-        asio::co_spawn(m_traffic.executor, watchServer(patience, exchange), asio::detached);
+        spawnMember(m_traffic.executor, shared_from_this(), &RequestRunner::watchServer, patience, m_sendCount);
     }
     ExchangeResult result = co_await exchange.run(placement.server, m_request.finalBy - AnswerMargin);
     patience->cancel();
--- a/src/snipevalve/node/request_runner.hpp
+++ b/src/snipevalve/node/request_runner.hpp
@@ -29,7 +29,7 @@
     WorkItem toWorkItem() const;
     Awaitable<ExchangeResult> sendTo(const Placement &placement);
     bool mayRepeat() const;
-    Awaitable<void> watchServer(std::shared_ptr<asio::steady_timer> patience, UpstreamExchange &exchange);
+    Awaitable<void> watchServer(std::shared_ptr<asio::steady_timer> patience, int send);
     AttemptEnd toAttemptEnd(WorkEnd end) const;
     http::response<http::string_body> answerOf(UpstreamAnswer answer) const;
     http::response<http::string_body> failure(Duration retryAfter, const std::string &reason) const;
