--- a/include/snipevalve/dispatch/dispatcher.hpp
+++ b/include/snipevalve/dispatch/dispatcher.hpp
@@ -90,13 +90,16 @@
         unsigned busy = 0;
         bool gone = false; ///< takes no new work; kept for the requests that run there
         TimePoint lastUsedAt;
+        std::map<std::uint32_t, TimePoint> answeredTo; ///< by host: when it last got an answer, and kept the connection
     };
 
     struct Running
     {
         std::string server;
         std::uint64_t workClass = 0;
-        TimePoint since;
+        std::uint32_t host = 0;
+        TimePoint occupiesUntil; ///< later it surely waits for an answer that was lost, and takes no slot
+        bool occupies = true;
     };
 
     using Queue = std::vector<WorkItem>;
@@ -117,7 +120,23 @@
         bool inDeadline = false;
     };
 
+    /// How good an open server is for an item; less is better.
+    struct Suitability
+    {
+        bool isLate = false;
+        bool isElsewhere = false;
+        bool isCold = false;
+        Seconds time{0};
+        double busyShare = 0;
+
+        auto operator<=>(const Suitability &) const = default;
+    };
+
     unsigned runningOn(const std::string &server) const;
+    Suitability suitability(const ServerState &state, const WorkItem &item, Seconds time, bool isCalm,
+                            TimePoint now) const;
+    bool isCalm() const;
+    void freeAbandonedSlots(TimePoint now);
     unsigned limitOf(const ServerState &state) const;
     bool isOpen(const ServerState &state, TimePoint now) const;
     Seconds expectedOn(const ServerState &state, const WorkItem &item) const;
--- a/include/snipevalve/dispatch/work.hpp
+++ b/include/snipevalve/dispatch/work.hpp
@@ -24,6 +24,7 @@
     bool repeat = false; ///< the request was sent to a server before and draws on the retry budget
     std::optional<std::uint16_t> key; ///< for keyed services
     std::string zone; ///< of the host that asks
+    std::uint32_t host = 0; ///< the host that asks, by any number that tells hosts apart
     TimePoint targetBy; ///< an answer by then is worth most
     TimePoint deadline; ///< an answer after this is worth nothing
     std::vector<std::string> avoid; ///< ids of servers that have failed this request
--- a/src/snipevalve/dispatch/dispatcher.cpp
+++ b/src/snipevalve/dispatch/dispatcher.cpp
@@ -26,6 +26,15 @@
 /// The last ten sends make two thirds of a server's share of refusals.
 constexpr double RefuseWeight = 0.1;
 constexpr double MostRefused = 0.95; ///< a server that refuses all still counts as able to serve one in twenty
+/// A send that takes so many times as long as expected has probably lost its answer: one in a hundred takes 3 to 5
+/// times as long, and its server would queue what comes in its place.
+constexpr double LongestOccupation = 6.0;
+/// A send that another dispatcher began is on average half through. What has queued behind it is not known here.
+constexpr double LongestAdopted = 1.5;
+/// Hosts keep a connection for so long for requests that may not be sent twice.
+constexpr Milliseconds ConnectionKept(2'400);
+/// Below this part of the slots, any server that answers in time is good enough, so the nearest one is taken.
+constexpr double CalmUtilisation = 0.7;
 /// How often the whole queue is looked through for what has become hopeless.
 constexpr Milliseconds ForecastInterval(40);
 
@@ -106,7 +115,7 @@
 unsigned Dispatcher::runningOn(const std::string &server) const
 {
     return static_cast<unsigned>(std::count_if(m_running.begin(), m_running.end(), [&server](const auto &entry) {
-        return entry.second.server == server;
+        return entry.second.server == server && entry.second.occupies;
     }));
 }
 
@@ -324,13 +333,30 @@
 
 void Dispatcher::adopt(const WorkItem &item, const std::string &server, TimePoint now)
 {
-    m_running[item.ticket] = {server, item.workClass, now};
     const auto position = m_servers.find(server);
+    const Seconds expected = position == m_servers.end() ? expectedWork(item) : expectedOn(position->second, item);
+    m_running[item.ticket] = {server, item.workClass, item.host, now + toDuration(expected * LongestAdopted)};
     if (position != m_servers.end()) {
         ++position->second.busy;
     }
 }
 
+/// Answers the load pattern "hosts have decided by themselves": they tell a new leader of more sends than the servers
+/// have slots, most of them without hope; and the pattern "servers run requests and their answers are lost".
+void Dispatcher::freeAbandonedSlots(TimePoint now)
+{
+    for (auto &[ticket, running] : m_running) {
+        if (!running.occupies || now < running.occupiesUntil) {
+            continue;
+        }
+        running.occupies = false;
+        const auto position = m_servers.find(running.server);
+        if (position != m_servers.end()) {
+            position->second.busy -= position->second.busy > 0 ? 1 : 0;
+        }
+    }
+}
+
 void Dispatcher::reject(const WorkItem &item, RejectReason reason, Seconds retryAfter)
 {
     constexpr double LeastSpread = 0.8;
@@ -345,15 +371,42 @@
 {
     ++state.busy;
     state.lastUsedAt = now;
-    m_running[item.ticket] = {state.server.id, item.workClass, now};
-    m_decisions.push_back(Placement{item.ticket, state.server, toDuration(expectedOn(state, item))});
+    const Seconds expected = expectedOn(state, item);
+    m_running[item.ticket] = {state.server.id, item.workClass, item.host,
+                              now + toDuration(expected * LongestOccupation)};
+    m_decisions.push_back(Placement{item.ticket, state.server, toDuration(expected)});
+}
+
+/// Whether the slots are far from full, as of the last advance().
+bool Dispatcher::isCalm() const
+{
+    return m_serviceWork < CalmUtilisation * m_serviceCapacity;
+}
+
+/// Answers the load pattern "many hosts, many servers, few requests for each pair": on 70 hosts and 69 servers nearly
+/// every request opened a connection, mostly to another zone. While there is room, a server that answers in time is
+/// taken from the host's zone first, then one to which the host still has a connection.
+Dispatcher::Suitability Dispatcher::suitability(const ServerState &state, const WorkItem &item, Seconds time,
+                                                bool isCalm, TimePoint now) const
+{
+    const bool isElsewhere = state.server.zone != item.zone;
+    const double busyShare = static_cast<double>(state.busy) / std::max(1U, state.server.slots);
+    if (!isCalm) {
+        return {false, false, false, time * (isElsewhere ? OtherZonePenalty : 1.0), busyShare};
+    }
+    const auto answered = state.answeredTo.find(item.host);
+    const bool isCold = answered == state.answeredTo.end() || now - answered->second > ConnectionKept;
+    const bool isLate = now + toDuration(time * PlacementMargin) > item.targetBy;
+    return {isLate, isElsewhere, isCold, time, busyShare};
 }
 
 /// The open server with the shortest expected time. Null also when a busy server will be through with the request
 /// sooner, and within its target, while the best open one would make it late.
 Dispatcher::ServerState *Dispatcher::bestOpen(const WorkItem &item, TimePoint now)
 {
+    const bool calm = isCalm();
     ServerState *best = nullptr;
+    Suitability bestFit;
     Seconds bestTime(0);
     Seconds bestBusy = Seconds::max();
     for (auto &[id, state] : m_servers) {
@@ -361,14 +414,16 @@
         if (isAvoided || state.gone || state.outliers.isEjected(now)) {
             continue;
         }
-        const Seconds time = expectedOn(state, item) * (state.server.zone == item.zone ? 1.0 : OtherZonePenalty)
-            / (1.0 - state.refuseShare);
+        const Seconds time = expectedOn(state, item) / (1.0 - state.refuseShare);
         if (!isOpen(state, now)) {
             // On average half of the work of the request that is nearest to its end is left.
             bestBusy = std::min(bestBusy, time * (1.0 + 1.0 / (2.0 * limitOf(state))));
-        } else if (best == nullptr || time < bestTime
-                   || (time == bestTime && state.busy * best->server.slots < best->busy * state.server.slots)) {
+            continue;
+        }
+        const Suitability fit = suitability(state, item, time, calm, now);
+        if (best == nullptr || fit < bestFit) {
             best = &state;
+            bestFit = fit;
             bestTime = time;
         }
     }
@@ -441,6 +496,7 @@
 
 void Dispatcher::advance(TimePoint now)
 {
+    freeAbandonedSlots(now);
     for (auto &[id, state] : m_servers) {
         if (state.busy == 0 && now - state.lastUsedAt > std::chrono::milliseconds(500)) {
             state.slowness.forget(now - state.lastUsedAt - std::chrono::milliseconds(500));
@@ -480,9 +536,10 @@
         return;
     }
     ServerState &state = position->second;
-    state.busy -= state.busy > 0 ? 1 : 0;
+    state.busy -= ended.occupies && state.busy > 0 ? 1 : 0;
     switch (end) {
     case WorkEnd::Done:
+        state.answeredTo[ended.host] = now;
         state.slowness.observe(m_times.observe(ended.workClass, took, state.slowness.factor()));
         state.outliers.onSuccess();
         state.refuseShare *= 1.0 - RefuseWeight;
--- a/src/snipevalve/dispatch/dispatcher_test.cpp
+++ b/src/snipevalve/dispatch/dispatcher_test.cpp
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
 
+#include <set>
+
 #include "snipevalve/dispatch/dispatcher.hpp"
 
 namespace snipevalve {
@@ -63,6 +65,83 @@
     CHECK(placed(dispatcher) == std::vector<Ticket>{5});
 }
 
+TEST_CASE("a new leader that is told of far more sends than there are slots serves again within half a second")
+{
+    // Load pattern: the leader was lost; 70 hosts sent to a server with 2 slots, which dropped what it could not queue.
+    Dispatcher dispatcher({});
+    dispatcher.setServers({server("a")}, Start);
+    Ticket ticket = 0;
+    for (int host = 0; host < 30; ++host) {
+        dispatcher.adopt(item(++ticket), "a", Start);
+    }
+    TimePoint now = Start;
+    std::size_t served = 0;
+    for (; now < Start + Milliseconds(500); now += Milliseconds(20)) {
+        WorkItem work = item(++ticket);
+        work.targetBy = now + Milliseconds(500);
+        work.deadline = now + Milliseconds(3'000);
+        dispatcher.submit(work, now);
+        dispatcher.advance(now);
+        for (const Ticket each : placed(dispatcher)) {
+            dispatcher.finish(each, WorkEnd::Done, Milliseconds(20), now + Milliseconds(20));
+            ++served;
+        }
+    }
+    CHECK(served >= 10); // before: none until the hosts gave up, 0.8 to 3 s later
+}
+
+TEST_CASE("a server whose answers are lost gets new work")
+{
+    // Load pattern: paid requests run and their answers are lost; their senders wait until the deadline.
+    Dispatcher dispatcher({});
+    dispatcher.setServers({server("a")}, Start);
+    dispatcher.submit(item(1), Start);
+    dispatcher.submit(item(2), Start);
+    REQUIRE(placed(dispatcher).size() == 2);
+    const TimePoint later = Start + Milliseconds(1'000); // ten times the expected time
+    dispatcher.advance(later);
+    WorkItem work = item(3);
+    work.targetBy = later + Milliseconds(500);
+    dispatcher.submit(work, later);
+    CHECK(placed(dispatcher) == std::vector<Ticket>{3});
+    dispatcher.finish(1, WorkEnd::Lost, Milliseconds(2'000), later);
+    dispatcher.finish(3, WorkEnd::Done, Milliseconds(100), later);
+    // The lost ones do not free a slot a second time.
+    for (Ticket ticket = 4; ticket <= 6; ++ticket) {
+        work.ticket = ticket;
+        dispatcher.submit(work, later);
+    }
+    CHECK(placed(dispatcher).size() == 2);
+}
+
+TEST_CASE("while there is room, a host keeps to servers of its zone that it is connected to")
+{
+    // Load pattern: many hosts and servers, few requests for each pair; each new connection and zone crossing is dear.
+    Dispatcher dispatcher({});
+    std::vector<UpstreamServer> servers;
+    for (int at = 0; at < 12; ++at) {
+        servers.push_back(server("s" + std::to_string(at)));
+        servers.back().zone = at % 3 == 0 ? "near" : "far";
+    }
+    dispatcher.setServers(servers, Start);
+    std::set<std::string> used;
+    TimePoint now = Start;
+    for (Ticket ticket = 1; ticket <= 50; ++ticket, now += Milliseconds(200)) {
+        WorkItem work = item(ticket);
+        work.zone = "near";
+        work.host = 7;
+        work.targetBy = now + Milliseconds(500);
+        work.deadline = now + Milliseconds(3'000);
+        dispatcher.advance(now);
+        dispatcher.submit(work, now);
+        for (const DispatchDecision &decision : dispatcher.take()) {
+            used.insert(std::get<Placement>(decision).server.id);
+        }
+        dispatcher.finish(ticket, WorkEnd::Done, Milliseconds(100), now + Milliseconds(100));
+    }
+    CHECK(used.size() <= 2); // before: all twelve in turn, eight of them in the other zone
+}
+
 TEST_CASE("urgent requests go first, but not before one that can still be in time")
 {
     struct Case
--- a/src/snipevalve/node/control/node_control.hpp
+++ b/src/snipevalve/node/control/node_control.hpp
@@ -138,7 +138,7 @@
     static constexpr Milliseconds LongestElectionDelay{900};
     /// Entries of servers change each heartbeat; reading them more often brings nothing for the bound on leaving
     /// servers.
-    static constexpr Milliseconds ServersPause{400};
+    static constexpr Milliseconds ServersPause{600};
     /// A host that others do not depend on reads servers and plans only while some service has no leader, and then less
     /// often: the last leader's view is half a second old at most, and leaving servers have 2 s.
     static constexpr Milliseconds CalmServersPause{900};
@@ -149,9 +149,11 @@
     static constexpr Milliseconds StoreWait{2'000};
     /// A leader confirms this often that it knows the newest configuration; other hosts rely on it.
     static constexpr Milliseconds LeaderWait{900};
-    /// So long after a leader's last confirmation a host asks the store itself: `LeaderWait`, a heartbeat of 0.3 s and
-    /// the ways. Together with a read it stays within the 2 s that the operators allow.
-    static constexpr Milliseconds RelayTrust{1'400};
+    /// So long after the last confirmation a leader asks the store itself: `LeaderWait`, a heartbeat of 0.3 s, the
+    /// ways.
+    static constexpr Milliseconds LeaderTrust{1'300};
+    /// Other hosts give the leaders that time. Together with a read it stays within the 2 s that the operators allow.
+    static constexpr Milliseconds HostTrust{1'600};
     /// A leader that does not answer a wish for the configuration for so long is passed over for the store.
     static constexpr Milliseconds RelayAnswerTime{250};
 
@@ -167,10 +169,18 @@
         return LeadersPrefix + service;
     }
 
+    /// Whether this host is the one that reads configuration and leaders from the store for all: it leads the first
+    /// service.
+    bool isRelay() const
+    {
+        return !m_leaders.leaders.empty() && m_led.contains(m_leaders.leaders.begin()->first);
+    }
+
     /// Whether leaders tell this host all that it would ask the store for.
     bool isRelayed() const
     {
-        return m_led.empty() && m_config != nullptr && Clock::now() - m_relayedAt < RelayTrust;
+        const Milliseconds trust = m_led.empty() ? HostTrust : LeaderTrust;
+        return !isRelay() && m_config != nullptr && Clock::now() - m_relayedAt < trust;
     }
 
     FollowHandlers configHandlers()
@@ -306,10 +316,18 @@
     /// What a leader says of all leaders; older news than this host's own are ignored.
     void applyLeaders(const LeaderTable &table)
     {
-        const bool isUsed = m_led.empty() && table.revision > m_leaders.revision;
-        if (!isUsed) {
+        if (table.revision <= m_leaders.revision) {
             return;
         }
+        const std::map<std::string, std::uint64_t> owned = m_ownedRevisions;
+        for (const auto &[service, revision] : owned) {
+            const auto leader = table.leaders.find(service);
+            const bool isKnown = table.revision >= revision;
+            const bool isOurs = leader != table.leaders.end() && leader->second.revision == revision;
+            if (isKnown && !isOurs) {
+                stopLeading(service, "the lease has ended or another host has taken it over");
+            }
+        }
         for (const auto &[service, leader] : table.leaders) {
             const auto known = m_leaders.leaders.find(service);
             if (known == m_leaders.leaders.end() || !(known->second == leader)) {
@@ -318,6 +336,9 @@
             }
         }
         m_leaders = table;
+        for (const auto &[service, revision] : m_ownedRevisions) {
+            m_leaders.leaders[service] = {m_settings.control, revision}; // newer than the table
+        }
         m_leadersKnown = true;
         announceLeaders();
     }
@@ -578,6 +599,7 @@
         if (serversChanged && m_serversKnown && m_config && needsViews()) {
             publishViews();
         }
+        // What another leader has told is not passed on: each hop would make it look newer by the time on the way.
         m_desk.setCurrent(std::min(m_configFollower.currentAt(), m_leaderFollower.currentAt()));
         m_desk.advance();
     }
--- a/src/snipevalve/node/dispatch_desk.cpp
+++ b/src/snipevalve/node/dispatch_desk.cpp
@@ -51,6 +51,7 @@
 {
     const auto host = std::make_shared<Host>();
     host->channel = channel;
+    host->number = ++m_lastHost;
     m_hosts.insert(host);
     for (const auto &[service, led] : m_led) {
         *host->pending.add_views() = toProto(led.view);
@@ -102,6 +103,7 @@
     host->tickets[ask.ticket()] = ticket;
     WorkItem item = fromProto(ask, host->zone, now);
     item.ticket = ticket;
+    item.host = host->number;
     Dispatcher &dispatcher = *led->second.dispatcher;
     if (!ask.running_on().empty()) {
         dispatcher.adopt(item, ask.running_on(), now);
--- a/src/snipevalve/node/dispatch_desk.hpp
+++ b/src/snipevalve/node/dispatch_desk.hpp
@@ -59,6 +59,7 @@
     struct Host
     {
         std::shared_ptr<FrameChannel> channel;
+        std::uint32_t number = 0;
         std::string name;
         std::string zone;
         proto::LeaderFrame pending; ///< decisions that have not been sent yet
@@ -102,6 +103,7 @@
     std::map<std::string, Led> m_led;
     std::map<Ticket, Origin> m_origins;
     Ticket m_lastTicket = 0;
+    std::uint32_t m_lastHost = 0;
     std::deque<std::shared_ptr<const GatewayConfig>> m_configs; ///< the latest versions, the newest last
     LeaderTable m_leaders;
     TimePoint m_current;
--- a/src/snipevalve/node/upstream_exchange.cpp
+++ b/src/snipevalve/node/upstream_exchange.cpp
@@ -11,7 +11,7 @@
 /// A server in the region answers a connection within some ms; a silent one is given up after this.
 constexpr Milliseconds ConnectTimeout(300);
 /// An idle connection that answered this long ago may still serve idempotent requests. Servers close theirs after 10 s.
-constexpr Milliseconds IdempotentReuse(7'500);
+constexpr Milliseconds IdempotentReuse(9'000);
 /// And others, which can't be sent again when the server has just closed the connection.
 constexpr Milliseconds NonIdempotentReuse(2'500);
 /// A longer answer is not passed on. The users' answers have some ten KB.
