Long queues cost little, stale servers are forgotten, and stops end what waits

On half a core it fell behind, renewed its lease late and lost it each 5 s; asks went unanswered to their deadline.

--- a/include/snipevalve/dispatch/dispatcher.hpp
+++ b/include/snipevalve/dispatch/dispatcher.hpp
@@ -112,6 +112,13 @@
         TimePoint averagedAt;
     };
 
+    /// The servers that a lane's requests may go to now.
+    struct Candidates
+    {
+        std::vector<ServerState *> open;
+        double bestBusyFactor = 1e9; ///< of the busy server that would be through soonest, against one of usual speed
+    };
+
     /// When a request would be through, and whether that is good enough.
     struct Forecast
     {
@@ -155,8 +162,10 @@
     void reject(const WorkItem &item, RejectReason reason, Seconds retryAfter);
     void place(const WorkItem &item, ServerState &state, TimePoint now);
     void serveLane(const std::string &name, Lane &lane, TimePoint now);
-    ServerState *serverFor(const WorkItem &item, const std::string &laneName, TimePoint now);
-    ServerState *bestOpen(const WorkItem &item, TimePoint now);
+    Candidates candidatesOf(const std::string &laneName, TimePoint now);
+    double timeFactor(const ServerState &state) const;
+    ServerState *bestOpen(const WorkItem &item, const Candidates &candidates, TimePoint now);
+    std::vector<const WorkItem *> inOrder(const Lane &lane, TimePoint now) const;
     void dropHopeless(const std::string &name, Lane &lane, TimePoint now);
     void requeueAll(TimePoint now);
 
--- a/include/snipevalve/dispatch/work.hpp
+++ b/include/snipevalve/dispatch/work.hpp
@@ -53,6 +53,7 @@
     NoOwner, ///< no server holds the key
     TooLate, ///< the wait would be longer than the request's time
     RetryBudget, ///< all repeated sends of this window are used up
+    Stopping, ///< this host is about to end
 };
 
 /// @brief The item is not sent.
--- a/include/snipevalve/gateway/server_directory.hpp
+++ b/include/snipevalve/gateway/server_directory.hpp
@@ -29,6 +29,9 @@
     /// @brief The entry has been removed.
     void onRemoved(const std::string &id, TimePoint now);
 
+    /// @brief Forgets all; for a host that has not followed for a while.
+    void clear();
+
     /// @brief All entries have been read: those that are not named were removed.
     void onListed(const std::vector<std::string> &ids, TimePoint now);
 
--- a/src/snipevalve/dispatch/dispatcher.cpp
+++ b/src/snipevalve/dispatch/dispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include <cmath>
 #include <set>
+#include <tuple>
 
 namespace snipevalve {
 
@@ -56,6 +57,8 @@
         return "the wait is longer than the request's time";
     case RejectReason::RetryBudget:
         return "no repeated send left";
+    case RejectReason::Stopping:
+        return "the host is about to end";
     }
     return "";
 }
@@ -400,67 +403,129 @@
     return {isLate, isElsewhere, isCold, time, busyShare};
 }
 
-/// The open server with the shortest expected time. Null also when a busy server will be through with the request
-/// sooner, and within its target, while the best open one would make it late.
-Dispatcher::ServerState *Dispatcher::bestOpen(const WorkItem &item, TimePoint now)
+/// The servers of a lane that may take work now, and how fast the best busy one is.
+Dispatcher::Candidates Dispatcher::candidatesOf(const std::string &laneName, TimePoint now)
+{
+    Candidates candidates;
+    if (!laneName.empty()) {
+        const auto owner = m_servers.find(laneName);
+        if (owner != m_servers.end() && isOpen(owner->second, now)) {
+            candidates.open.push_back(&owner->second);
+        }
+        return candidates;
+    }
+    for (auto &[id, state] : m_servers) {
+        if (isOpen(state, now)) {
+            candidates.open.push_back(&state);
+        } else if (!state.gone && !state.outliers.isEjected(now)) {
+            // On average half of the work of the request that is nearest to its end is left.
+            const double untilFree = 1.0 + 1.0 / (2.0 * limitOf(state));
+            candidates.bestBusyFactor = std::min(candidates.bestBusyFactor, timeFactor(state) * untilFree);
+        }
+    }
+    return candidates;
+}
+
+/// How long a request takes on this server, refusals included, against one on a server of usual speed.
+double Dispatcher::timeFactor(const ServerState &state) const
+{
+    return state.slowness.factor() / (1.0 - state.refuseShare);
+}
+
+/// The most suitable open server. Null also when a busy server will be through with the request sooner, and within its
+/// target, while the best open one would make it late.
+Dispatcher::ServerState *Dispatcher::bestOpen(const WorkItem &item, const Candidates &candidates, TimePoint now)
 {
     const bool calm = isCalm();
+    const Seconds work = expectedWork(item);
     ServerState *best = nullptr;
     Suitability bestFit;
-    Seconds bestTime(0);
-    Seconds bestBusy = Seconds::max();
-    for (auto &[id, state] : m_servers) {
-        const bool isAvoided = std::find(item.avoid.begin(), item.avoid.end(), id) != item.avoid.end();
-        if (isAvoided || state.gone || state.outliers.isEjected(now)) {
-            continue;
-        }
-        const Seconds time = expectedOn(state, item) / (1.0 - state.refuseShare);
-        if (!isOpen(state, now)) {
-            // On average half of the work of the request that is nearest to its end is left.
-            bestBusy = std::min(bestBusy, time * (1.0 + 1.0 / (2.0 * limitOf(state))));
+    for (ServerState *state : candidates.open) {
+        const bool isAvoided = std::find(item.avoid.begin(), item.avoid.end(), state->server.id) != item.avoid.end();
+        if (isAvoided && !item.key) {
             continue;
         }
-        const Suitability fit = suitability(state, item, time, calm, now);
+        const Suitability fit = suitability(*state, item, work * timeFactor(*state), calm, now);
         if (best == nullptr || fit < bestFit) {
-            best = &state;
+            best = state;
             bestFit = fit;
-            bestTime = time;
         }
     }
-    const bool isBetterToWait = best != nullptr && now + toDuration(bestTime) > item.targetBy && bestBusy < bestTime
-        && now + toDuration(bestBusy) <= item.targetBy;
+    if (best == nullptr) {
+        return nullptr;
+    }
+    const Seconds onOpen = work * timeFactor(*best);
+    const Seconds onBusy = work * candidates.bestBusyFactor;
+    const bool isBetterToWait =
+        now + toDuration(onOpen) > item.targetBy && onBusy < onOpen && now + toDuration(onBusy) <= item.targetBy;
     return isBetterToWait ? nullptr : best;
 }
 
-Dispatcher::ServerState *Dispatcher::serverFor(const WorkItem &item, const std::string &laneName, TimePoint now)
+/// The lane's requests in the order in which they go. The queue itself stays as it is: requests are large to move.
+std::vector<const WorkItem *> Dispatcher::inOrder(const Lane &lane, TimePoint now) const
 {
-    if (laneName.empty()) {
-        return bestOpen(item, now);
+    struct Rank
+    {
+        bool isLate = false;
+        int priority = 0;
+        TimePoint by;
+        const WorkItem *item = nullptr;
+    };
+    std::vector<Rank> ranks;
+    ranks.reserve(lane.queue.size());
+    for (const WorkItem &item : lane.queue) {
+        const bool isInTime = canBeInTarget(item, now);
+        ranks.push_back({!isInTime, item.priority, isInTime ? item.targetBy : item.deadline, &item});
+    }
+    std::sort(ranks.begin(), ranks.end(), [](const Rank &left, const Rank &right) {
+        return std::tie(left.isLate, left.priority, left.by, left.item->ticket)
+            < std::tie(right.isLate, right.priority, right.by, right.item->ticket);
+    });
+    std::vector<const WorkItem *> items;
+    items.reserve(ranks.size());
+    for (const Rank &rank : ranks) {
+        items.push_back(rank.item);
     }
-    const auto position = m_servers.find(laneName);
-    return position != m_servers.end() && isOpen(position->second, now) ? &position->second : nullptr;
+    return items;
 }
 
 /// First the requests that an open server answers within their target, in their order; a slow server so gets one that
 /// has time for it. Then the others, where an open server is left.
+///
+/// Answers the load pattern "hundreds wait for a hundred servers": each end of a send looks at the servers once and at
+/// the queue once, and stops when no server is open.
 void Dispatcher::serveLane(const std::string &name, Lane &lane, TimePoint now)
 {
-    if (lane.queue.empty() || freeSlots(name, now) <= 0) {
+    if (lane.queue.empty()) {
         return;
     }
-    std::sort(lane.queue.begin(), lane.queue.end(), [this, now](const WorkItem &left, const WorkItem &right) {
-        return goesBefore(left, right, now);
-    });
+    Candidates candidates = candidatesOf(name, now);
+    if (candidates.open.empty()) {
+        return;
+    }
+    std::set<Ticket> placed;
+    const std::vector<const WorkItem *> items = inOrder(lane, now);
     for (const bool onlyInTarget : {true, false}) {
-        std::erase_if(lane.queue, [&](const WorkItem &item) {
-            ServerState *state = serverFor(item, name, now);
+        for (const WorkItem *item : items) {
+            if (candidates.open.empty()) {
+                break;
+            }
+            ServerState *state = placed.contains(item->ticket) ? nullptr : bestOpen(*item, candidates, now);
             const bool isInTarget =
-                state != nullptr && now + toDuration(expectedOn(*state, item) * PlacementMargin) <= item.targetBy;
+                state != nullptr && now + toDuration(expectedOn(*state, *item) * PlacementMargin) <= item->targetBy;
             if (state == nullptr || (onlyInTarget && !isInTarget)) {
-                return false;
+                continue;
+            }
+            place(*item, *state, now);
+            placed.insert(item->ticket);
+            if (!isOpen(*state, now)) {
+                std::erase(candidates.open, state);
             }
-            place(item, *state, now);
-            return true;
+        }
+    }
+    if (!placed.empty()) {
+        std::erase_if(lane.queue, [&placed](const WorkItem &item) {
+            return placed.contains(item.ticket);
         });
     }
 }
@@ -468,19 +533,20 @@
 /// Rejects what can no longer be answered in time, by the queue as it stands now.
 void Dispatcher::dropHopeless(const std::string &name, Lane &lane, TimePoint now)
 {
-    std::sort(lane.queue.begin(), lane.queue.end(), [this, now](const WorkItem &left, const WorkItem &right) {
-        return goesBefore(left, right, now);
-    });
     Seconds inTimeAhead(0);
     Seconds lateAhead(0);
-    std::erase_if(lane.queue, [&](const WorkItem &item) {
-        const Forecast outlook = forecast(item, inTimeAhead, lateAhead, lane, name, now);
+    std::set<Ticket> hopeless;
+    for (const WorkItem *item : inOrder(lane, now)) {
+        const Forecast outlook = forecast(*item, inTimeAhead, lateAhead, lane, name, now);
         if (!outlook.inDeadline) {
-            reject(item, RejectReason::TooLate, outlook.wait);
-            return true;
+            reject(*item, RejectReason::TooLate, outlook.wait);
+            hopeless.insert(item->ticket);
+            continue;
         }
-        (canBeInTarget(item, now) ? inTimeAhead : lateAhead) += expectedWork(item);
-        return false;
+        (canBeInTarget(*item, now) ? inTimeAhead : lateAhead) += expectedWork(*item);
+    }
+    std::erase_if(lane.queue, [&hopeless](const WorkItem &item) {
+        return hopeless.contains(item.ticket);
     });
 }
 
--- a/src/snipevalve/dispatch/dispatcher_test.cpp
+++ b/src/snipevalve/dispatch/dispatcher_test.cpp
@@ -142,6 +142,49 @@
     CHECK(used.size() <= 2); // before: all twelve in turn, eight of them in the other zone
 }
 
+TEST_CASE("a leader keeps up with a long queue in front of many servers")
+{
+    // Load pattern: a burst on a service of 128 servers; 300 requests wait, and 700 a second end and begin. A leader
+    // has half a core, so an event may take 0.5 ms of a whole one at most.
+    Dispatcher dispatcher({});
+    std::vector<UpstreamServer> servers;
+    constexpr int Servers = 128;
+    for (int at = 0; at < Servers; ++at) {
+        servers.push_back(server("s" + std::to_string(at), 4));
+    }
+    dispatcher.setServers(servers, Start);
+    Ticket last = 0;
+    TimePoint now = Start;
+    std::vector<Ticket> running;
+    const auto submitOne = [&]() {
+        WorkItem work = item(++last);
+        work.targetBy = now + Milliseconds(2'000);
+        work.deadline = now + Milliseconds(12'000);
+        work.zone = "z" + std::to_string(last % 4);
+        work.host = static_cast<std::uint32_t>(last % 70);
+        dispatcher.submit(work, now);
+        for (const Ticket ticket : placed(dispatcher)) {
+            running.push_back(ticket);
+        }
+    };
+    for (int request = 0; request < 4 * Servers + 300; ++request) {
+        submitOne();
+    }
+    REQUIRE(dispatcher.waiting() >= 250);
+    constexpr int Events = 2'000;
+    const auto startedAt = Clock::now();
+    for (int event = 0; event < Events / 2; ++event) {
+        now += Milliseconds(1);
+        dispatcher.finish(running[static_cast<std::size_t>(event)], WorkEnd::Done, Milliseconds(500), now);
+        submitOne();
+    }
+    const Duration took = Clock::now() - startedAt;
+    const auto micros = std::chrono::duration_cast<std::chrono::nanoseconds>(took).count() / 1e3 / Events;
+    WARN("an event took " << micros << " us");
+    CHECK(took / Events < std::chrono::microseconds(500));
+    CHECK(dispatcher.waiting() >= 250);
+}
+
 TEST_CASE("urgent requests go first, but not before one that can still be in time")
 {
     struct Case
--- a/src/snipevalve/dispatch_link/messages.cpp
+++ b/src/snipevalve/dispatch_link/messages.cpp
@@ -149,7 +149,7 @@
 {
     Rejection rejection;
     rejection.ticket = refusal.ticket();
-    const auto last = static_cast<std::uint32_t>(RejectReason::RetryBudget);
+    const auto last = static_cast<std::uint32_t>(RejectReason::Stopping);
     rejection.reason = static_cast<RejectReason>(std::min(refusal.reason(), last));
     rejection.retryAfter = Milliseconds(refusal.retry_after_ms());
     rejection.waiting = refusal.waiting();
--- a/src/snipevalve/gateway/server_directory.cpp
+++ b/src/snipevalve/gateway/server_directory.cpp
@@ -57,6 +57,13 @@
     }
 }
 
+void ServerDirectory::clear()
+{
+    m_changed = m_changed || !m_entries.empty();
+    m_entries.clear();
+    m_graceEnd = {};
+}
+
 bool ServerDirectory::advance(TimePoint now)
 {
     if (now >= m_graceEnd) {
--- a/src/snipevalve/node/control/node_control.hpp
+++ b/src/snipevalve/node/control/node_control.hpp
@@ -399,6 +399,9 @@
             }
         };
         handlers.onList = [this](const StoredList &list) {
+            if (!m_serversKnown) {
+                m_directory.clear(); // what this host knew when it last followed may have left long ago
+            }
             std::vector<std::string> ids;
             for (const StoredValue &value : list.values) {
                 ids.push_back(serverId(value.key));
--- a/src/snipevalve/node/control/node_process.hpp
+++ b/src/snipevalve/node/control/node_process.hpp
@@ -50,20 +50,26 @@
     }
 
     /// @brief Runs until a planned stop. @return the exit code
+    ///
+    /// Afterwards the process has to end without destroying this object: coroutines that wait for callers refer to each
+    /// other, and there is no order in which they could go.
     ExitCode run()
     {
         m_traffic.start();
         m_supervisor.start();
         m_context.run();
+        m_traffic.stop();
         return m_exitCode;
     }
 
 private:
     /// The balancer asks each second and takes a node out after two misses; callers that it sent in between are served.
     static constexpr Milliseconds ListenAfterStop{2'500};
-    /// Kept at the end of the grace time for the last answers and log lines; a host of 0.1 core takes 0.5 s for these. The
-    /// users' pages do not count what a server still works on in the last sixth of 6 s.
+    /// Kept at the end of the grace time for the last answers and log lines; a host of 0.1 core takes 0.5 s for these.
+    /// The users' pages do not count what a server still works on in the last sixth of 6 s.
     static constexpr Milliseconds GraceReserve{1'000};
+    /// Before that, what has not been sent to a server is refused, so that its caller can go elsewhere.
+    static constexpr Milliseconds RefuseBeforeEnd{500};
     static constexpr Milliseconds StopPollInterval{50};
     /// A caller that has been idle for this long while the node stops is not about to send.
     static constexpr Milliseconds IdleWhileStopping{300};
@@ -118,6 +124,9 @@
         const TimePoint end = startedAt + m_settings.stopGrace - GraceReserve;
         while (m_traffic.sessions() > 0 && Clock::now() < end) {
             m_traffic.closeIdle(IdleWhileStopping);
+            if (Clock::now() >= end - RefuseBeforeEnd) {
+                m_traffic.refuseWaiting();
+            }
             timer.expires_after(StopPollInterval);
             co_await timer.async_wait(awaitInto(ignored));
         }
--- a/src/snipevalve/node/control/store_follower.hpp
+++ b/src/snipevalve/node/control/store_follower.hpp
@@ -2,6 +2,7 @@
 #define SNIPEVALVE_NODE_CONTROL_STORE_FOLLOWER_HPP
 
 #include <functional>
+#include <optional>
 #include <string>
 
 #include <spdlog/spdlog.h>
@@ -53,6 +54,7 @@
         while (true) {
             if (m_handlers.isWanted && !m_handlers.isWanted()) {
                 m_isListed = false;
+                m_lostAt.reset(); // when the store came back is not seen from here on
                 co_await sleep(timer, UnwantedPause);
                 continue;
             }
--- a/src/snipevalve/node/gateway_thread.cpp
+++ b/src/snipevalve/node/gateway_thread.cpp
@@ -27,6 +27,11 @@
 }
 
 GatewayThread::~GatewayThread()
+{
+    stop();
+}
+
+void GatewayThread::stop()
 {
     m_context.stop();
     if (m_thread.joinable()) {
@@ -34,6 +39,13 @@
     }
 }
 
+void GatewayThread::refuseWaiting()
+{
+    asio::post(m_context, [this]() {
+        m_traffic.placements.refuseWaiting();
+    });
+}
+
 void GatewayThread::start()
 {
     asio::co_spawn(m_context, accept(), asio::detached);
--- a/src/snipevalve/node/gateway_thread.hpp
+++ b/src/snipevalve/node/gateway_thread.hpp
@@ -34,6 +34,12 @@
     /// @brief Takes no more connections.
     void closeListener();
 
+    /// @brief Refuses the requests that have not been sent to a server.
+    void refuseWaiting();
+
+    /// @brief Ends the thread. What its connections wait for stays where it is: the process is about to end.
+    void stop();
+
     /// @brief Closes the connections that have waited for a request for at least `idle`.
     void closeIdle(Duration idle);
 
--- a/src/snipevalve/node/placements.cpp
+++ b/src/snipevalve/node/placements.cpp
@@ -163,6 +163,17 @@
     }
 }
 
+void Placements::refuseWaiting()
+{
+    constexpr Milliseconds RetryAfter(100); ///< another host may have room at once
+    for (auto &[ticket, send] : m_sends) {
+        if (!send.decision) {
+            report(send, ticket, WorkEnd::Abandoned, Duration::zero());
+            decide(ticket, Rejection{ticket, RejectReason::Stopping, RetryAfter});
+        }
+    }
+}
+
 void Placements::setLeaders(const std::map<std::string, Endpoint> &leaders)
 {
     if (leaders == m_leaders) {
--- a/src/snipevalve/node/placements.hpp
+++ b/src/snipevalve/node/placements.hpp
@@ -33,6 +33,9 @@
     /// @brief The caller has gone: a waiting acquire() returns with a rejection.
     void abandon(Ticket ticket);
 
+    /// @brief Refuses what still waits for a server; for a node that is about to end.
+    void refuseWaiting();
+
     /// @brief Where the leaders are; a service without one is decided here.
     void setLeaders(const std::map<std::string, Endpoint> &leaders);
 
--- a/tests/process/node_test.cpp
+++ b/tests/process/node_test.cpp
@@ -227,6 +227,30 @@
     CHECK(deployment.node(0).wait(Milliseconds(6'000)) == 0);
 }
 
+TEST_CASE("a stop with a half-sent request ends well", "[promise-7]")
+{
+    // The memory of a stopping process was corrupt when such a connection was destroyed at its end.
+    NodeDeployment deployment("node-half", Network + 4, 1);
+    deployment.platform.addServer("debit-0", "debits", false, Milliseconds(5));
+    REQUIRE(deployment.waitUntil(
+        [&]() {
+            return deployment.ask(0, "POST", "/p/x").status == 200;
+        },
+        StartTimeout));
+    asio::io_context context;
+    std::vector<Tcp::socket> callers;
+    for (int caller = 0; caller < 20; ++caller) {
+        callers.emplace_back(context);
+        callers.back().connect(toTcp({deployment.addressOf(0), NodeCallersPort}));
+        const std::string half = "POST /p/x HTTP/1.1\r\nHost: h.example\r\nX-Snipevalve-Request-Id: half-"
+            + std::to_string(caller) + "\r\nContent-Length: 10\r\n\r\nabc";
+        asio::write(callers.back(), asio::buffer(half));
+    }
+    std::this_thread::sleep_for(Milliseconds(200));
+    deployment.node(0).terminate();
+    CHECK(deployment.node(0).wait(Milliseconds(6'000)) == 0);
+}
+
 TEST_CASE("a configuration is in force within the bound and goes on without the store", "[promise-8]")
 {
     NodeDeployment deployment("node-config", Network + 3, 2);
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -19,6 +19,7 @@
     R"(snipevalve-soak runs real nodes as processes, injects faults from outside them and checks the promises.
 
 Usage:
+  snipevalve-soak --list=FILE [--network=N] [--binaries=DIR] [--folder=DIR]
   snipevalve-soak [--seed=N] [--seeds=N] [--minutes=M] [--seconds=S] [--scale=N] [--network=N] [--binaries=DIR] [--folder=DIR]
   snipevalve-soak --help
 
@@ -32,6 +33,7 @@
   --binaries=DIR  Folder of the programs. [default: build/bin]
   --folder=DIR    For settings and logs, one folder a seed; those of seeds without a finding are removed.
                   [default: /tmp/snipevalve-soak]
+  --list=FILE     Play the seeds that begin the lines of this file.
   --help          Show this text.
 )";
 
@@ -57,7 +59,7 @@
 {
     std::cout << "seed " << seed << ": " << result.breaches.size() << " findings, " << result.schedule.size()
               << " faults, " << result.served << " of " << result.requests << " requests served, regained after "
-              << result.regained.count() << " ms\n";
+              << result.regained.count() << " ms" << std::endl;
     if (result.breaches.empty()) {
         return;
     }
@@ -75,6 +77,34 @@
     std::cout << "  faults:\n" << describe(result.schedule) << "  logs: " << folder << std::endl;
 }
 
+std::vector<std::uint64_t> readSeeds(const std::string &path)
+{
+    std::vector<std::uint64_t> seeds;
+    std::ifstream file(path);
+    for (std::string line; std::getline(file, line);) {
+        if (!line.empty() && line.front() != '#') {
+            seeds.push_back(std::stoull(line));
+        }
+    }
+    return seeds;
+}
+
+/// Plays one seed. @return whether it found nothing
+bool play(SoakOptions options, const std::string &folder)
+{
+    options.folder = folder + "/seed-" + std::to_string(options.seed);
+    SoakResult result;
+    {
+        SoakRun run(options);
+        result = run.run();
+    }
+    print(options.seed, result, options.folder);
+    if (result.breaches.empty()) {
+        std::filesystem::remove_all(options.folder);
+    }
+    return result.breaches.empty();
+}
+
 std::uint64_t numberOf(const std::map<std::string, docopt::value> &arguments, const std::string &name)
 {
     return std::stoull(arguments.at(name).asString());
@@ -85,37 +115,36 @@
 int main(int argc, char **argv)
 {
     const auto arguments = docopt::docopt(Usage, {argv + 1, argv + argc}, true);
-    std::uint64_t seed = numberOf(arguments, "--seed");
-    if (seed == 0) {
-        seed = static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch().count()) % 1'000'000;
-    }
     const std::uint64_t scale = numberOf(arguments, "--scale");
+    const std::string folder = arguments.at("--folder").asString();
+    SoakOptions options;
+    options.network = static_cast<std::uint8_t>(numberOf(arguments, "--network"));
+    options.nodes *= static_cast<unsigned>(scale);
+    options.keyedServers *= static_cast<unsigned>(scale);
+    options.poolServers *= static_cast<unsigned>(scale);
+    options.traffic = std::chrono::seconds(numberOf(arguments, "--seconds"));
+    options.binaries = arguments.at("--binaries").asString();
+    std::vector<std::uint64_t> seeds;
+    if (arguments.at("--list").isString()) {
+        seeds = readSeeds(arguments.at("--list").asString());
+    }
+    std::uint64_t next = numberOf(arguments, "--seed");
+    if (next == 0) {
+        next = static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch().count()) % 1'000'000;
+    }
+    const std::uint64_t count = numberOf(arguments, "--seeds");
+    for (std::uint64_t more = 0; !arguments.at("--list").isString() && more < count; ++more) {
+        seeds.push_back(next++);
+    }
     const TimePoint end = Clock::now() + std::chrono::minutes(numberOf(arguments, "--minutes"));
-    const std::uint64_t lastSeed = seed + numberOf(arguments, "--seeds");
-    std::size_t runs = 0;
     std::size_t failed = 0;
-    for (; seed < lastSeed || Clock::now() < end; ++seed) {
-        SoakOptions options;
-        options.seed = seed;
-        options.network = static_cast<std::uint8_t>(numberOf(arguments, "--network"));
-        options.nodes *= static_cast<unsigned>(scale);
-        options.keyedServers *= static_cast<unsigned>(scale);
-        options.poolServers *= static_cast<unsigned>(scale);
-        options.traffic = std::chrono::seconds(numberOf(arguments, "--seconds"));
-        options.binaries = arguments.at("--binaries").asString();
-        options.folder = arguments.at("--folder").asString() + "/seed-" + std::to_string(seed);
-        SoakResult result;
-        {
-            SoakRun run(options);
-            result = run.run();
-        }
-        print(seed, result, options.folder);
-        ++runs;
-        failed += result.breaches.empty() ? 0 : 1;
-        if (result.breaches.empty()) {
-            std::filesystem::remove_all(options.folder);
+    for (std::size_t at = 0; at < seeds.size(); ++at) {
+        options.seed = seeds[at];
+        failed += play(options, folder) ? 0 : 1;
+        if (at + 1 == seeds.size() && Clock::now() < end) {
+            seeds.push_back(next++);
         }
     }
-    std::cout << "soak: " << runs - failed << " passed, " << failed << " failed" << std::endl;
+    std::cout << "soak: " << seeds.size() - failed << " passed, " << failed << " failed" << std::endl;
     return failed == 0 ? 0 : 1;
 }
