--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -23,6 +23,8 @@
 constexpr Milliseconds PoolWork(25);
 /// A restarted process has its configuration and a leader's link after this.
 constexpr Milliseconds StartTime(2'000);
+/// The platform starts a process again so long after its end.
+constexpr Milliseconds RestartDelay(100);
 
 } // namespace
 
@@ -214,7 +216,6 @@
 void SoakRun::stopNode(std::size_t number)
 {
     constexpr Milliseconds Grace(6'000);
-    constexpr Milliseconds Restart(100);
     disturb(number, Grace + StartTime, true);
     m_nodes[number].process->terminate();
     if (m_nodes[number].isStopping) {
@@ -231,7 +232,7 @@
         if (!node.process->isRunning()) {
             node.isStopping = false;
             node.process.reset();
-            later(Restart, [this, number]() {
+            later(RestartDelay, [this, number]() {
                 startNode(number);
             });
             return;
