--- a/include/snipevalve/dispatch/dispatcher.hpp
+++ b/include/snipevalve/dispatch/dispatcher.hpp
@@ -90,6 +90,7 @@
         unsigned busy = 0;
         bool gone = false; ///< takes no new work; kept for the requests that run there
         TimePoint lastUsedAt;
+        TimePoint newestDone; ///< when the latest begun of the answered sends was begun
         std::map<std::uint32_t, TimePoint> answeredTo; ///< by host: when it last got an answer, and kept the connection
     };
 
@@ -98,7 +99,9 @@
         std::string server;
         std::uint64_t workClass = 0;
         std::uint32_t host = 0;
-        TimePoint occupiesUntil; ///< later it surely waits for an answer that was lost, and takes no slot
+        TimePoint since;
+        TimePoint doubtfulAt; ///< later it holds no slot if the server has answered what was begun after it
+        TimePoint hopelessAt; ///< later it holds no slot
         bool occupies = true;
     };
 
--- a/src/snipevalve/dispatch/dispatcher.cpp
+++ b/src/snipevalve/dispatch/dispatcher.cpp
@@ -27,9 +27,11 @@
 /// The last ten sends make two thirds of a server's share of refusals.
 constexpr double RefuseWeight = 0.1;
 constexpr double MostRefused = 0.95; ///< a server that refuses all still counts as able to serve one in twenty
-/// A send that takes so many times as long as expected has probably lost its answer: one in a hundred takes 3 to 5
-/// times as long, and its server would queue what comes in its place.
-constexpr double LongestOccupation = 6.0;
+/// A send that takes so many times as long as expected has probably lost its answer if its server goes on answering
+/// others: one in a hundred takes 3 to 5 times as long.
+constexpr double DoubtfulAfter = 6.0;
+/// The same without any answer of the server: slow ones of the users' pages take up to 12 times as long.
+constexpr double HopelessAfter = 14.0;
 /// A send that another dispatcher began is on average half through. What has queued behind it is not known here.
 constexpr double LongestAdopted = 1.5;
 /// Hosts keep a connection for so long for requests that may not be sent twice.
@@ -338,7 +340,8 @@
 {
     const auto position = m_servers.find(server);
     const Seconds expected = position == m_servers.end() ? expectedWork(item) : expectedOn(position->second, item);
-    m_running[item.ticket] = {server, item.workClass, item.host, now + toDuration(expected * LongestAdopted)};
+    const TimePoint end = now + toDuration(expected * LongestAdopted);
+    m_running[item.ticket] = {server, item.workClass, item.host, now, end, end};
     if (position != m_servers.end()) {
         ++position->second.busy;
     }
@@ -349,13 +352,15 @@
 void Dispatcher::freeAbandonedSlots(TimePoint now)
 {
     for (auto &[ticket, running] : m_running) {
-        if (!running.occupies || now < running.occupiesUntil) {
+        const auto position = m_servers.find(running.server);
+        if (!running.occupies || now < running.doubtfulAt || position == m_servers.end()) {
             continue;
         }
-        running.occupies = false;
-        const auto position = m_servers.find(running.server);
-        if (position != m_servers.end()) {
-            position->second.busy -= position->second.busy > 0 ? 1 : 0;
+        ServerState &state = position->second;
+        const bool hasPassed = state.newestDone > running.since;
+        if (hasPassed || now >= running.hopelessAt) {
+            running.occupies = false;
+            state.busy -= state.busy > 0 ? 1 : 0;
         }
     }
 }
@@ -375,8 +380,12 @@
     ++state.busy;
     state.lastUsedAt = now;
     const Seconds expected = expectedOn(state, item);
-    m_running[item.ticket] = {state.server.id, item.workClass, item.host,
-                              now + toDuration(expected * LongestOccupation)};
+    m_running[item.ticket] = {state.server.id,
+                              item.workClass,
+                              item.host,
+                              now,
+                              now + toDuration(expected * DoubtfulAfter),
+                              now + toDuration(expected * HopelessAfter)};
     m_decisions.push_back(Placement{item.ticket, state.server, toDuration(expected)});
 }
 
@@ -606,6 +615,7 @@
     switch (end) {
     case WorkEnd::Done:
         state.answeredTo[ended.host] = now;
+        state.newestDone = std::max(state.newestDone, ended.since);
         state.slowness.observe(m_times.observe(ended.workClass, took, state.slowness.factor()));
         state.outliers.onSuccess();
         state.refuseShare *= 1.0 - RefuseWeight;
--- a/src/snipevalve/node/control/node_process.hpp
+++ b/src/snipevalve/node/control/node_process.hpp
@@ -121,6 +121,8 @@
         timer.expires_after(ListenAfterStop);
         co_await timer.async_wait(awaitInto(ignored));
         m_traffic.closeListener();
+        timer.expires_after(StopPollInterval); // until what the listener had taken has become sessions
+        co_await timer.async_wait(awaitInto(ignored));
         const TimePoint end = startedAt + m_settings.stopGrace - GraceReserve;
         while (m_traffic.sessions() > 0 && Clock::now() < end) {
             m_traffic.closeIdle(IdleWhileStopping);
--- a/src/snipevalve/node/gateway_session.cpp
+++ b/src/snipevalve/node/gateway_session.cpp
@@ -25,11 +25,13 @@
     , m_stream(std::move(socket))
 {
     m_traffic.sessions.insert(this);
+    m_traffic.sessionCount = m_traffic.sessions.size();
 }
 
 GatewaySession::~GatewaySession()
 {
     m_traffic.sessions.erase(this);
+    m_traffic.sessionCount = m_traffic.sessions.size();
 }
 
 Awaitable<void> GatewaySession::run()
--- a/src/snipevalve/node/gateway_thread.cpp
+++ b/src/snipevalve/node/gateway_thread.cpp
@@ -75,7 +75,6 @@
         timer.expires_after(AdvanceInterval);
         co_await timer.async_wait(awaitInto(ignored));
         m_traffic.placements.advance();
-        m_sessions = m_traffic.sessions.size();
     }
 }
 
@@ -147,7 +146,7 @@
 
 std::size_t GatewayThread::sessions() const
 {
-    return m_sessions;
+    return m_traffic.sessionCount;
 }
 
 const NodeMetrics &GatewayThread::metrics() const
--- a/src/snipevalve/node/gateway_thread.hpp
+++ b/src/snipevalve/node/gateway_thread.hpp
@@ -54,7 +54,6 @@
     asio::io_context m_context{1};
     GatewayTraffic m_traffic;
     Tcp::acceptor m_acceptor;
-    std::atomic<std::size_t> m_sessions = 0;
     std::thread m_thread;
 };
 
--- a/src/snipevalve/node/gateway_traffic.hpp
+++ b/src/snipevalve/node/gateway_traffic.hpp
@@ -1,6 +1,7 @@
 #ifndef SNIPEVALVE_NODE_GATEWAY_TRAFFIC_HPP
 #define SNIPEVALVE_NODE_GATEWAY_TRAFFIC_HPP
 
+#include <atomic>
 #include <memory>
 #include <random>
 #include <set>
@@ -42,6 +43,7 @@
     NodeMetrics metrics;
     std::mt19937_64 random;
     std::set<GatewaySession *> sessions; ///< open connections of callers
+    std::atomic<std::size_t> sessionCount = 0; ///< the same, for other threads; a stop must not miss one
     FirstDeadlines firstDeadlines;
     std::size_t bodyBytes = 0; ///< of requests that are being served
     bool stopping = false; ///< answers from now on end their connections
