--- a/include/snipevalve/net/spawn.hpp
+++ b/include/snipevalve/net/spawn.hpp
@@ -9,8 +9,8 @@
 
 /// @brief Starts a member coroutine of a shared object, and keeps the object until it has ended.
 ///
-/// A coroutine starts only when its executor gets to it. One that takes its own reference at its start may find that the
-/// object has gone by then.
+/// A coroutine starts only when its executor gets to it. One that takes its own reference at its start may find that
+/// the object has gone by then.
 template <typename Object, typename Executor, typename... Parameters, typename... Arguments>
 void spawnMember(const Executor &executor, std::shared_ptr<Object> object,
                  Awaitable<void> (Object::*member)(Parameters...), Arguments... arguments)
