Read what can be read of a configuration, and pass long answers on in parts

Cause: a route of an unknown kind refused the whole configuration, so every host refused everything; a name of another type threw, a number beyond a clock's range overflowed; findings broke a log event into lines; an answer was held whole up to 16 MB, so ten of them without end would end a process of 160 MB. Change: a resource that can't be read costs its own route alone (an unknown kind runs at most once; a route without readable services refuses, so that no shorter prefix takes it), each finding is one line, logged once; log lines escape what comes from outside; answers up to 256 KB are kept whole (16 KB when memory is short) and can be asked for again, longer ones pass in parts with back-pressure; foreign and interim answers are bounded; a half answer resets the caller. Ruled out: no limit for Beast's parser (Boost 1.74 takes none for zero).

--- a/include/snipevalve/gateway/gateway_config.hpp
+++ b/include/snipevalve/gateway/gateway_config.hpp
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "snipevalve/core/findings.hpp"
 #include "snipevalve/core/time.hpp"
 
 namespace snipevalve {
@@ -17,8 +18,15 @@
     Safe, ///< idempotent: may run more than once
     Unsafe, ///< runs at most once for each attempt of the caller
     Upload, ///< a large body; runs at most once
+    Download, ///< a large answer; may run more than once until the caller has seen some of it
 };
 
+/// @brief Whether a request of this kind may run more than once.
+constexpr bool isIdempotent(RequestKind kind)
+{
+    return kind == RequestKind::Safe || kind == RequestKind::Download;
+}
+
 /// @brief One of the services that share a route's requests.
 struct WeightedService
 {
@@ -46,7 +54,8 @@
     Milliseconds targetLatency{0}; ///< an answer within this time is worth most
     int priority = 0; ///< 0 is the highest
     int maxAttempts = 1; ///< servers that one request may be sent to
-    std::vector<WeightedService> services; ///< at least one
+    /// None when they could not be read: requests of the route are then refused.
+    std::vector<WeightedService> services;
 
     bool operator==(const GatewayRoute &) const = default;
 };
@@ -108,6 +117,13 @@
     std::map<std::string, HostRoutes, std::less<>> m_routesByHost;
 };
 
+/// @brief A configuration as it was read, and what of it could not be read.
+struct ReadConfig
+{
+    std::shared_ptr<const GatewayConfig> config;
+    Findings findings;
+};
+
 } // namespace snipevalve
 
 #endif // SNIPEVALVE_GATEWAY_GATEWAY_CONFIG_HPP
--- a/src/snipevalve/app/event_log.cpp
+++ b/src/snipevalve/app/event_log.cpp
@@ -4,6 +4,8 @@
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include "log_format.hpp"
+
 namespace snipevalve {
 
 namespace {
@@ -20,7 +22,7 @@
     const auto sink = std::make_shared<spdlog::sinks::stdout_sink_st>();
     const auto policy = spdlog::async_overflow_policy::overrun_oldest;
     const auto logger = std::make_shared<spdlog::async_logger>("node", sink, spdlog::thread_pool(), policy);
-    logger->set_pattern("%Y-%m-%dT%H:%M:%S.%e %l %v");
+    logger->set_formatter(detail::makeLogFormatter());
     logger->flush_on(spdlog::level::warn);
     spdlog::set_default_logger(logger);
     spdlog::flush_every(FlushInterval);
--- /dev/null
+++ b/src/snipevalve/app/log_format.cpp
@@ -0,0 +1,35 @@
+#include "log_format.hpp"
+
+#include <spdlog/pattern_formatter.h>
+
+#include "snipevalve/core/log_text.hpp"
+
+namespace snipevalve::detail {
+
+namespace {
+
+class EscapedMessage : public spdlog::custom_flag_formatter
+{
+public:
+    void format(const spdlog::details::log_msg &message, const std::tm &, spdlog::memory_buf_t &out) override
+    {
+        const std::string text = withoutControls({message.payload.data(), message.payload.size()});
+        out.append(text.data(), text.data() + text.size());
+    }
+
+    std::unique_ptr<custom_flag_formatter> clone() const override
+    {
+        return spdlog::details::make_unique<EscapedMessage>();
+    }
+};
+
+} // namespace
+
+std::unique_ptr<spdlog::formatter> makeLogFormatter()
+{
+    auto formatter = std::make_unique<spdlog::pattern_formatter>();
+    formatter->add_flag<EscapedMessage>('*').set_pattern("%Y-%m-%dT%H:%M:%S.%e %l %*");
+    return formatter;
+}
+
+} // namespace snipevalve::detail
--- a/src/snipevalve/app/program.cpp
+++ b/src/snipevalve/app/program.cpp
@@ -10,6 +10,8 @@
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include "log_format.hpp"
+
 namespace snipevalve {
 
 namespace {
@@ -38,7 +40,7 @@
     }
     const auto policy = spdlog::async_overflow_policy::overrun_oldest;
     const auto logger = std::make_shared<spdlog::async_logger>(name, sink, spdlog::thread_pool(), policy);
-    logger->set_pattern("%Y-%m-%dT%H:%M:%S.%e %l %v");
+    logger->set_formatter(detail::makeLogFormatter());
     logger->set_level(spdlog::level::from_str(settings.logLevel));
     spdlog::set_default_logger(logger);
     spdlog::flush_every(LogFlushInterval);
--- a/src/snipevalve/dispatch_link/messages.cpp
+++ b/src/snipevalve/dispatch_link/messages.cpp
@@ -65,8 +65,9 @@
     route.name = message.name();
     route.host = message.host();
     route.pathPrefix = message.path_prefix();
-    const auto last = static_cast<std::uint32_t>(RequestKind::Upload);
-    route.kind = static_cast<RequestKind>(std::min(message.kind(), last));
+    // A kind that only a newer host knows counts as one that may run once at most.
+    const bool isKnown = message.kind() <= static_cast<std::uint32_t>(RequestKind::Download);
+    route.kind = isKnown ? static_cast<RequestKind>(message.kind()) : RequestKind::Unsafe;
     route.timeout = Milliseconds(message.timeout_ms());
     route.targetLatency = Milliseconds(message.target_latency_ms());
     route.priority = message.priority();
--- a/src/snipevalve/node/control/node_control.hpp
+++ b/src/snipevalve/node/control/node_control.hpp
@@ -5,10 +5,12 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 
 #include <nlohmann/json.hpp>
 
+#include "snipevalve/core/log_text.hpp"
 #include "snipevalve/gateway/server_directory.hpp"
 #include "snipevalve/node/control/service_leader.hpp"
 #include "snipevalve/node/control/store_follower.hpp"
@@ -208,13 +210,30 @@
         if (value.key != Platform::configKey()) {
             return;
         }
-        const auto config = Platform::parseConfig(value.value);
-        if (!config.ok()) {
+        const auto read = Platform::parseConfig(value.value);
+        if (!read.ok()) {
             spdlog::error("config: event=unreadable revision={} reason=\"{}\"", value.revision,
-                          std::string(config.status().message()));
+                          quotedText(std::string(read.status().message())));
             return;
         }
-        putInForce(*config, "store", value.revision);
+        logFindings(read->findings, value.revision);
+        putInForce(read->config, "store", value.revision);
+    }
+
+    /// Each finding is logged when it first comes; the following versions mostly hold it too.
+    void logFindings(const Findings &findings, std::uint64_t revision)
+    {
+        constexpr std::size_t MostLines = 100; ///< a version can hold thousands
+        std::set<std::string> lines;
+        for (const Finding &finding : findings.all()) {
+            std::string line = finding.place + ": " + finding.message;
+            if (!m_configFindings.contains(line) && lines.size() < MostLines) {
+                spdlog::error("config: event=finding revision={} place=\"{}\" reason=\"{}\"", revision,
+                              quotedText(finding.place), quotedText(finding.message));
+            }
+            lines.insert(std::move(line));
+        }
+        m_configFindings = std::move(lines);
     }
 
     std::uint64_t configVersion() const
@@ -268,7 +287,7 @@
         m_askedBase.reset();
         if (!value.ok()) {
             m_reach.onFailure(Clock::now());
-            spdlog::warn("config: event=not_read reason=\"{}\"", std::string(value.status().message()));
+            spdlog::warn("config: event=not_read reason=\"{}\"", quotedText(std::string(value.status().message())));
             co_return;
         }
         m_reach.onAnswer();
@@ -433,8 +452,8 @@
         const std::string id = serverId(value.key);
         const auto server = Platform::parseServer(id, value.value);
         if (!server.ok()) {
-            spdlog::warn("servers: event=unreadable server={} revision={} reason=\"{}\"", id, value.revision,
-                         std::string(server.status().message()));
+            spdlog::warn("servers: event=unreadable server={} revision={} reason=\"{}\"", logValue(id), value.revision,
+                         quotedText(std::string(server.status().message())));
             m_directory.onEntry(id, std::nullopt);
             return;
         }
@@ -641,6 +660,7 @@
     StoreFollower<Store> m_planFollower{
         m_store, m_reach, {PlansPrefix, StoreWait, StoreWait, ServersPause, CalmServersPause}, planHandlers()};
     std::shared_ptr<const GatewayConfig> m_config;
+    std::set<std::string> m_configFindings; ///< of the newest configuration that was read
     bool m_isReadingConfig = false;
     std::optional<std::uint64_t> m_askedBase; ///< the version from which a leader was last asked to go on
     TimePoint m_askedAt;
--- a/src/snipevalve/node/control/platform_api.hpp
+++ b/src/snipevalve/node/control/platform_api.hpp
@@ -27,7 +27,7 @@
         } -> std::convertible_to<std::string>;
     {
         Platform::parseConfig(text)
-        } -> std::same_as<absl::StatusOr<std::shared_ptr<const GatewayConfig>>>;
+        } -> std::same_as<absl::StatusOr<ReadConfig>>;
     {
         Platform::parseServer(text, text)
         } -> std::same_as<absl::StatusOr<UpstreamServer>>;
--- a/src/snipevalve/node/gateway_request.cpp
+++ b/src/snipevalve/node/gateway_request.cpp
@@ -80,6 +80,9 @@
     if (request.route == nullptr) {
         return GatewayFault{http::status::not_found, "no route fits this host and path"};
     }
+    if (request.route->services.empty()) {
+        return GatewayFault{http::status::service_unavailable, "the route's services can't be read"};
+    }
     request.service = drawService(*request.route, draw);
     const GatewayService *service = request.config->service(request.service);
     request.keyed = service != nullptr && service->keyed;
--- a/src/snipevalve/node/gateway_request.hpp
+++ b/src/snipevalve/node/gateway_request.hpp
@@ -32,7 +32,7 @@
 
     bool isIdempotent() const
     {
-        return route->kind == RequestKind::Safe;
+        return snipevalve::isIdempotent(route->kind);
     }
 };
 
--- a/src/snipevalve/node/gateway_session.cpp
+++ b/src/snipevalve/node/gateway_session.cpp
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include "snipevalve/core/log_text.hpp"
 #include "snipevalve/net/message_head.hpp"
 #include "snipevalve/net/spawn.hpp"
 
@@ -154,13 +155,21 @@
     const auto runner = std::make_shared<RequestRunner>(m_traffic, std::move(request));
     m_stream.expires_never();
     spawnMember(m_traffic.executor, shared_from_this(), &GatewaySession::watchCaller, runner);
-    http::response<http::string_body> response = co_await runner->run();
+    UpstreamAnswer answer = co_await runner->run();
     m_traffic.bodyBytes -= bodyBytes;
     ErrorCode ignored;
+    if (!answer.isWhole && !runner->request().isGone) {
+        const bool isKept = co_await stream(*runner, std::move(answer));
+        m_stream.socket().cancel(ignored); // ends watchCaller()
+        co_return isKept;
+    }
     m_stream.socket().cancel(ignored); // ends watchCaller()
     if (runner->request().isGone) {
         co_return false;
     }
+    http::response<http::string_body> response;
+    response.base() = std::move(answer.header);
+    response.body() = std::move(answer.body);
     const bool isHead = runner->request().header.method() == http::verb::head;
     if (isHead) {
         response.body().clear();
@@ -168,6 +177,52 @@
     co_return co_await send(std::move(response));
 }
 
+/// Passes a long answer on in parts, each read from the server only when the caller has taken the one before.
+Awaitable<bool> GatewaySession::stream(RequestRunner &runner, UpstreamAnswer answer)
+{
+    http::response<http::buffer_body> response;
+    response.base() = std::move(answer.header);
+    const bool knowsChunks = runner.request().header.version() >= 11;
+    if (answer.length) {
+        response.content_length(*answer.length);
+    } else if (knowsChunks) {
+        response.chunked(true);
+    }
+    response.keep_alive(mayKeepConnection() && (answer.length || knowsChunks));
+    http::response_serializer<http::buffer_body> serializer(response);
+    std::string part = std::move(answer.body);
+    ErrorCode error;
+    bool isLast = false;
+    while (!error && !serializer.is_done()) {
+        response.body().data = part.empty() ? nullptr : part.data();
+        response.body().size = part.size();
+        response.body().more = !isLast;
+        m_stream.expires_after(WriteTimeout);
+        co_await http::async_write(m_stream, serializer, awaitInto(error));
+        if (error == http::error::need_buffer) {
+            error = {};
+        }
+        if (!error && !isLast) {
+            part = co_await runner.readMore(error);
+            isLast = part.empty();
+        }
+    }
+    if (error) {
+        runner.abandonAnswer();
+        reset();
+        co_return false;
+    }
+    co_return response.keep_alive();
+}
+
+/// Ends the connection so that a half answer, even one without a length, can't be taken for a whole one.
+void GatewaySession::reset()
+{
+    ErrorCode ignored;
+    m_stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    m_stream.close();
+}
+
 /// Waits until the caller sends something more or closes; of these only the close matters here.
 Awaitable<void> GatewaySession::watchCaller(std::shared_ptr<RequestRunner> runner)
 {
@@ -187,8 +242,8 @@
 
 Awaitable<bool> GatewaySession::refuse(http::status status, const std::string &reason, const std::string &id)
 {
-    spdlog::warn("request: event=refuse id={} status={} config={} reason=\"{}\"", id, static_cast<unsigned>(status),
-                 m_config ? m_config->version : 0, reason);
+    spdlog::warn("request: event=refuse id={} status={} config={} reason=\"{}\"", logValue(id),
+                 static_cast<unsigned>(status), m_config ? m_config->version : 0, quotedText(reason));
     m_traffic.metrics.count("refused_" + std::to_string(static_cast<unsigned>(status)));
     http::response<http::string_body> response(status, 11);
     if (!id.empty()) {
--- a/src/snipevalve/node/gateway_session.hpp
+++ b/src/snipevalve/node/gateway_session.hpp
@@ -34,6 +34,8 @@
     Awaitable<void> watchCaller(std::shared_ptr<RequestRunner> runner);
     Awaitable<bool> refuse(http::status status, const std::string &reason, const std::string &id = {});
     Awaitable<bool> send(http::response<http::string_body> response);
+    Awaitable<bool> stream(RequestRunner &runner, UpstreamAnswer answer);
+    void reset();
     bool mayKeepConnection() const;
     const CallerLimits &limits() const;
 
--- a/src/snipevalve/node/gateway_traffic.hpp
+++ b/src/snipevalve/node/gateway_traffic.hpp
@@ -46,6 +46,7 @@
     std::atomic<std::size_t> sessionCount = 0; ///< the same, for other threads; a stop must not miss one
     FirstDeadlines firstDeadlines;
     std::size_t bodyBytes = 0; ///< of requests that are being served
+    std::size_t answersUnderWay = 0; ///< sends whose answers are being read whole
     bool stopping = false; ///< answers from now on end their connections
 };
 
--- a/src/snipevalve/node/request_runner.cpp
+++ b/src/snipevalve/node/request_runner.cpp
@@ -6,6 +6,7 @@
 #include <spdlog/spdlog.h>
 
 #include "snipevalve/core/hash.hpp"
+#include "snipevalve/core/log_text.hpp"
 #include "snipevalve/net/message_head.hpp"
 #include "snipevalve/net/spawn.hpp"
 
@@ -19,6 +20,12 @@
 /// One request in a hundred takes three times the usual work.
 constexpr double PatienceFactor = 4.0;
 constexpr Milliseconds PatienceExtra(200);
+/// Answers are kept whole up to this length, so that a broken one can be asked for again.
+constexpr std::size_t LongestWholeAnswer = 256 << 10;
+/// The same while much of the memory for answers is taken.
+constexpr std::size_t ShortestWholeAnswer = 16 << 10;
+/// The share of the process's memory that whole answers may take.
+constexpr std::size_t AnswerMemoryDivisor = 8;
 /// The shortest wait that a refused caller is told: below it the same queue would be met again.
 constexpr Milliseconds ShortestRetryAfter(50);
 
@@ -80,7 +87,13 @@
     return item;
 }
 
-Awaitable<http::response<http::string_body>> RequestRunner::run()
+std::size_t RequestRunner::bufferLimit() const
+{
+    const std::size_t most = m_traffic.settings.memoryBytes / AnswerMemoryDivisor;
+    return (m_traffic.answersUnderWay + 1) * LongestWholeAnswer <= most ? LongestWholeAnswer : ShortestWholeAnswer;
+}
+
+Awaitable<UpstreamAnswer> RequestRunner::run()
 {
     while (true) {
         const DispatchDecision decision =
@@ -90,21 +103,23 @@
             const std::string reason(describe(rejection->reason));
             auto response = failure(rejection->retryAfter, reason);
             logRejection(*rejection);
-            logEnd(response.result_int(), reason);
+            logEnd(response.header.result_int(), reason);
             co_return response;
         }
         const Placement &placement = std::get<Placement>(decision);
         ExchangeResult result = co_await sendTo(placement);
         if (result.answer) {
-            auto response = answerOf(std::move(*result.answer));
-            logEnd(response.result_int(), "answered by " + placement.server.id);
+            auto response = toCallerAnswer(std::move(*result.answer));
+            if (response.isWhole) {
+                logEnd(response.header.result_int(), "answered by " + placement.server.id);
+            }
             co_return response;
         }
         m_failedServers.push_back(placement.server.id);
         const NextStep step = m_life.onAttemptEnd(toAttemptEnd(result.end), Clock::now(), m_sends);
         if (std::holds_alternative<Finish>(step) || m_request.isGone) {
             auto response = failure(placement.expected, result.detail);
-            logEnd(response.result_int(), result.detail);
+            logEnd(response.header.result_int(), result.detail);
             co_return response;
         }
         const Duration delay = std::get<RetryAfter>(step).delay;
@@ -136,16 +151,22 @@
 Awaitable<ExchangeResult> RequestRunner::sendTo(const Placement &placement)
 {
     ++m_sendCount;
-    UpstreamExchange exchange(m_traffic.executor, m_traffic.pool, m_traffic.names, m_request);
-    m_exchange = &exchange;
+    const auto exchange =
+        std::make_shared<UpstreamExchange>(m_traffic.executor, m_traffic.pool, m_traffic.names, m_request);
+    m_exchange = exchange;
     const auto expected = std::chrono::duration_cast<Duration>(Seconds(placement.expected) * PatienceFactor);
     const auto patience = std::make_shared<asio::steady_timer>(m_traffic.executor, expected + PatienceExtra);
     if (mayRepeat()) {
         spawnMember(m_traffic.executor, shared_from_this(), &RequestRunner::watchServer, patience, m_sendCount);
     }
-    ExchangeResult result = co_await exchange.run(placement.server, m_request.finalBy - AnswerMargin);
+    ++m_traffic.answersUnderWay;
+    ExchangeResult result = co_await exchange->run(placement.server, m_request.finalBy - AnswerMargin, bufferLimit());
+    --m_traffic.answersUnderWay;
     patience->cancel();
-    m_exchange = nullptr;
+    const bool isStreamed = result.answer && !result.answer->isWhole;
+    m_exchange = isStreamed ? exchange : nullptr;
+    m_server = placement.server;
+    countBytes(placement.server, m_request.body.size() + (result.answer ? result.answer->body.size() : 0));
     m_traffic.placements.finish(placement.ticket, result.end, result.took);
     m_traffic.metrics.count(std::string("send_") + std::string(describe(result.end)));
     if (!result.reusedConnection) {
@@ -183,44 +204,72 @@
     }
 }
 
-http::response<http::string_body> RequestRunner::answerOf(UpstreamAnswer answer) const
+/// Counts what is carried, by whether it crosses availability zones.
+void RequestRunner::countBytes(const UpstreamServer &server, std::size_t bytes) const
+{
+    const bool isNear = server.zone == m_traffic.settings.zone;
+    m_traffic.metrics.count(isNear ? "body_bytes_in_zone" : "body_bytes_across_zones", bytes);
+}
+
+Awaitable<std::string> RequestRunner::readMore(ErrorCode &error)
+{
+    std::string part = co_await m_exchange->readMore(error);
+    countBytes(m_server, part.size());
+    m_streamedBytes += part.size();
+    if (error) {
+        m_traffic.metrics.count("answer_cut");
+        spdlog::warn("request: event=cut id={} server={} streamed_bytes={} reason=\"{}\"", logValue(m_request.id),
+                     m_server.id, m_streamedBytes, quotedText(error.message()));
+    }
+    if (error || part.empty()) {
+        m_exchange = nullptr;
+        logEnd(error ? 0 : static_cast<unsigned>(http::status::ok), "passed on in parts from " + m_server.id);
+    }
+    co_return part;
+}
+
+void RequestRunner::abandonAnswer()
+{
+    if (m_exchange != nullptr) {
+        m_exchange->cancel();
+        m_exchange = nullptr;
+        logEnd(0, "the caller stopped reading the answer of " + m_server.id);
+    }
+}
+
+UpstreamAnswer RequestRunner::toCallerAnswer(UpstreamAnswer answer) const
 {
-    // These statuses promise that nothing ran. A server that ran the request and answers with one is not passed on.
-    const auto status = answer.header.result();
-    const bool isPromise = status == http::status::too_many_requests || status == http::status::service_unavailable
-        || status == http::status::request_timeout;
-    if (isPromise) {
-        http::response<http::string_body> response(http::status::bad_gateway, 11);
-        response.set(m_traffic.names.requestId, m_request.id);
-        response.body() = "the server answered " + std::to_string(answer.header.result_int())
+    // A server that ran the request and answers with a promise that nothing ran is not passed on.
+    if (isPromise(answer.header.result())) {
+        UpstreamAnswer response;
+        response.header.result(http::status::bad_gateway);
+        response.header.set(m_traffic.names.requestId, m_request.id);
+        response.body = "the server answered " + std::to_string(answer.header.result_int())
             + " without saying that it ran nothing\n";
         return response;
     }
-    http::response<http::string_body> response;
-    response.base() = std::move(answer.header);
-    for (auto field = response.begin(); field != response.end();) {
-        field = isHopByHop(field->name()) ? response.erase(field) : std::next(field);
+    for (auto field = answer.header.begin(); field != answer.header.end();) {
+        field = isHopByHop(field->name()) ? answer.header.erase(field) : std::next(field);
     }
-    response.version(11);
-    response.body() = std::move(answer.body);
-    return response;
+    answer.header.version(11);
+    return answer;
 }
 
-http::response<http::string_body> RequestRunner::failure(Duration retryAfter, const std::string &reason) const
+UpstreamAnswer RequestRunner::failure(Duration retryAfter, const std::string &reason) const
 {
     const bool hasRun = m_life.failure() != Outcome::NotRun;
     const bool isLate = Clock::now() + 2 * AnswerMargin >= m_request.finalBy;
-    auto status = http::status::service_unavailable;
+    UpstreamAnswer response;
+    response.header.result(http::status::service_unavailable);
     if (hasRun) {
-        status = isLate ? http::status::gateway_timeout : http::status::bad_gateway;
-    }
-    http::response<http::string_body> response(status, 11);
-    if (!hasRun) {
-        response.set(http::field::retry_after, toSecondsText(std::max<Duration>(retryAfter, ShortestRetryAfter)));
+        response.header.result(isLate ? http::status::gateway_timeout : http::status::bad_gateway);
+    } else {
+        response.header.set(http::field::retry_after,
+                            toSecondsText(std::max<Duration>(retryAfter, ShortestRetryAfter)));
     }
-    response.set(m_traffic.names.requestId, m_request.id);
-    response.set(http::field::content_type, "text/plain");
-    response.body() = reason + "\n";
+    response.header.set(m_traffic.names.requestId, m_request.id);
+    response.header.set(http::field::content_type, "text/plain");
+    response.body = reason + "\n";
     return response;
 }
 
@@ -228,7 +277,7 @@
 {
     spdlog::warn("request: event=reject id={} service={} key={} decided_by={} waiting={} retry_after_ms={} sends={} "
                  "reason=\"{}\"",
-                 m_request.id, m_request.service, m_request.key ? static_cast<int>(*m_request.key) : -1,
+                 logValue(m_request.id), m_request.service, m_request.key ? static_cast<int>(*m_request.key) : -1,
                  rejection.byLeader ? "leader" : "host", rejection.waiting, toMs(rejection.retryAfter), m_sendCount,
                  describe(rejection.reason));
 }
@@ -241,9 +290,9 @@
                 "reused={} "
                 "end={} "
                 "detail=\"{}\"",
-                m_request.id, m_request.service, m_request.key ? static_cast<int>(*m_request.key) : -1,
+                logValue(m_request.id), m_request.service, m_request.key ? static_cast<int>(*m_request.key) : -1,
                 placement.server.id, placement.byLeader ? "leader" : "host", m_sendCount, toMs(placement.expected),
-                toMs(result.took), result.reusedConnection, describe(result.end), result.detail);
+                toMs(result.took), result.reusedConnection, describe(result.end), quotedText(result.detail));
 }
 
 void RequestRunner::logEnd(unsigned status, const std::string &reason) const
@@ -255,9 +304,9 @@
         status < FirstFailure ? spdlog::level::info : spdlog::level::warn,
         "request: event=end id={} route={} config={} service={} key={} status={} sends={} took_ms={} limit_ms={} "
         "gone={} reason=\"{}\"",
-        m_request.id, m_request.route->name, m_request.config->version, m_request.service,
+        logValue(m_request.id), logValue(m_request.route->name), m_request.config->version, m_request.service,
         m_request.key ? static_cast<int>(*m_request.key) : -1, status, m_sendCount, toMs(took),
-        toMs(m_request.finalBy - m_request.arrivedAt), m_request.isGone, reason);
+        toMs(m_request.finalBy - m_request.arrivedAt), m_request.isGone, quotedText(reason));
 }
 
 } // namespace snipevalve
--- a/src/snipevalve/node/request_runner.hpp
+++ b/src/snipevalve/node/request_runner.hpp
@@ -17,8 +17,15 @@
     /// @param traffic has to outlive the request
     RequestRunner(GatewayTraffic &traffic, GatewayRequest request);
 
-    /// @brief Runs to the end. @return the answer for the caller; not to be sent when the caller has gone
-    Awaitable<http::response<http::string_body>> run();
+    /// @brief Runs to the answer. @return the answer for the caller; not to be sent when the caller has gone
+    Awaitable<UpstreamAnswer> run();
+
+    /// @brief The next part of the body of an answer that is not whole; empty after the last one.
+    /// @param error set when the server broke off: the answer must not look complete
+    Awaitable<std::string> readMore(ErrorCode &error);
+
+    /// @brief Reads no more of an answer that is not whole.
+    void abandonAnswer();
 
     /// @brief The caller has closed its connection: stops waiting, and stops servers that work on a repeatable request.
     void onCallerGone();
@@ -31,8 +38,10 @@
     bool mayRepeat() const;
     Awaitable<void> watchServer(std::shared_ptr<asio::steady_timer> patience, int send);
     AttemptEnd toAttemptEnd(WorkEnd end) const;
-    http::response<http::string_body> answerOf(UpstreamAnswer answer) const;
-    http::response<http::string_body> failure(Duration retryAfter, const std::string &reason) const;
+    std::size_t bufferLimit() const;
+    void countBytes(const UpstreamServer &server, std::size_t bytes) const;
+    UpstreamAnswer toCallerAnswer(UpstreamAnswer answer) const;
+    UpstreamAnswer failure(Duration retryAfter, const std::string &reason) const;
     void logRejection(const Rejection &rejection) const;
     void logSend(const Placement &placement, const ExchangeResult &result) const;
     void logEnd(unsigned status, const std::string &reason) const;
@@ -41,7 +50,9 @@
     GatewayRequest m_request;
     RequestLife m_life;
     RetryBudget m_sends; ///< of this request alone: the route's largest number of servers
-    UpstreamExchange *m_exchange = nullptr; ///< while a send is under way
+    std::shared_ptr<UpstreamExchange> m_exchange; ///< while a send is under way or its body is read
+    UpstreamServer m_server; ///< the one that sends a body in parts
+    std::uint64_t m_streamedBytes = 0;
     Ticket m_waitingTicket = 0;
     std::vector<std::string> m_failedServers;
     int m_sendCount = 0;
--- a/src/snipevalve/node/upstream_exchange.cpp
+++ b/src/snipevalve/node/upstream_exchange.cpp
@@ -1,8 +1,10 @@
 #include "snipevalve/node/upstream_exchange.hpp"
 
 #include <algorithm>
+#include <limits>
 
 #include "snipevalve/net/message_head.hpp"
+#include "snipevalve/net/spawn.hpp"
 
 namespace snipevalve {
 
@@ -14,9 +16,14 @@
 constexpr Milliseconds IdempotentReuse(9'000);
 /// And others, which can't be sent again when the server has just closed the connection.
 constexpr Milliseconds NonIdempotentReuse(2'500);
-/// A longer answer is not passed on. The users' answers have some ten KB.
-constexpr std::uint64_t LongestAnswer = 16 << 20;
 constexpr std::uint32_t LongestAnswerHead = 32 << 10;
+/// In place of no limit at all, which Beast of Boost 1.74 takes for a limit of zero.
+constexpr std::uint64_t AnyLength = std::numeric_limits<std::uint64_t>::max();
+/// Answers to other requests and interim ones that may stand before the answer. A server that sends more is not waited
+/// for.
+constexpr int MostAnswersBefore = 4;
+/// Bytes of such an answer, and of a refusal or an answer that can't be passed on in parts.
+constexpr std::size_t LongestUnusedBody = 64 << 10;
 
 std::string remainingMs(TimePoint until)
 {
@@ -26,6 +33,12 @@
 
 } // namespace
 
+bool isPromise(http::status status)
+{
+    return status == http::status::too_many_requests || status == http::status::service_unavailable
+        || status == http::status::request_timeout;
+}
+
 UpstreamExchange::UpstreamExchange(asio::any_io_executor executor, UpstreamPool &pool, const HeaderNames &names,
                                    const GatewayRequest &request)
     : m_executor(executor)
@@ -36,10 +49,11 @@
 {
 }
 
-Awaitable<ExchangeResult> UpstreamExchange::run(UpstreamServer server, TimePoint until)
+Awaitable<ExchangeResult> UpstreamExchange::run(UpstreamServer server, TimePoint until, std::size_t bufferLimit)
 {
     ExchangeResult result;
     const TimePoint startedAt = Clock::now();
+    m_endpoint = server.endpoint;
     co_await connect(server.endpoint, until, result);
     if (m_cancelled || !m_connection) {
         result.end = m_cancelled ? WorkEnd::Abandoned : WorkEnd::Unreachable;
@@ -60,15 +74,19 @@
     }
     m_connection->stream.expires_at(until);
     m_sendEnded.expires_at(TimePoint::max());
-    asio::co_spawn(m_executor, send(), asio::detached);
-    const ErrorCode error = co_await receive(result);
-    judge(error, result);
+    spawnMember(m_executor, shared_from_this(), &UpstreamExchange::send);
+    co_await receive(result, bufferLimit);
+    const bool isStreamed = result.answer && !result.answer->isWhole;
+    if (isStreamed) {
+        result.took = Clock::now() - startedAt;
+        co_return result;
+    }
     if (!m_sendDone) {
         // The server answered before it had read the whole body; it would take a next request for the rest of it.
         m_connection->stream.close();
         co_await waitForSend();
     } else if (result.end == WorkEnd::Done || result.end == WorkEnd::Refused) {
-        recycle(server.endpoint);
+        recycle();
     }
     result.took = Clock::now() - startedAt;
     co_return result;
@@ -104,7 +122,6 @@
 
 Awaitable<void> UpstreamExchange::send()
 {
-    // The object outlives this: run() waits for the end of the send.
     co_await http::async_write(m_connection->stream, m_message, awaitInto(m_sendError));
     m_sendDone = true;
     m_sendEnded.cancel();
@@ -118,26 +135,101 @@
     }
 }
 
-Awaitable<ErrorCode> UpstreamExchange::receive(ExchangeResult &result)
+/// Reads heads until the one of the answer to this request.
+Awaitable<void> UpstreamExchange::receiveHead(ErrorCode &error)
 {
-    ErrorCode error;
-    UpstreamConnection &connection = *m_connection;
-    bool isOurs = false;
-    while (!error && !isOurs) {
+    for (int before = 0; before <= MostAnswersBefore; ++before) {
         m_parser = std::make_unique<http::response_parser<http::string_body>>();
-        m_parser->body_limit(LongestAnswer);
+        m_parser->body_limit(AnyLength); // what is kept is limited instead
         m_parser->header_limit(LongestAnswerHead);
         m_parser->skip(m_request.header.method() == http::verb::head);
-        co_await http::async_read(connection.stream, connection.buffer, *m_parser, awaitInto(error));
+        co_await http::async_read_header(m_connection->stream, m_connection->buffer, *m_parser, awaitInto(error));
+        if (error) {
+            co_return;
+        }
         const bool isInterim = http::to_status_class(m_parser->get().result()) == http::status_class::informational;
+        if (!isInterim && !isForeign()) {
+            co_return;
+        }
         // A late second answer to an earlier request may stand before ours.
-        m_sawForeign = m_sawForeign || (!error && isForeign());
-        isOurs = !error && !isInterim && !isForeign();
+        m_sawForeign = m_sawForeign || !isInterim;
+        co_await discardAnswer(error);
+        if (error) {
+            co_return;
+        }
     }
+    error = http::error::unexpected_body;
+}
+
+Awaitable<void> UpstreamExchange::discardAnswer(ErrorCode &error)
+{
+    std::size_t discarded = 0;
+    while (!m_parser->is_done() && !error) {
+        co_await http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser, awaitInto(error));
+        discarded += m_parser->get().body().size();
+        m_parser->get().body().clear();
+        if (discarded > LongestUnusedBody) {
+            error = http::error::body_limit;
+        }
+    }
+}
+
+Awaitable<void> UpstreamExchange::receive(ExchangeResult &result, std::size_t bufferLimit)
+{
+    ErrorCode error;
+    co_await receiveHead(error);
     if (error) {
-        result.detail = error.message();
+        judge(error, result);
+        co_return;
+    }
+    const http::response_header<> &header = m_parser->get();
+    const std::string fault = checkAnswer(header);
+    const bool isPassedOn = !isRefusal(header) && fault.empty() && !isPromise(header.result());
+    const std::size_t limit = isPassedOn ? bufferLimit : LongestUnusedBody;
+    const std::string &body = m_parser->get().body();
+    while (!m_parser->is_done() && !error && body.size() <= limit) {
+        co_await http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser, awaitInto(error));
+    }
+    const bool isLonger = !error && !m_parser->is_done();
+    if (isLonger && isPassedOn && !m_cancelled && !m_gaveUp) {
+        result.end = WorkEnd::Done;
+        const auto length = m_parser->content_length();
+        result.answer = UpstreamAnswer{header, std::move(m_parser->get().body()), false,
+                                       length ? std::optional<std::uint64_t>(*length) : std::nullopt};
+        m_parser->get().body().clear();
+        co_return;
     }
-    co_return error;
+    if (isLonger) {
+        error = http::error::body_limit;
+    }
+    judge(error, result);
+}
+
+Awaitable<std::string> UpstreamExchange::readMore(ErrorCode &error)
+{
+    std::string part;
+    while (part.empty() && !m_parser->is_done()) {
+        co_await http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser, awaitInto(error));
+        if (m_cancelled) {
+            error = asio::error::operation_aborted;
+        }
+        if (error) {
+            m_connection->stream.close();
+            break;
+        }
+        part = std::move(m_parser->get().body());
+        m_parser->get().body().clear();
+    }
+    const bool isOver = error || part.empty();
+    if (isOver) {
+        if (!m_sendDone) {
+            m_connection->stream.close();
+            co_await waitForSend();
+        } else if (!error) {
+            recycle();
+        }
+    }
+    co_return part;
 }
 
 bool UpstreamExchange::isForeign() const
@@ -146,6 +238,11 @@
     return !id.empty() && id != m_request.id;
 }
 
+bool UpstreamExchange::isRefusal(const http::response_header<> &header) const
+{
+    return header.find(m_names.notExecuted) != header.end() || header.result() == http::status::misdirected_request;
+}
+
 /// @return why the answer can't be taken as the server's answer to this request; empty when it can
 std::string UpstreamExchange::checkAnswer(const http::response_header<> &header) const
 {
@@ -177,12 +274,11 @@
     const bool isComplete = !error && m_parser->is_done();
     if (!isComplete) {
         result.end = WorkEnd::Lost;
+        result.detail = error.message();
         return;
     }
     auto &message = m_parser->get();
-    const bool isRefusal =
-        message.find(m_names.notExecuted) != message.end() || message.result() == http::status::misdirected_request;
-    if (isRefusal) {
+    if (isRefusal(message)) {
         result.end = WorkEnd::Refused;
         result.detail = "refused with " + std::to_string(message.result_int());
         return;
@@ -193,15 +289,15 @@
         return;
     }
     result.end = WorkEnd::Done;
-    result.answer = UpstreamAnswer{message.base(), std::move(message.body())};
+    result.answer = UpstreamAnswer{message.base(), std::move(message.body()), true, std::nullopt};
 }
 
-void UpstreamExchange::recycle(const Endpoint &endpoint)
+void UpstreamExchange::recycle()
 {
     const bool isReusable = !m_sendError && !m_sawForeign && m_parser->keep_alive() && !m_parser->need_eof()
         && m_connection->buffer.size() == 0;
     if (isReusable) {
-        m_pool.putBack(endpoint, std::move(m_connection), Clock::now());
+        m_pool.putBack(m_endpoint, std::move(m_connection), Clock::now());
     }
 }
 
--- /dev/null
+++ b/tests/process/hostile_server_test.cpp
@@ -0,0 +1,309 @@
+#include <catch2/catch.hpp>
+
+#include <fstream>
+#include <set>
+
+#include "process/node_deployment.hpp"
+#include "standins/scripted_server.hpp"
+
+namespace snipevalve::standins {
+
+namespace {
+
+constexpr std::uint8_t Network = 57;
+constexpr std::size_t PartBytes = 16 << 10;
+constexpr unsigned Incomplete = 0; ///< the caller's connection ended before the answer did
+
+std::string headOf(const std::string &id, const std::string &more)
+{
+    return "HTTP/1.1 200 OK\r\nX-Snipevalve-Request-Id: " + id + "\r\nX-Snipevalve-Response-Stamp: s-" + id + "\r\n"
+        + more + "\r\n";
+}
+
+std::string asChunk(const std::string &part)
+{
+    std::ostringstream text;
+    text << std::hex << part.size() << "\r\n" << part << "\r\n";
+    return text.str();
+}
+
+/// The largest resident memory that a process has had, in MB.
+std::size_t peakMemoryMb(int pid)
+{
+    std::ifstream status("/proc/" + std::to_string(pid) + "/status");
+    for (std::string line; std::getline(status, line);) {
+        if (line.rfind("VmHWM:", 0) == 0) {
+            return std::stoul(line.substr(line.find_first_of("0123456789"))) / 1024;
+        }
+    }
+    return 0;
+}
+
+/// One node and one server that follows a script.
+class HostileDeployment : public NodeDeployment
+{
+public:
+    HostileDeployment(const std::string &name, std::uint8_t network)
+        : NodeDeployment(name, network, 1)
+        , server({"127." + std::to_string(network) + ".3.1", ServerPort})
+    {
+        platform.putConfig(smallConfig(3, 1));
+        platform.addServer("scripted", "debits", false, Milliseconds(5),
+                           Endpoint{"127." + std::to_string(network) + ".3.1", ServerPort});
+        server.setScript([](const std::string &id) {
+            return ScriptedReply{
+                headOf(id, "Content-Length: 2\r\n") + "ok", {}, 0, {}, ScriptedReply::Finish::Keep, {}, {}};
+        });
+        REQUIRE(waitUntil(
+            [this]() {
+                return ask(0, "GET", "/v1/x").status == 200;
+            },
+            StartTimeout));
+    }
+
+    static constexpr std::uint16_t ServerPort = 8080;
+    ScriptedServer server;
+};
+
+using Finish = ScriptedReply::Finish;
+
+ScriptedReply bytes(std::string start, Finish finish = Finish::Keep)
+{
+    ScriptedReply reply;
+    reply.start = std::move(start);
+    reply.finish = finish;
+    return reply;
+}
+
+ScriptedReply repeated(std::string start, std::string part, std::size_t times, std::string end = {},
+                       Finish finish = Finish::Keep)
+{
+    ScriptedReply reply;
+    reply.start = std::move(start);
+    reply.repeated = std::move(part);
+    reply.times = times;
+    reply.end = std::move(end);
+    reply.finish = finish;
+    return reply;
+}
+
+} // namespace
+
+TEST_CASE("bytes that are no answer, also without end, cost time and memory within bounds", "[promise-3]")
+{
+    struct Case
+    {
+        std::string name;
+        ScriptedServer::Script script;
+        std::set<unsigned> statuses;
+    };
+    const std::string part(PartBytes, 'a');
+    const std::set<unsigned> failures{502, 504};
+    constexpr auto Endless = ScriptedReply::Endless;
+    const std::vector<Case> cases = {
+        {"a header line without end",
+         [part](const std::string &) {
+             return repeated("HTTP/1.1 200 OK\r\nX-A: ", part, Endless);
+         },
+         failures},
+        {"header lines without end",
+         [](const std::string &) {
+             return repeated("HTTP/1.1 200 OK\r\n", "X-A: b\r\n", Endless);
+         },
+         failures},
+        {"bytes without end that are no HTTP",
+         [part](const std::string &) {
+             return repeated(part, part, Endless);
+         },
+         failures},
+        {"a status line without end",
+         [](const std::string &) {
+             return repeated("HTTP/1.1 200 ", "x", Endless);
+         },
+         failures},
+        {"interim answers without end",
+         [](const std::string &) {
+             return repeated("", "HTTP/1.1 100 Continue\r\n\r\n", Endless);
+         },
+         failures},
+        {"answers to another request without end",
+         [](const std::string &) {
+             return repeated("", headOf("other", "Content-Length: 0\r\n"), Endless);
+         },
+         failures},
+        {"another request's body without end",
+         [part](const std::string &) {
+             return repeated(headOf("other", "Transfer-Encoding: chunked\r\n"), asChunk(part), Endless);
+         },
+         failures},
+        {"a body without end and without the request's id",
+         [part](const std::string &) {
+             return repeated("HTTP/1.1 200 OK\r\n\r\n", part, Endless);
+         },
+         failures},
+        {"a refusal's body without end",
+         [part](const std::string &id) {
+             return repeated("HTTP/1.1 503 Busy\r\nX-Snipevalve-Not-Executed: 1\r\nX-Snipevalve-Request-Id: " + id
+                                 + "\r\n\r\n",
+                             part, Endless);
+         },
+         failures},
+        {"chunk extensions without end",
+         [](const std::string &id) {
+             return repeated(headOf(id, "Transfer-Encoding: chunked\r\n") + "5;", "x=y;", Endless);
+         },
+         failures},
+        {"the request's own body without end",
+         [part](const std::string &id) {
+             return repeated(headOf(id, "Transfer-Encoding: chunked\r\n"), asChunk(part), Endless);
+         },
+         {Incomplete}},
+        {"the same without a length",
+         [part](const std::string &id) {
+             return repeated(headOf(id, "Connection: close\r\n"), part, Endless);
+         },
+         {Incomplete}},
+    };
+    HostileDeployment deployment("node-endless", Network);
+    constexpr Milliseconds Deadline(3'000); ///< of the stand-in's callers
+    constexpr Milliseconds Slack(700);
+    for (const Case &each : cases) {
+        INFO(each.name);
+        deployment.server.setScript(each.script);
+        const Answer answer = deployment.ask(0, "GET", "/v1/x");
+        CHECK(each.statuses.contains(answer.status));
+        CHECK(answer.took <= Deadline + Slack);
+    }
+    // Many at once, of callers that do not read.
+    deployment.server.setScript(cases[10].script);
+    asio::io_context context;
+    std::vector<Tcp::socket> callers;
+    for (int caller = 0; caller < 60; ++caller) {
+        callers.emplace_back(context);
+        callers.back().connect(toTcp({deployment.addressOf(0), NodeCallersPort}));
+        const std::string request = "GET /v1/x HTTP/1.1\r\nHost: h.example\r\nX-Snipevalve-Request-Id: slow-"
+            + std::to_string(caller) + "\r\nX-Snipevalve-Request-Deadline: 3000\r\n\r\n";
+        asio::write(callers.back(), asio::buffer(request));
+    }
+    std::this_thread::sleep_for(Deadline);
+    constexpr std::size_t MostMb = 80; ///< half of what the smallest hosts give a process
+    CHECK(peakMemoryMb(deployment.node(0).pid()) < MostMb);
+    callers.clear();
+    deployment.server.setScript([](const std::string &id) {
+        return bytes(headOf(id, "Content-Length: 2\r\n") + "ok");
+    });
+    CHECK(deployment.waitUntil(
+        [&]() {
+            return deployment.ask(0, "GET", "/v1/x").status == 200;
+        },
+        Milliseconds(5'000)));
+}
+
+TEST_CASE("long answers are passed on whole, and a half one never looks whole", "[promise-3]")
+{
+    const std::string part(PartBytes, 'd');
+    constexpr std::size_t Parts = 64; ///< 1 MB: more than a node keeps
+    const std::string length = "Content-Length: " + std::to_string(Parts * PartBytes) + "\r\n";
+    struct Case
+    {
+        std::string name;
+        ScriptedServer::Script script;
+        bool isWhole;
+    };
+    const std::vector<Case> cases = {
+        {"with a length",
+         [=](const std::string &id) {
+             return repeated(headOf(id, length), part, Parts);
+         },
+         true},
+        {"in chunks",
+         [=](const std::string &id) {
+             return repeated(headOf(id, "Transfer-Encoding: chunked\r\n"), asChunk(part), Parts, "0\r\n\r\n");
+         },
+         true},
+        {"ended by the connection",
+         [=](const std::string &id) {
+             return repeated(headOf(id, ""), part, Parts, "", Finish::Close);
+         },
+         true},
+        {"with a length, closed halfway",
+         [=](const std::string &id) {
+             return repeated(headOf(id, length), part, Parts / 2, "", Finish::Close);
+         },
+         false},
+        {"in chunks, closed halfway",
+         [=](const std::string &id) {
+             return repeated(headOf(id, "Transfer-Encoding: chunked\r\n"), asChunk(part), Parts / 2, "", Finish::Close);
+         },
+         false},
+        {"ended by a reset",
+         [=](const std::string &id) {
+             return repeated(headOf(id, ""), part, Parts / 2, "", Finish::Reset);
+         },
+         false},
+        {"in chunks, then bytes that are no chunk",
+         [=](const std::string &id) {
+             return repeated(headOf(id, "Transfer-Encoding: chunked\r\n"), asChunk(part), Parts / 2, "zz\r\n",
+                             Finish::Close);
+         },
+         false},
+    };
+    HostileDeployment deployment("node-long", Network + 1);
+    for (const Case &each : cases) {
+        INFO(each.name);
+        deployment.server.setScript(each.script);
+        const Answer answer = deployment.ask(0, "GET", "/v1/x");
+        CHECK((answer.status == 200) == each.isWhole);
+        CHECK((answer.body.size() == Parts * PartBytes) == each.isWhole);
+    }
+}
+
+TEST_CASE("a broken answer that fits into memory is asked for again, a paid one never", "[promise-5]")
+{
+    HostileDeployment deployment("node-again", Network + 2);
+    deployment.platform.addServer("sound", "debits", false, Milliseconds(5));
+    deployment.server.setScript([](const std::string &id) {
+        return bytes(headOf(id, "Content-Length: 100\r\n") + "half", Finish::Close);
+    });
+    std::this_thread::sleep_for(Milliseconds(2'000)); // both servers are known
+    for (int request = 0; request < 20; ++request) {
+        CHECK(deployment.ask(0, "GET", "/v1/x").status == 200);
+        const int scriptedBefore = deployment.server.requests();
+        const std::size_t soundBefore = deployment.platform.runs().size();
+        const Answer paid = deployment.ask(0, "POST", "/p/x");
+        const int scripted = deployment.server.requests() - scriptedBefore;
+        const auto sound = static_cast<int>(deployment.platform.runs().size() - soundBefore);
+        CHECK(scripted + sound <= 1);
+        CHECK((paid.status == 200 ? sound == 1 : paid.status == 502 || scripted + sound == 0));
+    }
+}
+
+TEST_CASE("a second copy of an answer never reaches the next caller of the connection", "[promise-3]")
+{
+    HostileDeployment deployment("node-copy", Network + 3);
+    struct Case
+    {
+        std::string name;
+        Milliseconds lateAfter;
+    };
+    const std::vector<Case> cases = {{"at once", Milliseconds(0)},
+                                     {"a little later", Milliseconds(3)},
+                                     {"when the next request is under way", Milliseconds(30)}};
+    for (const Case &each : cases) {
+        INFO(each.name);
+        deployment.server.setScript([&each](const std::string &id) {
+            const std::string answer =
+                headOf(id, "Content-Length: " + std::to_string(10 + id.size()) + "\r\n") + "answer to " + id;
+            ScriptedReply reply = bytes(answer);
+            reply.late = answer;
+            reply.lateAfter = each.lateAfter;
+            return reply;
+        });
+        for (int request = 0; request < 30; ++request) {
+            const Answer answer = deployment.ask(0, "GET", "/v1/x");
+            CHECK((answer.status != 200 || answer.body == "own"));
+        }
+    }
+}
+
+} // namespace snipevalve::standins
--- /dev/null
+++ b/tests/standins/scripted_server.cpp
@@ -0,0 +1,83 @@
+#include "scripted_server.hpp"
+
+#include "snipevalve/net/http_server.hpp"
+
+namespace snipevalve::standins {
+
+ScriptedServer::ScriptedServer(const Endpoint &listen)
+    : m_acceptor(listenOn(m_context.get_executor(), listen))
+{
+    asio::co_spawn(m_context, accept(), asio::detached);
+    m_thread = std::thread([this]() {
+        m_context.run();
+    });
+}
+
+ScriptedServer::~ScriptedServer()
+{
+    m_context.stop();
+    m_thread.join();
+}
+
+void ScriptedServer::setScript(Script script)
+{
+    const std::lock_guard lock(m_mutex);
+    m_script = std::move(script);
+}
+
+int ScriptedServer::requests() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_requests;
+}
+
+Awaitable<void> ScriptedServer::accept()
+{
+    while (true) {
+        ErrorCode error;
+        auto socket = std::make_shared<Tcp::socket>(m_context);
+        co_await m_acceptor.async_accept(*socket, awaitInto(error));
+        if (error) {
+            co_return;
+        }
+        asio::co_spawn(m_context, serve(socket), asio::detached);
+    }
+}
+
+Awaitable<void> ScriptedServer::serve(std::shared_ptr<Tcp::socket> socket)
+{
+    ErrorCode error;
+    beast::flat_buffer buffer;
+    while (!error) {
+        http::request<http::empty_body> request;
+        co_await http::async_read(*socket, buffer, request, awaitInto(error));
+        if (error) {
+            break;
+        }
+        ScriptedReply reply;
+        {
+            const std::lock_guard lock(m_mutex);
+            ++m_requests;
+            reply = m_script ? m_script(std::string(request["X-Snipevalve-Request-Id"])) : ScriptedReply{};
+        }
+        co_await asio::async_write(*socket, asio::buffer(reply.start), awaitInto(error));
+        for (std::size_t time = 0; time < reply.times && !error; ++time) {
+            co_await asio::async_write(*socket, asio::buffer(reply.repeated), awaitInto(error));
+        }
+        co_await asio::async_write(*socket, asio::buffer(reply.end), awaitInto(error));
+        if (!reply.late.empty()) {
+            asio::steady_timer timer(m_context, reply.lateAfter);
+            co_await timer.async_wait(awaitInto(error));
+            co_await asio::async_write(*socket, asio::buffer(reply.late), awaitInto(error));
+        }
+        if (reply.finish == ScriptedReply::Finish::Reset) {
+            socket->set_option(asio::socket_base::linger(true, 0), error);
+            socket->close(error); // the destructor would clear the option
+        }
+        if (reply.finish != ScriptedReply::Finish::Keep) {
+            break;
+        }
+    }
+}
+
+} // namespace snipevalve::standins
