Join ranges faster where there are many, and share a leader's steps among answers

Change: narrow ranges join a neighbour on one side too, half as many in a round as there are servers, each second, also beside moves by load; an answer makes a leader step at most when eight times the last step's time has passed; a range is looked up in the plan by bisection. Test: key_balance_test (640 fragments on 160 servers).

--- a/include/snipevalve/ownership/detail/key_authority_impl.hpp
+++ b/include/snipevalve/ownership/detail/key_authority_impl.hpp
@@ -310,10 +310,12 @@
 template <typename Rules>
 bool BasicKeyAuthority<Rules>::isPlanned(const Segment &segment) const
 {
-    return std::any_of(m_plan.ranges.begin(), m_plan.ranges.end(), [&segment](const PlannedRange &range) {
-        return range.owner == segment.owner && range.keys.contains(segment.keys.from)
-            && range.keys.contains(segment.keys.to);
-    });
+    const auto endsBefore = [](const PlannedRange &range, std::uint16_t key) {
+        return range.keys.to < key;
+    };
+    const auto range = std::lower_bound(m_plan.ranges.begin(), m_plan.ranges.end(), segment.keys.from, endsBefore);
+    return range != m_plan.ranges.end() && range->owner == segment.owner && range->keys.contains(segment.keys.from)
+        && range->keys.contains(segment.keys.to);
 }
 
 template <typename Rules>
@@ -499,7 +501,9 @@
     for (const KeyMove &each : moves) {
         move(each, "for their load", now);
     }
-    if (!moves.empty() || now - m_mergedAt < m_times.mergeInterval) {
+    const bool isFragmented = movable.size() > ManyRanges * usable.size();
+    const bool isMergeDue = now - m_mergedAt >= (isFragmented ? m_times.fastMergeInterval : m_times.mergeInterval);
+    if (!isMergeDue || (!moves.empty() && !isFragmented)) {
         return;
     }
     m_mergedAt = now;
@@ -507,7 +511,7 @@
     for (std::size_t key = 0; key < highest.size(); ++key) {
         highest[key] = std::max(highest[key], demand.fast[key]);
     }
-    for (const KeyMove &each : planKeyMerges(movable, highest, usable)) {
+    for (const KeyMove &each : planKeyMerges(movableRanges(now), highest, usable)) {
         move(each, "back to their neighbours", now);
     }
 }
--- a/include/snipevalve/ownership/key_authority.hpp
+++ b/include/snipevalve/ownership/key_authority.hpp
@@ -23,6 +23,7 @@
     Milliseconds retryInterval{60}; ///< after a call without an answer
     Milliseconds balanceInterval{200}; ///< between two rounds of moves by load
     Milliseconds mergeInterval{4'000}; ///< between two rounds that join ranges; longer than most hot spells
+    Milliseconds fastMergeInterval{1'000}; ///< the same while there are many ranges, each of which costs renewals
     Milliseconds joinInterval{100}; ///< between two searches for neighbours that have come to one owner
     Milliseconds arrivalSlack{400}; ///< a call without an answer may arrive this long after it was given up
     double clockError = 0.02; ///< a server's clock may run this much slow
@@ -174,6 +175,7 @@
     /// Each call under way takes a connection, and servers reset connections beyond their limit. Grants are answered at
     /// once, so a few are enough; releases wait for running work, and a server that owns 200 hot keys has to give most
     /// of them away within a second.
+    static constexpr std::size_t ManyRanges = 3; ///< for each server; then ranges are joined also beside moves by load
     static constexpr int MostGrants = 4;
     static constexpr int MostReleases = 32;
 
--- a/include/snipevalve/ownership/key_balance.hpp
+++ b/include/snipevalve/ownership/key_balance.hpp
@@ -47,6 +47,10 @@
                                   const KeyBalanceOptions &options = {});
 
 /// @brief Narrow ranges whose neighbours on both sides belong to one other server: they go back to it once it is calm.
+/// While there are many ranges, narrow ones also join the neighbour on one side.
+///
+/// Answers the load pattern "hot spells in series over hundreds of servers": they left 3,364 ranges, whose renewals and
+/// first grants took all of a new leader's processor until its lease ended.
 /// @param loads by key: busy slots, the highest of the averages
 std::vector<KeyMove> planKeyMerges(const std::vector<OwnedRange> &movable, const std::vector<float> &loads,
                                    const std::map<std::string, double> &capacities);
--- a/src/snipevalve/node/control/service_leader.hpp
+++ b/src/snipevalve/node/control/service_leader.hpp
@@ -115,9 +115,14 @@
             m_desk.setDarkKeys(m_service.name, m_authority->darkKeys(now));
         }
         m_desk.setView(view);
+        m_advancedAt = Clock::now();
+        m_advanceTook = m_advancedAt - now;
     }
 
 private:
+    static constexpr Milliseconds LeastAdvancePause{4};
+    static constexpr int AdvancePauseFactor = 8; ///< at most a ninth of the time goes into these steps
+
     /// Hot keys have to show within a fraction of their spell, which lasts 4 to 5 s on the users' sites.
     static constexpr Milliseconds FastWindow{700};
     /// Lasting differences may take longer to show than a spell lasts.
@@ -206,11 +211,22 @@
         if (!m_stopped) {
             // A renewal changes no owner; to look at all ranges after each would take a small host's whole processor.
             if (m_authority->onCallEnd(order.call, end, handover, Clock::now())) {
-                advance();
+                advanceSoon();
             }
         }
     }
 
+    /// A new leader gets thousands of answers within a second, and each step looks at all ranges: they share steps, so
+    /// that the thread keeps most of its time for its lease and for the hosts.
+    void advanceSoon()
+    {
+        const TimePoint now = Clock::now();
+        const Duration pause = std::max<Duration>(LeastAdvancePause, m_advanceTook * AdvancePauseFactor);
+        if (now - m_advancedAt >= pause) {
+            advance();
+        } // otherwise the next tick does it
+    }
+
     Awaitable<void> savePlan(KeyPlan plan)
     {
         StoreWrite write;
@@ -254,6 +270,8 @@
     Seconds m_meanWork{0.1}; ///< of one request; corrected by the first fifty
     TimePoint m_decayedAt;
     TimePoint m_startedAt;
+    TimePoint m_advancedAt;
+    Duration m_advanceTook{};
     std::uint64_t m_planRevision = 0;
     std::vector<UpstreamServer> m_servers;
     bool m_serversChanged = false; ///< since the authority was told
--- a/src/snipevalve/ownership/key_balance.cpp
+++ b/src/snipevalve/ownership/key_balance.cpp
@@ -285,8 +285,9 @@
                                    const std::map<std::string, double> &capacities)
 {
     constexpr std::size_t CalmMerges = 4; ///< in one round
-    constexpr std::size_t FastMerges = 32; ///< in one round, while there are many ranges
-    const std::size_t mostMerges = movable.size() > FewRanges * capacities.size() ? FastMerges : CalmMerges;
+    constexpr std::size_t LeastFastMerges = 32; ///< in one round, while there are many ranges
+    const bool isFragmented = movable.size() > FewRanges * capacities.size();
+    const std::size_t mostMerges = isFragmented ? std::max(LeastFastMerges, capacities.size() / 2) : CalmMerges;
     std::vector<KeyMove> moves;
     std::map<std::string, double> byServer;
     double load = 0;
@@ -298,21 +299,35 @@
     }
     const double level = std::max(MergedUtilisation, capacity > 0 ? load / capacity : 0);
     const double widest = FragmentShare * KeyCount / std::max<std::size_t>(1, capacities.size());
-    for (std::size_t at = 1; at + 1 < movable.size() && moves.size() < mostMerges; ++at) {
-        const OwnedRange &left = movable[at - 1];
+    const auto touches = [](const OwnedRange &left, const OwnedRange &right) {
+        return static_cast<std::uint32_t>(left.keys.to) + 1 == right.keys.from && left.owner != right.owner;
+    };
+    for (std::size_t at = 0; at < movable.size() && moves.size() < mostMerges; ++at) {
         const OwnedRange &middle = movable[at];
-        const OwnedRange &right = movable[at + 1];
-        const bool isEnclosed = left.owner == right.owner && left.keys.to + 1 == middle.keys.from
-            && middle.keys.to + 1 == right.keys.from && left.owner != middle.owner;
-        const auto taker = capacities.find(left.owner);
-        if (!isEnclosed || middle.keys.size() > widest || taker == capacities.end()) {
+        if (middle.keys.size() > widest) {
             continue;
         }
+        const OwnedRange *left = at > 0 && touches(movable[at - 1], middle) ? &movable[at - 1] : nullptr;
+        const OwnedRange *right =
+            at + 1 < movable.size() && touches(middle, movable[at + 1]) ? &movable[at + 1] : nullptr;
+        const bool isEnclosed = left != nullptr && right != nullptr && left->owner == right->owner;
+        if (!isEnclosed && !isFragmented) {
+            continue; // it would only move the border
+        }
         const double moved = loadOf(middle.keys, loads);
-        const bool fits = byServer[left.owner] + moved <= level * taker->second;
-        if (fits) {
-            byServer[left.owner] += moved;
-            moves.push_back({middle.keys, middle.owner, left.owner});
+        const OwnedRange *best = nullptr;
+        for (const OwnedRange *taker : {left, right}) {
+            const auto capacityOfTaker = taker == nullptr ? capacities.end() : capacities.find(taker->owner);
+            const bool fits = capacityOfTaker != capacities.end()
+                && byServer[taker->owner] + moved <= level * capacityOfTaker->second;
+            if (fits && (best == nullptr || byServer[taker->owner] < byServer[best->owner])) {
+                best = taker;
+            }
+        }
+        if (best != nullptr) {
+            byServer[best->owner] += moved;
+            byServer[middle.owner] -= moved;
+            moves.push_back({middle.keys, middle.owner, best->owner});
             ++at; // the next range is a neighbour of one that moves now
         }
     }
--- a/src/snipevalve/ownership/key_balance_test.cpp
+++ b/src/snipevalve/ownership/key_balance_test.cpp
@@ -220,6 +220,46 @@
     CHECK(std::max(load["s0"], load["s1"]) <= 1.21); // the mean of the three
 }
 
+TEST_CASE("ranges of changing neighbours are joined too while there are many")
+{
+    // Fragments s0 s1 s2 s3 s0 ...: none lies between two ranges of one owner.
+    std::vector<OwnedRange> ranges;
+    std::map<std::string, double> usable;
+    constexpr unsigned Fragments = 640;
+    for (unsigned at = 0; at < Fragments; ++at) {
+        const auto from = static_cast<std::uint16_t>(at * 100);
+        ranges.push_back({{from, static_cast<std::uint16_t>(from + 99)}, "s" + std::to_string(at % 160)});
+        usable[ranges.back().owner] = 2.0;
+    }
+    const auto byKey = loads(100, 0, 1);
+    constexpr int Rounds = 10; ///< of one second
+    for (int round = 0; round < Rounds; ++round) {
+        std::vector<std::string> owners(KeyCount, "nobody");
+        for (const OwnedRange &range : ranges) {
+            std::fill(owners.begin() + range.keys.from, owners.begin() + range.keys.to + 1, range.owner);
+        }
+        for (const KeyMove &merge : planKeyMerges(ranges, byKey, usable)) {
+            std::fill(owners.begin() + merge.keys.from, owners.begin() + merge.keys.to + 1, merge.to);
+        }
+        ranges.clear();
+        for (std::uint32_t key = 0; key < Fragments * 100; ++key) {
+            const auto here = static_cast<std::uint16_t>(key);
+            if (key == 0 || ranges.back().owner != owners[key]) {
+                ranges.push_back({{here, here}, owners[key]});
+            }
+            ranges.back().keys.to = here;
+        }
+    }
+    CHECK(ranges.size() <= 3 * usable.size());
+    std::map<std::string, double> byServer;
+    for (const OwnedRange &range : ranges) {
+        byServer[range.owner] += loadOf(range.keys, byKey);
+    }
+    for (const auto &[id, load] : byServer) {
+        CHECK(load / 2.0 <= 0.45); // nobody gets more than the level at which keys move off again
+    }
+}
+
 TEST_CASE("loads before the first request count as unknown, not as idle")
 {
     KeyLoads average{Milliseconds(6'000)};
