Call a silent server once at a time, with growing pauses

Ruled out: a watch that falls behind for the number of its events (three other leaders saw all removals in time). Change: one call at a time to a server whose last call was not answered, pauses of 60 to 480 ms.

--- a/include/snipevalve/ownership/detail/key_authority_impl.hpp
+++ b/include/snipevalve/ownership/detail/key_authority_impl.hpp
@@ -104,6 +104,9 @@
     for (const UpstreamServer &server : servers) {
         m_servers[server.id] = server;
     }
+    std::erase_if(m_unanswered, [this](const auto &entry) {
+        return !m_servers.contains(entry.first);
+    });
 }
 
 template <typename Rules>
@@ -354,7 +357,9 @@
         return;
     }
     int &calls = isGrant ? m_calls[server->id].grants : m_calls[server->id].releases;
-    if (calls >= (isGrant ? MostGrants : MostReleases)) {
+    const bool isSilent = m_unanswered.contains(server->id);
+    const int mostCalls = isGrant ? MostGrants : MostReleases;
+    if (calls >= (isSilent ? 1 : mostCalls)) {
         return;
     }
     ++calls;
@@ -380,6 +385,7 @@
             continue;
         }
         segment.call = 0;
+        noteAnswer(segment.owner.id, end);
         const bool isRenewal = segment.state == State::Held && end == KeyCallEnd::Accepted;
         isMoreToDo = isMoreToDo || !isRenewal;
         if (segment.state == State::Releasing) {
@@ -391,6 +397,28 @@
     return isMoreToDo;
 }
 
+/// Answers the load pattern "a third of the servers falls silent": each of their ranges was tried four at a time and
+/// again 60 ms later, a thousand calls a second, of which the leader could serve none in time.
+template <typename Rules>
+void BasicKeyAuthority<Rules>::noteAnswer(const std::string &server, KeyCallEnd end)
+{
+    const bool isAnswered = end == KeyCallEnd::Accepted || end == KeyCallEnd::Refused;
+    if (isAnswered) {
+        m_unanswered.erase(server);
+    } else {
+        ++m_unanswered[server];
+    }
+}
+
+template <typename Rules>
+Milliseconds BasicKeyAuthority<Rules>::retryPause(const std::string &server) const
+{
+    constexpr int MostDoublings = 6;
+    const auto position = m_unanswered.find(server);
+    const int doublings = position == m_unanswered.end() ? 0 : std::min(position->second - 1, MostDoublings);
+    return std::min(m_times.retryInterval * (1 << doublings), m_times.longestRetryInterval);
+}
+
 template <typename Rules>
 void BasicKeyAuthority<Rules>::onGrantEnd(Segment &segment, KeyCallEnd end, TimePoint now)
 {
@@ -406,17 +434,17 @@
         m_notes.push_back("the grant of keys " + detail::describe(segment.keys) + " was refused by " + segment.owner.id
                           + ", which has seen a higher fence than " + std::to_string(segment.fence));
         segment.fence = 0;
-        segment.sendAt = now + m_times.retryInterval;
+        segment.sendAt = now + retryPause(segment.owner.id);
         break;
     case KeyCallEnd::NoAnswer:
         if (Rules::CountLateGrants) {
             // An earlier one may have asked for a longer hold.
             segment.lateEnd = std::max(segment.lateEnd, now + m_times.arrivalSlack + longest(segment.callHold));
         }
-        segment.sendAt = now + m_times.retryInterval;
+        segment.sendAt = now + retryPause(segment.owner.id);
         break;
     case KeyCallEnd::NotSent:
-        segment.sendAt = now + m_times.retryInterval;
+        segment.sendAt = now + retryPause(segment.owner.id);
         break;
     }
 }
@@ -426,7 +454,7 @@
                                             TimePoint now)
 {
     if (end != KeyCallEnd::Accepted) {
-        segment.sendAt = now + m_times.retryInterval;
+        segment.sendAt = now + retryPause(segment.owner.id);
         if (now >= std::max(segment.holdEnd, segment.lateEnd)) {
             setFree(segment);
         }
--- a/include/snipevalve/ownership/key_authority.hpp
+++ b/include/snipevalve/ownership/key_authority.hpp
@@ -20,7 +20,8 @@
     Milliseconds hold{4'000}; ///< of a grant while the store answers; bounds how long a lost server's keys are dark
     Milliseconds longHold{10'000}; ///< of a grant while the store is away: rides out its outages of up to 9 s
     Milliseconds renewInterval{1'800}; ///< leaves three tries within `hold`, one of them unanswered for 0.5 s
-    Milliseconds retryInterval{60}; ///< after a call without an answer
+    Milliseconds retryInterval{60}; ///< after the first call without an answer; doubled for each further one in a row
+    Milliseconds longestRetryInterval{480};
     Milliseconds balanceInterval{200}; ///< between two rounds of moves by load
     Milliseconds mergeInterval{4'000}; ///< between two rounds that join ranges; longer than most hot spells
     Milliseconds fastMergeInterval{1'000}; ///< the same while there are many ranges, each of which costs renewals
@@ -194,6 +195,8 @@
     bool isPlanned(const Segment &segment) const;
     void countCalls();
     void send(Segment &segment, TimePoint now, Actions &actions);
+    void noteAnswer(const std::string &server, KeyCallEnd end);
+    Milliseconds retryPause(const std::string &server) const;
     void onGrantEnd(Segment &segment, KeyCallEnd end, TimePoint now);
     void onReleaseEnd(Segment &segment, KeyCallEnd end, const std::string &handover, TimePoint now);
     void setFree(Segment &segment);
@@ -216,6 +219,7 @@
     TimePoint m_mergedAt;
     TimePoint m_joinedAt;
     std::map<std::string, Calls> m_calls; ///< by server
+    std::map<std::string, int> m_unanswered; ///< by server: calls in a row without an answer
     std::vector<std::string> m_notes;
 };
 
--- a/src/snipevalve/ownership/key_authority_test.cpp
+++ b/src/snipevalve/ownership/key_authority_test.cpp
@@ -85,6 +85,63 @@
     CHECK(clock > 0);
 }
 
+TEST_CASE("silent servers with many ranges take few of the leader's calls, and others their renewals in time")
+{
+    // Load pattern: 146 of 416 servers fall silent at once, four ranges each; their calls end unanswered after 0.5 s.
+    constexpr std::uint32_t Servers = 416;
+    constexpr std::uint32_t Silent = 146;
+    constexpr std::uint32_t RangesEach = 4;
+    constexpr Milliseconds CallTimeout(500);
+    constexpr Milliseconds Step(20);
+    KeyPlan plan{1, 1, {}};
+    std::vector<UpstreamServer> servers(Servers);
+    for (std::uint32_t at = 0; at < Servers; ++at) {
+        servers[at].id = "s" + std::to_string(at);
+        servers[at].slots = 2;
+        servers[at].incarnation = 1;
+    }
+    constexpr std::uint32_t Width = KeyCount / (Servers * RangesEach);
+    for (std::uint32_t at = 0; at < Servers * RangesEach; ++at) {
+        const std::uint32_t from = at * Width;
+        plan.ranges.push_back({{static_cast<std::uint16_t>(from), static_cast<std::uint16_t>(from + Width - 1)},
+                               lifeOf(servers[at % Servers])});
+    }
+    TimePoint now = Clock::now();
+    KeyAuthority authority(plan, {}, now);
+    authority.setServers(servers, now);
+    std::multimap<TimePoint, std::uint64_t> timeouts;
+    std::size_t silentCalls = 0;
+    constexpr int Steps = 250; // 5 s
+    for (int step = 0; step < Steps; ++step) {
+        now += Step;
+        authority.setAuthority(now + Milliseconds(1'000), true);
+        while (!timeouts.empty() && timeouts.begin()->first <= now) {
+            authority.onCallEnd(timeouts.begin()->second, KeyCallEnd::NoAnswer, {}, now);
+            timeouts.erase(timeouts.begin());
+        }
+        for (const KeyAction &action : authority.advance(now)) {
+            if (std::holds_alternative<SaveKeyPlan>(action)) {
+                authority.onPlanSaved(now);
+            } else if (const auto *grant = std::get_if<GrantKeys>(&action)) {
+                const bool isSilent = std::stoul(grant->server.id.substr(1)) < Silent;
+                silentCalls += isSilent ? 1 : 0;
+                if (isSilent) {
+                    timeouts.emplace(now + CallTimeout, grant->call);
+                } else {
+                    authority.onCallEnd(grant->call, KeyCallEnd::Accepted, {}, now);
+                }
+            }
+        }
+    }
+    // One call at a time and server, each with its 0.5 s and a pause: 5 s hold ten at most, and four began at once.
+    CHECK(silentCalls <= Silent * (10 + RangesEach));
+    CHECK(silentCalls >= Silent * 4); // a server that comes back is noticed within a second
+    for (std::uint32_t at = 0; at < Servers * RangesEach; ++at) {
+        const std::string *owner = authority.owners(now).ownerOf(static_cast<std::uint16_t>(at * Width));
+        CHECK((owner != nullptr && *owner == servers[at % Servers].id));
+    }
+}
+
 TEST_CASE("renewals of a thousand ranges leave the leader nothing to do at once")
 {
     // Load pattern: many hot spells have left a thousand ranges, and each renewal is answered by its own call's end.
