Give up leases that protect nothing, and leader keys that an earlier life left

A host whose write of a leader's key took effect after its answer was lost kept that key alive with the lease of its other services, and the service had no leader for good; the same for the plan that can't be read. Change: the lease is dropped when the host leads nothing; weak hosts spread their tries over 400 ms and not 100; a key that names this host although it does not lead is removed by compare-and-swap, also one of an earlier life. Test: process_node_test, a restarted host leads again before its old lease ends: failed before (nothing was removed).

--- a/src/snipevalve/node/control/node_control.hpp
+++ b/src/snipevalve/node/control/node_control.hpp
@@ -133,8 +133,8 @@
     static constexpr Milliseconds TickInterval{20};
     static constexpr Milliseconds ElectionInterval{50};
     /// Hosts try to take a free service over at different times, so that most of them see the winner first. Stronger
-    /// hosts try sooner, since a leader works for all; each service that a host leads already makes it try later.
-    static constexpr Milliseconds ElectionSpread{100};
+    /// hosts try sooner, since a leader works for all, and weaker ones, of which there are more, spread over a longer
+    /// time; each service that a host leads already makes it try later.
     static constexpr Milliseconds DelayOfWholeCore{40};
     static constexpr Milliseconds DelayOfLedService{150};
     static constexpr Milliseconds LongestElectionDelay{900};
@@ -395,6 +395,23 @@
         if (isReplaced) {
             stopLeading(service, "another host has taken it over");
         }
+        const bool isStray = *endpoint == m_settings.control && !m_led.contains(service) && service != m_takingOver;
+        if (isStray) {
+            asio::co_spawn(m_executor, removeStray(service, value.revision), LogFailure("lead"));
+        }
+    }
+
+    /// Removes a key that names this host as a leader although it does not lead: an earlier life of the process wrote
+    /// it, or the answer to its write was lost. Nobody else could lead until its lease ends, which may be never.
+    Awaitable<void> removeStray(std::string service, std::uint64_t revision)
+    {
+        StoreWrite write;
+        write.key = leaderKey(service);
+        write.expectedRevision = revision;
+        write.remove = true;
+        const auto result = co_await m_store.write(write);
+        spdlog::info("lead: event=stray_removed service={} revision={} removed={}", service, revision,
+                     result.ok() && result->committed);
     }
 
     void announceLeaders()
@@ -526,16 +543,18 @@
             timer.expires_after(electionDelay());
             co_await timer.async_wait(awaitInto(ignored));
             if (isFree(service) && m_reach.mayCall(Clock::now())) {
+                m_takingOver = service;
                 co_await takeOver(service);
+                m_takingOver.clear();
             }
         }
     }
 
     Milliseconds electionDelay()
     {
-        std::uniform_int_distribution<std::int64_t> spread(0, ElectionSpread.count());
         const auto byStrength =
             static_cast<std::int64_t>(static_cast<double>(DelayOfWholeCore.count()) / m_settings.processorShare);
+        std::uniform_int_distribution<std::int64_t> spread(0, byStrength);
         const Milliseconds byLoad = DelayOfLedService * static_cast<std::int64_t>(m_led.size());
         return std::min(Milliseconds(byStrength) + byLoad, LongestElectionDelay) + Milliseconds(spread(m_random));
     }
@@ -576,8 +595,8 @@
         constexpr Milliseconds TryFor(1'000);
         const auto result = co_await writeSurely(m_store, write, Clock::now() + TryFor);
         if (!result.ok() || !result->committed || !m_config || !m_config->service(service)) {
-            if (absl::IsNotFound(result.status())) {
-                m_lease.drop();
+            if (absl::IsNotFound(result.status()) || m_led.empty()) {
+                m_lease.drop(); // a lease that protects nothing is not worth its renewals
             }
             co_return;
         }
@@ -603,7 +622,14 @@
             leader->second->stop();
             m_led.erase(leader);
         }
-        m_ownedRevisions.erase(service);
+        const auto owned = m_ownedRevisions.find(service);
+        if (owned != m_ownedRevisions.end()) {
+            asio::co_spawn(m_executor, removeStray(service, owned->second), LogFailure("lead"));
+            m_ownedRevisions.erase(owned);
+        }
+        if (m_led.empty()) {
+            m_lease.drop();
+        }
     }
 
     Awaitable<void> tick()
@@ -692,6 +718,7 @@
     std::map<std::string, KeyOwners> m_plannedOwners;
     bool m_viewsStale = false;
     bool m_resigned = false;
+    std::string m_takingOver; ///< the service of the takeover under way
 };
 
 } // namespace snipevalve
--- a/tests/process/node_deployment.hpp
+++ b/tests/process/node_deployment.hpp
@@ -2,6 +2,7 @@
 #define SNIPEVALVE_PROCESS_NODE_DEPLOYMENT_HPP
 
 #include <filesystem>
+#include <fstream>
 #include <functional>
 #include <map>
 #include <string>
@@ -46,6 +47,7 @@
         const std::string path = m_folder + "/node-" + std::to_string(at) + ".toml";
         writeNodeSettings(path, "node-" + std::to_string(at), address, platform.storeEndpoint());
         const std::string program = std::string(BINARY_FOLDER) + "/snipevalve-node";
+        std::filesystem::remove(m_folder + "/node-" + std::to_string(at) + ".log");
         Process process(program, {"--settings=" + path}, m_folder + "/node-" + std::to_string(at) + ".log");
         m_nodes.insert_or_assign(at, std::move(process));
     }
@@ -103,6 +105,14 @@
         return true;
     }
 
+    /// Whether the log of the node's present process holds this text.
+    bool logHolds(int at, const std::string &text) const
+    {
+        std::ifstream log(m_folder + "/node-" + std::to_string(at) + ".log");
+        const std::string all((std::istreambuf_iterator<char>(log)), std::istreambuf_iterator<char>());
+        return all.find(text) != std::string::npos;
+    }
+
     bool serves(int at, int key)
     {
         return ask(at, "GET", "/k/x", key).status == 200;
--- a/tests/process/node_test.cpp
+++ b/tests/process/node_test.cpp
@@ -57,6 +57,27 @@
     CHECK(deployment.platform.ownershipBreaches() == 0);
 }
 
+TEST_CASE("a restarted host gives up what its earlier life led, and leads again before that lease has ended")
+{
+    NodeDeployment deployment("node-again", Network + 5, 1);
+    addLedgers(deployment.platform, 2);
+    REQUIRE(deployment.waitUntil(
+        [&]() {
+            return deployment.serves(0, 0) && !deployment.platform.leaderOf("ledger").empty();
+        },
+        StartTimeout));
+    deployment.node(0).kill();
+    deployment.startNode(0);
+    constexpr Milliseconds Lease(2'000);
+    CHECK(deployment.waitUntil(
+        [&]() {
+            return deployment.logHolds(0, "event=taken_over service=ledger");
+        },
+        Lease));
+    CHECK(deployment.logHolds(0, "event=stray_removed service=ledger"));
+    CHECK(deployment.platform.ownershipBreaches() == 0);
+}
+
 TEST_CASE("what is no whole answer of the server never becomes a success or a false promise", "[promise-3]")
 {
     struct Case
