--- a/tests/process/hostile_server_test.cpp
+++ b/tests/process/hostile_server_test.cpp
@@ -1,6 +1,8 @@
 #include <catch2/catch.hpp>
 
+#include <array>
 #include <fstream>
+#include <random>
 #include <set>
 
 #include "process/node_deployment.hpp"
@@ -306,4 +308,43 @@
     }
 }
 
+TEST_CASE("malformed messages at each of a node's addresses end a connection, never the process", "[promise-4]")
+{
+    HostileDeployment deployment("node-garbage", Network + 4);
+    std::mt19937_64 random(20261206);
+    constexpr std::array<std::uint16_t, 3> Ports{NodeCallersPort, NodeReadinessPort, NodeControlPort};
+    constexpr int Rounds = 150;
+    asio::io_context context;
+    for (int round = 0; round < Rounds; ++round) {
+        for (const std::uint16_t port : Ports) {
+            std::string garbage;
+            const std::size_t length = 1 + random() % 300;
+            // Half of them begin like a frame of a plausible length, or like a request.
+            const bool isPlausible = random() % 2 == 0;
+            if (isPlausible) {
+                garbage = port == NodeControlPort ? std::string("\0\0\0\x20", 4)
+                                                  : "GET /v1/x HTTP/1.1\r\nHost: h.example\r\n";
+            }
+            for (std::size_t at = 0; at < length; ++at) {
+                garbage += static_cast<char>(random());
+            }
+            Tcp::socket socket(context);
+            ErrorCode error;
+            socket.connect(toTcp({deployment.addressOf(0), port}), error);
+            REQUIRE_FALSE(error);
+            asio::write(socket, asio::buffer(garbage), error);
+        }
+    }
+    // What the store holds may be damaged as well.
+    deployment.platform.putEntry("servers/forged", "{\"service\":[1,{\"a\":");
+    deployment.platform.putEntry("snipevalve/leader/debits2", "{\"address\":7,\"host\":{}}");
+    deployment.platform.putEntry("snipevalve/leader/ledger2", "[]");
+    deployment.platform.putEntry("snipevalve/plan/ledger", "{\"term\":\"x\"}");
+    std::this_thread::sleep_for(Milliseconds(1'500));
+    CHECK(deployment.node(0).isRunning());
+    CHECK(deployment.ask(0, "GET", "/v1/x").status == 200);
+    CHECK_FALSE(deployment.logHolds(0, "SIG"));
+    CHECK_FALSE(deployment.logHolds(0, "failed too often"));
+}
+
 } // namespace snipevalve::standins
--- a/tests/standins/node_settings_file.cpp
+++ b/tests/standins/node_settings_file.cpp
@@ -10,7 +10,8 @@
     std::ofstream file(path);
     file << "node = \"" << node << "\"\nip = \"" << address << "\"\nzone = \"z\"\nseeds = []\nheartbeat_ms = 200\n"
          << "bounds = [\"grace_s=6\",\"retry_budget_slack=60\",\"hold_max_ms=10000\"]\n[listen]\nfront = \"" << address
-         << ":" << NodeCallersPort << "\"\nready = \"" << address << ":8640\"\ncontrol = \"" << address << ":8649\"\n"
+         << ":" << NodeCallersPort << "\"\nready = \"" << address << ":" << NodeReadinessPort << "\"\ncontrol = \""
+         << address << ":" << NodeControlPort << "\"\n"
          << "[limits]\ncpu_share = 1.0\ncores = 1\nmemory_mb = 260\nmax_fds = 1000\n[platform]\naddress = \""
          << toString(store) << "\"\nttl_min_ms = 1000\n";
 }
--- a/tests/standins/node_settings_file.hpp
+++ b/tests/standins/node_settings_file.hpp
@@ -8,7 +8,9 @@
 
 namespace snipevalve::standins {
 
+constexpr std::uint16_t NodeReadinessPort = 8640;
 constexpr std::uint16_t NodeCallersPort = 8641;
+constexpr std::uint16_t NodeControlPort = 8649;
 
 /// @brief Writes a node's settings as the platform would.
 void writeNodeSettings(const std::string &path, const std::string &node, const std::string &address,
--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -71,6 +71,12 @@
     put("op/config", absl::Base64Escape(text), 0);
 }
 
+void PlatformStandin::putEntry(const std::string &key, const std::string &value)
+{
+    const std::lock_guard lock(m_mutex);
+    put(key, absl::Base64Escape(value), 0);
+}
+
 Endpoint PlatformStandin::nextServerEndpoint() const
 {
     constexpr int FirstServerHost = 10;
--- a/tests/standins/platform_standin.hpp
+++ b/tests/standins/platform_standin.hpp
@@ -65,6 +65,9 @@
     /// @brief Writes the operators' configuration.
     void putConfig(const std::string &text);
 
+    /// @brief Writes a value as it is, e.g. an entry that is damaged or forged.
+    void putEntry(const std::string &key, const std::string &value);
+
     /// @brief Starts a server, which registers itself and renews its entry.
     /// @param registeredAs the address in its entry, if a relay stands in front of it
     void addServer(const std::string &id, const std::string &service, bool keyed, Milliseconds work,
