Answer the callers of servers that hang before a planned stop ends

A request taken 0.1 s after SIGTERM went to a server that never answered; when the process ended, 5 s later, its caller's connection was closed without an answer. What waited for a server was refused before the end, what a server kept was not. Change: at the end of the grace time less its reserve, servers that have not answered are given up and their callers get 502 or 504 (503 where nothing was sent), with 0.4 s for it. Nothing is repeated then. Ruled out: giving servers up earlier (they may be at work; that counts as cut off). Test: process_hostile_server_test "a planned stop answers the callers of a server that hangs": closed without an answer before, answered now.

--- a/src/snipevalve/node/control/node_process.hpp
+++ b/src/snipevalve/node/control/node_process.hpp
@@ -70,6 +70,8 @@
     static constexpr Milliseconds GraceReserve{1'000};
     /// Before that, what has not been sent to a server is refused, so that its caller can go elsewhere.
     static constexpr Milliseconds RefuseBeforeEnd{500};
+    /// What the answers to requests get whose servers have not answered by the end.
+    static constexpr Milliseconds LastAnswersTime{400};
     static constexpr Milliseconds StopPollInterval{50};
     /// A caller that has been idle for this long while the node stops is not about to send.
     static constexpr Milliseconds IdleWhileStopping{300};
@@ -132,6 +134,13 @@
             timer.expires_after(StopPollInterval);
             co_await timer.async_wait(awaitInto(ignored));
         }
+        // A server that hangs would leave its caller without an answer.
+        m_traffic.endRequests();
+        const TimePoint lastAnswersBy = Clock::now() + LastAnswersTime;
+        while (m_traffic.sessions() > 0 && Clock::now() < lastAnswersBy) {
+            timer.expires_after(StopPollInterval);
+            co_await timer.async_wait(awaitInto(ignored));
+        }
         spdlog::info("node: event=stopped sessions={}", m_traffic.sessions());
         m_context.stop();
     }
--- a/src/snipevalve/node/gateway_session.cpp
+++ b/src/snipevalve/node/gateway_session.cpp
@@ -51,6 +51,13 @@
     }
 }
 
+void GatewaySession::endRequest()
+{
+    if (const auto runner = m_runner.lock()) {
+        runner->onProcessEnds();
+    }
+}
+
 bool GatewaySession::mayKeepConnection() const
 {
     return !m_traffic.stopping && m_parser && m_parser->is_done() && m_parser->get().keep_alive();
@@ -152,6 +159,7 @@
 {
     const AddedWhileAlive heldBytes(m_traffic.bodyBytes, request.body.size());
     const auto runner = std::make_shared<RequestRunner>(m_traffic, std::move(request));
+    m_runner = runner;
     m_stream.expires_never();
     spawnMember(m_traffic.executor, shared_from_this(), &GatewaySession::watchCaller, runner);
     UpstreamAnswer answer = co_await runner->run();
--- a/src/snipevalve/node/gateway_session.hpp
+++ b/src/snipevalve/node/gateway_session.hpp
@@ -20,6 +20,9 @@
     /// @brief Serves until the caller leaves, a fault makes the connection unusable, or a planned stop ends it.
     Awaitable<void> run();
 
+    /// @brief The process ends in a moment: the request under way gets an answer now.
+    void endRequest();
+
     /// @brief Closes the connection when it has waited for a request for at least `idle`.
     void closeIfIdle(TimePoint now, Duration idle);
 
@@ -43,6 +46,7 @@
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
     std::unique_ptr<Parser> m_parser;
+    std::weak_ptr<RequestRunner> m_runner; ///< of the request under way
     std::optional<TimePoint> m_idleSince; ///< set while waiting for a request
     std::shared_ptr<const GatewayConfig> m_config; ///< of the current request; null before the first configuration
 };
--- a/src/snipevalve/node/gateway_thread.cpp
+++ b/src/snipevalve/node/gateway_thread.cpp
@@ -54,6 +54,16 @@
     });
 }
 
+void GatewayThread::endRequests()
+{
+    asio::post(m_context, [this]() {
+        const std::vector<GatewaySession *> sessions(m_traffic.sessions.begin(), m_traffic.sessions.end());
+        for (GatewaySession *session : sessions) {
+            session->endRequest();
+        }
+    });
+}
+
 void GatewayThread::start()
 {
     asio::post(m_context, [this]() {
--- a/src/snipevalve/node/gateway_thread.hpp
+++ b/src/snipevalve/node/gateway_thread.hpp
@@ -37,6 +37,9 @@
     /// @brief Refuses the requests that have not been sent to a server.
     void refuseWaiting();
 
+    /// @brief Gives up the servers that have not answered, so that their callers get an answer before the process ends.
+    void endRequests();
+
     /// @brief Ends the thread. What its connections wait for stays where it is: the process is about to end.
     void stop();
 
--- a/src/snipevalve/node/request_runner.cpp
+++ b/src/snipevalve/node/request_runner.cpp
@@ -129,7 +129,7 @@
         }
         m_failedServers.push_back(placement.server.id);
         const NextStep step = m_life.onAttemptEnd(toAttemptEnd(result.end), Clock::now(), m_sends);
-        if (std::holds_alternative<Finish>(step) || m_request.isGone) {
+        if (std::holds_alternative<Finish>(step) || m_request.isGone || m_isLastCall) {
             auto response = failure(placement.expected, result.detail);
             logEnd(response.header.result_int(), result.detail);
             co_return response;
@@ -204,6 +204,14 @@
     return AttemptEnd::Lost;
 }
 
+void RequestRunner::onProcessEnds()
+{
+    m_isLastCall = true;
+    if (m_exchange != nullptr) {
+        m_exchange->giveUp();
+    }
+}
+
 void RequestRunner::onCallerGone()
 {
     m_request.isGone = true;
--- a/src/snipevalve/node/request_runner.hpp
+++ b/src/snipevalve/node/request_runner.hpp
@@ -30,6 +30,9 @@
     /// @brief The caller has closed its connection: stops waiting, and stops servers that work on a repeatable request.
     void onCallerGone();
 
+    /// @brief The process ends in a moment: a server that has not answered is given up, and the caller gets its answer.
+    void onProcessEnds();
+
     const GatewayRequest &request() const;
 
 private:
@@ -56,6 +59,7 @@
     Ticket m_waitingTicket = 0;
     std::vector<std::string> m_failedServers;
     int m_sendCount = 0;
+    bool m_isLastCall = false; ///< no further send, the process ends
 };
 
 } // namespace snipevalve
--- a/tests/process/hostile_server_test.cpp
+++ b/tests/process/hostile_server_test.cpp
@@ -308,6 +308,38 @@
     }
 }
 
+TEST_CASE("a planned stop answers the callers of a server that hangs", "[promise-7]")
+{
+    HostileDeployment deployment("node-hang", Network + 5);
+    std::string config = smallConfig(4, 1);
+    for (auto at = config.find("\"timeout_ms\":3000"); at != std::string::npos;
+         at = config.find("\"timeout_ms\":3000")) {
+        config.replace(at, 17, "\"timeout_ms\":20000");
+    }
+    deployment.platform.putConfig(config);
+    std::this_thread::sleep_for(Milliseconds(2'500)); // in force
+    deployment.server.setScript([](const std::string &) {
+        return ScriptedReply{};
+    });
+    std::vector<Answer> answers(3);
+    std::vector<std::thread> callers;
+    for (Answer &answer : answers) {
+        const bool isPaid = &answer == &answers.front();
+        callers.emplace_back([&deployment, &answer, isPaid]() {
+            answer = deployment.ask(0, isPaid ? "POST" : "GET", isPaid ? "/p/x" : "/v1/x", -1, Milliseconds(15'000));
+        });
+    }
+    std::this_thread::sleep_for(Milliseconds(500));
+    deployment.node(0).terminate();
+    CHECK(deployment.node(0).wait(Milliseconds(6'000)) == 0);
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    for (const Answer &answer : answers) {
+        CHECK((answer.status == 502 || answer.status == 503 || answer.status == 504));
+    }
+}
+
 TEST_CASE("malformed messages at each of a node's addresses end a connection, never the process", "[promise-4]")
 {
     HostileDeployment deployment("node-garbage", Network + 4);
--- a/tests/process/node_deployment.hpp
+++ b/tests/process/node_deployment.hpp
@@ -63,7 +63,8 @@
     }
 
     /// Sends one request on a connection of its own.
-    Answer ask(int at, const std::string &method, const std::string &path, int key = -1)
+    Answer ask(int at, const std::string &method, const std::string &path, int key = -1,
+               Milliseconds deadline = Milliseconds(3'000))
     {
         const TimePoint startedAt = Clock::now();
         Answer answer;
@@ -76,7 +77,7 @@
         }
         const std::string id = "id-" + std::to_string(++m_lastId);
         std::string bytes = method + " " + path + " HTTP/1.1\r\nHost: h.example\r\nX-Snipevalve-Request-Id: " + id
-            + "\r\nX-Snipevalve-Request-Deadline: 3000\r\n";
+            + "\r\nX-Snipevalve-Request-Deadline: " + std::to_string(deadline.count()) + "\r\n";
         bytes += key >= 0 ? "X-Snipevalve-Shard-Key: " + std::to_string(key) + "\r\n" : "";
         bytes += method == "POST" ? "Content-Length: 0\r\n\r\n" : "\r\n";
         asio::write(stream.socket(), asio::buffer(bytes), error);
