--- a/include/snipevalve/ownership/key_authority.hpp
+++ b/include/snipevalve/ownership/key_authority.hpp
@@ -176,9 +176,9 @@
     /// Each call under way takes a connection, and servers reset connections beyond their limit. Grants are answered at
     /// once, so a few are enough; releases wait for running work, and a server that owns 200 hot keys has to give most
     /// of them away within a second.
-    static constexpr std::size_t ManyRanges = 3; ///< for each server; then ranges are joined also beside moves by load
     static constexpr int MostGrants = 4;
     static constexpr int MostReleases = 32;
+    static constexpr std::size_t ManyRanges = 3; ///< for each server; then ranges are joined also beside moves by load
 
     bool hasAuthority(TimePoint now) const;
     Duration longest(Milliseconds hold) const;
--- a/src/snipevalve/node/server_patience.cpp
+++ b/src/snipevalve/node/server_patience.cpp
@@ -2,12 +2,12 @@
 
 #include <algorithm>
 
+#include "snipevalve/dispatch/service_times.hpp"
+
 namespace snipevalve {
 
 namespace {
 
-using Seconds = std::chrono::duration<double>;
-
 /// A repeatable request is sent elsewhere when a server takes this many times the expected time, and this much more.
 /// One request in a hundred takes three times the usual work.
 constexpr double PatienceFactor = 4.0;
--- a/tests/process/hostile_server_test.cpp
+++ b/tests/process/hostile_server_test.cpp
@@ -41,6 +41,16 @@
     return 0;
 }
 
+using Finish = ScriptedReply::Finish;
+
+ScriptedReply bytes(std::string start, Finish finish = Finish::Keep)
+{
+    ScriptedReply reply;
+    reply.start = std::move(start);
+    reply.finish = finish;
+    return reply;
+}
+
 /// One node and one server that follows a script.
 class HostileDeployment : public NodeDeployment
 {
@@ -53,8 +63,7 @@
         platform.addServer("scripted", "debits", false, Milliseconds(5),
                            Endpoint{"127." + std::to_string(network) + ".3.1", ServerPort});
         server.setScript([](const std::string &id) {
-            return ScriptedReply{
-                headOf(id, "Content-Length: 2\r\n") + "ok", {}, 0, {}, ScriptedReply::Finish::Keep, {}, {}};
+            return bytes(headOf(id, "Content-Length: 2\r\n") + "ok");
         });
         REQUIRE(waitUntil(
             [this]() {
@@ -67,16 +76,6 @@
     ScriptedServer server;
 };
 
-using Finish = ScriptedReply::Finish;
-
-ScriptedReply bytes(std::string start, Finish finish = Finish::Keep)
-{
-    ScriptedReply reply;
-    reply.start = std::move(start);
-    reply.finish = finish;
-    return reply;
-}
-
 ScriptedReply repeated(std::string start, std::string part, std::size_t times, std::string end = {},
                        Finish finish = Finish::Keep)
 {
