Log the server's own status of an answer that is passed on in parts

What the caller got was right. This changes what is logged and counted, nothing else. Test: process_hostile_server_test "a long failure of a server": failed before (no line with status=500), passes now; the whole test passes.

--- a/src/snipevalve/node/request_runner.cpp
+++ b/src/snipevalve/node/request_runner.cpp
@@ -110,6 +110,7 @@
             if (response.isWhole) {
                 logEnd(response.header.result_int(), "answered by " + placement.server.id);
             }
+            m_streamedStatus = response.header.result_int();
             co_return response;
         }
         m_failedServers.push_back(placement.server.id);
@@ -228,7 +229,7 @@
     }
     if (error || part.empty()) {
         m_exchange = nullptr;
-        logEnd(error ? 0 : static_cast<unsigned>(http::status::ok), "passed on in parts from " + m_server.id);
+        logEnd(error ? 0 : m_streamedStatus, "passed on in parts from " + m_server.id);
     }
     co_return part;
 }
--- a/src/snipevalve/node/request_runner.hpp
+++ b/src/snipevalve/node/request_runner.hpp
@@ -55,6 +55,7 @@
     RetryBudget m_sends; ///< of this request alone: the route's largest number of servers
     std::shared_ptr<UpstreamExchange> m_exchange; ///< while a send is under way or its body is read
     UpstreamServer m_server; ///< the one that sends a body in parts
+    unsigned m_streamedStatus = 0; ///< of the answer that is passed on in parts
     std::uint64_t m_streamedBytes = 0;
     Ticket m_waitingTicket = 0;
     std::vector<std::string> m_failedServers;
--- a/tests/process/hostile_server_test.cpp
+++ b/tests/process/hostile_server_test.cpp
@@ -259,6 +259,26 @@
     }
 }
 
+TEST_CASE("a long failure of a server is passed on and logged with its own status", "[promise-3]")
+{
+    const std::string part(PartBytes, 'f');
+    constexpr std::size_t Parts = 32; ///< 512 KB: more than a node keeps
+    HostileDeployment deployment("node-failure", Network + 6);
+    deployment.server.setScript([=](const std::string &id) {
+        return repeated("HTTP/1.1 500 Failed\r\nX-Snipevalve-Request-Id: " + id
+                            + "\r\nContent-Length: " + std::to_string(Parts * PartBytes) + "\r\n\r\n",
+                        part, Parts);
+    });
+    const Answer answer = deployment.ask(0, "GET", "/v1/x");
+    CHECK(answer.status == 500);
+    CHECK(answer.body.size() == Parts * PartBytes);
+    CHECK(deployment.waitUntil(
+        [&]() {
+            return deployment.logHolds(0, "status=500");
+        },
+        Milliseconds(3'000)));
+}
+
 TEST_CASE("a broken answer that fits into memory is asked for again, a paid one never", "[promise-5]")
 {
     HostileDeployment deployment("node-again", Network + 2);
