Get the configuration from seeds after a restart of all hosts

Cause: after all processes were killed, each host learnt a leader table from a seed that still named the leaders of before. The named leaders removed their old keys only once they read the store themselves, so no service got a leader before 34.1 s.

Change: links to seeds stay until a configuration is known; a host that a relayed table names as leader of a service that it does not lead removes that key at once.

--- a/src/snipevalve/node/control/node_control.hpp
+++ b/src/snipevalve/node/control/node_control.hpp
@@ -377,6 +377,7 @@
         for (const auto &[service, revision] : m_leaderKeyRevisions) {
             m_leaders.leaders[service] = {m_settings.control, revision}; // newer than the table
         }
+        removeStaleLeaderKeys();
         m_leadersKnown = true;
         announceLeaders();
     }
@@ -398,10 +399,22 @@
         if (isReplaced) {
             stopLeading(service, "another host leads the service");
         }
-        const bool isStale =
-            *endpoint == m_settings.control && !m_ledServices.contains(service) && service != m_takeoverService;
-        if (isStale) {
-            asio::co_spawn(m_executor, removeStaleLeaderKey(service, value.revision), LogFailure("lead"));
+        removeStaleLeaderKeys();
+    }
+
+    /// Removes the keys that name this host as leader of services that it does not lead.
+    void removeStaleLeaderKeys()
+    {
+        std::set<std::string> led{m_takeoverService};
+        for (const auto &[service, leader] : m_ledServices) {
+            led.insert(service);
+        }
+        for (const auto &[service, entry] : staleEntriesOf(m_leaders, m_settings.control, led)) {
+            std::uint64_t &removed = m_removedLeaderKeys[service];
+            if (entry.revision > removed && !m_resigned) {
+                removed = entry.revision;
+                asio::co_spawn(m_executor, removeStaleLeaderKey(service, entry.revision), LogFailure("lead"));
+            }
         }
     }
 
@@ -414,6 +427,9 @@
         write.expectedRevision = revision;
         write.remove = true;
         const auto result = co_await m_store.write(write);
+        if (!result.ok()) {
+            m_removedLeaderKeys.erase(service); // tried again with the next news of the leaders
+        }
         spdlog::info("lead: event=stray_removed service={} revision={} removed={}", service, revision,
                      result.ok() && result->committed);
     }
@@ -721,6 +737,8 @@
     bool m_leadersKnown = false;
     /// By service: the revision of the leader key that this host has written.
     std::map<std::string, std::uint64_t> m_leaderKeyRevisions;
+    std::map<std::string, std::uint64_t>
+        m_removedLeaderKeys; ///< by service: newest revision of a stale key that was removed
     std::map<std::string, std::shared_ptr<ServiceLeader<Platform>>> m_ledServices;
     ServerDirectory m_directory;
     bool m_serversKnown = false;
--- a/src/snipevalve/node/gateway_thread.cpp
+++ b/src/snipevalve/node/gateway_thread.cpp
@@ -103,6 +103,7 @@
 {
     asio::post(m_context, [this, config = std::move(config)]() {
         m_traffic.config = config;
+        m_traffic.placements.leaveSeeds();
     });
 }
 
--- a/src/snipevalve/node/placements.cpp
+++ b/src/snipevalve/node/placements.cpp
@@ -184,9 +184,17 @@
         return;
     }
     m_leaders = leaders;
-    std::set<Endpoint> wanted;
     for (const auto &[service, endpoint] : leaders) {
         m_services.insert(service);
+    }
+    updateLinks();
+}
+
+/// Keeps one link to each leader and each seed, and closes all others.
+void Placements::updateLinks()
+{
+    std::set<Endpoint> wanted = m_seeds;
+    for (const auto &[service, endpoint] : m_leaders) {
         wanted.insert(endpoint);
     }
     for (auto link = m_links.begin(); link != m_links.end();) {
@@ -206,8 +214,15 @@
 
 void Placements::connectToSeeds(const std::vector<Endpoint> &seeds)
 {
-    for (const Endpoint &seed : seeds) {
-        connectTo(seed);
+    m_seeds.insert(seeds.begin(), seeds.end());
+    updateLinks();
+}
+
+void Placements::leaveSeeds()
+{
+    if (!m_seeds.empty()) {
+        m_seeds.clear();
+        updateLinks();
     }
 }
 
--- a/src/snipevalve/node/placements.hpp
+++ b/src/snipevalve/node/placements.hpp
@@ -45,9 +45,15 @@
     /// @brief Sets the leaders by service. Services without a leader are dispatched locally.
     void setLeaders(const std::map<std::string, Endpoint> &leaders);
 
-    /// @brief Connects to these hosts to learn the configuration and the leaders, until leaders are set.
+    /// @brief Connects to these hosts to learn the configuration and the leaders, until leaveSeeds().
     void connectToSeeds(const std::vector<Endpoint> &seeds);
 
+    /// @brief Closes the links to seeds that lead no service. Called once a configuration is known.
+    ///
+    /// The leader table alone is no reason to leave the seeds: after a loss of all hosts it names leaders that have
+    /// restarted and know no more than this host.
+    void leaveSeeds();
+
     /// @brief Sets a view that was read from the store. Ignored while the leader is connected: its views are newer.
     void setStoreView(const ServiceView &view);
 
@@ -80,6 +86,7 @@
     LeaderLink *leaderLinkOf(const std::string &service);
     void decide(Ticket ticket, DispatchDecision decision);
     void connectTo(const Endpoint &endpoint);
+    void updateLinks();
     void submitLocally(Send &send);
     void deliverLocalDecisions(Dispatcher &dispatcher);
     void onLinkOpen(LeaderLink &link);
@@ -97,6 +104,7 @@
     std::map<Ticket, Send> m_sends;
     std::map<std::string, std::unique_ptr<Dispatcher>> m_localDispatchers; ///< by service
     std::map<std::string, Endpoint> m_leaders; ///< by service
+    std::set<Endpoint> m_seeds; ///< hosts to stay connected to until a configuration is known
     std::map<Endpoint, std::shared_ptr<LeaderLink>> m_links;
     std::map<std::string, ServiceView> m_views; ///< by service, as last sent by the leaders
     std::set<std::string> m_services; ///< every service seen in requests, views or the leader table
--- a/src/snipevalve/node/placements_test.cpp
+++ b/src/snipevalve/node/placements_test.cpp
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
 
+#include "snipevalve/net/endpoint.hpp"
+#include "snipevalve/node/leader_dispatcher.hpp"
 #include "snipevalve/node/placements.hpp"
 
 namespace snipevalve {
@@ -29,4 +31,50 @@
     CHECK(std::get<Rejection>(*decision).reason == RejectReason::Stopping);
 }
 
+/// All hosts have restarted: the leader table still names a leader that knows no configuration, and a seed has just
+/// read one from the store.
+TEST_CASE("a host that knows no configuration gets it from a seed that leads nothing")
+{
+    asio::io_context context;
+    NodeSettings settings;
+    settings.address = "127.0.0.80";
+    const Endpoint seed{"127.0.0.81", 19'301};
+    const Endpoint staleLeader{"127.0.0.82", 19'301};
+    Tcp::acceptor seedAcceptor = listenOn(context.get_executor(), seed);
+    Tcp::acceptor leaderAcceptor = listenOn(context.get_executor(), staleLeader);
+    LeaderDispatcher seedDesk(context.get_executor(), settings, 1);
+    LeaderDispatcher leaderDesk(context.get_executor(), settings, 1);
+    asio::co_spawn(context, seedDesk.serve(seedAcceptor), asio::detached);
+    asio::co_spawn(context, leaderDesk.serve(leaderAcceptor), asio::detached);
+    auto placements = std::make_unique<Placements>(context.get_executor(), settings, 1);
+    std::uint64_t announced = 0;
+    placements->onStoreUpdate = [&announced](const StoreUpdate &update) {
+        announced = std::max(announced, update.configVersion);
+    };
+    const auto runBriefly = [&context]() {
+        context.restart();
+        context.run_for(Milliseconds(150));
+    };
+
+    placements->connectToSeeds({seed});
+    runBriefly();
+    placements->setLeaders({{"service", staleLeader}});
+    runBriefly();
+    auto config = std::make_shared<GatewayConfig>();
+    config->version = 7;
+    seedDesk.setConfig(config);
+    runBriefly();
+    CHECK(announced == 7);
+
+    placements->leaveSeeds();
+    runBriefly();
+    config = std::make_shared<GatewayConfig>();
+    config->version = 8;
+    seedDesk.setConfig(config);
+    runBriefly();
+    CHECK(announced == 7);
+    placements.reset();
+    runBriefly();
+}
+
 } // namespace snipevalve
