Pass views on between hosts that have no leader; keep the seeds while there are none

Cause 2: a host took a leader as reachable that denied leading the service, so it did not read the store either.

Change: KnownViews, a class without I/O: a host asks its peers, in both directions of its links, for the views that it lacks after 0.4 s; the youngest is used until the store or a leader has a newer one. A named leader that denies leading counts as no leader and is asked once each 0.5 s. Links to seeds stay while configuration or leaders are unknown.

--- a/src/snipevalve/dispatch_link/messages.cpp
+++ b/src/snipevalve/dispatch_link/messages.cpp
@@ -200,6 +200,19 @@
     return view;
 }
 
+proto::KnownView toProto(const KnownView &known)
+{
+    proto::KnownView message;
+    *message.mutable_view() = toProto(known.view);
+    message.set_age_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(0, known.age.count())));
+    return message;
+}
+
+KnownView fromProto(const proto::KnownView &message)
+{
+    return {fromProto(message.view()), Milliseconds(message.age_ms())};
+}
+
 proto::ViewChange toProto(const ViewChange &change)
 {
     proto::ViewChange message;
--- a/src/snipevalve/dispatch_link/messages.hpp
+++ b/src/snipevalve/dispatch_link/messages.hpp
@@ -5,7 +5,7 @@
 #include "snipevalve/dispatch_link/generated/dispatch.pb.h"
 #include "snipevalve/gateway/config_change.hpp"
 #include "snipevalve/gateway/leader_table.hpp"
-#include "snipevalve/node/service_view.hpp"
+#include "snipevalve/node/known_views.hpp"
 #include "snipevalve/node/view_change.hpp"
 
 namespace snipevalve {
@@ -24,6 +24,8 @@
 Rejection fromProto(const proto::Refusal &refusal);
 proto::View toProto(const ServiceView &view);
 ServiceView fromProto(const proto::View &view);
+proto::KnownView toProto(const KnownView &known);
+KnownView fromProto(const proto::KnownView &message);
 proto::ViewChange toProto(const ViewChange &change);
 ViewChange fromProto(const proto::ViewChange &message);
 
--- a/src/snipevalve/node/control/node_control.hpp
+++ b/src/snipevalve/node/control/node_control.hpp
@@ -35,6 +35,9 @@
         std::function<void(std::map<std::string, Endpoint>)> leaders;
         std::function<void(ServiceView)> view;
         std::function<void(std::uint64_t)> requestConfig; ///< requests the changes since a version from a leader
+        std::function<void(KnownView)> knownView; ///< a view that another host has passed on
+        /// Passes the views that the traffic thread knows to the second argument, on the control thread.
+        std::function<void(std::vector<std::string>, LeaderDispatcher::KnownViewsReply)> readKnownViews;
         std::function<bool()> needsViews; ///< whether some service has no reachable leader
     };
 
@@ -55,6 +58,14 @@
                 leader->second->onKeyedAsk(key, work);
             }
         };
+        m_desk.onViewsWanted = m_outputs.readKnownViews;
+        m_desk.onKnownView = m_outputs.knownView;
+    }
+
+    /// @brief Asks the connected hosts for views that the traffic thread lacks.
+    void requestViews(const std::vector<std::string> &services)
+    {
+        m_desk.requestViews(services);
     }
 
     /// @brief Adds the long-running tasks to the supervisor.
--- a/src/snipevalve/node/control/node_process.hpp
+++ b/src/snipevalve/node/control/node_process.hpp
@@ -46,6 +46,11 @@
                 m_control.onLeaderUpdate(news);
             });
         });
+        m_traffic.onViewsMissing([this](std::vector<std::string> services) {
+            asio::post(m_context, [this, services = std::move(services)]() {
+                m_control.requestViews(services);
+            });
+        });
         waitForReload();
     }
 
@@ -93,6 +98,16 @@
         outputs.requestConfig = [this](std::uint64_t base) {
             m_traffic.requestConfig(base);
         };
+        outputs.knownView = [this](KnownView known) {
+            m_traffic.adoptView(std::move(known));
+        };
+        outputs.readKnownViews = [this](std::vector<std::string> services, LeaderDispatcher::KnownViewsReply reply) {
+            m_traffic.readKnownViews(std::move(services), [this, reply](std::vector<KnownView> known) {
+                asio::post(m_context, [reply, known = std::move(known)]() {
+                    reply(known);
+                });
+            });
+        };
         outputs.needsViews = [this]() {
             return m_traffic.needsStoreViews();
         };
--- a/src/snipevalve/node/gateway_thread.cpp
+++ b/src/snipevalve/node/gateway_thread.cpp
@@ -103,7 +103,7 @@
 {
     asio::post(m_context, [this, config = std::move(config)]() {
         m_traffic.config = config;
-        m_traffic.placements.leaveSeeds();
+        m_traffic.placements.setConfigKnown();
     });
 }
 
@@ -135,6 +135,27 @@
     });
 }
 
+void GatewayThread::adoptView(KnownView known)
+{
+    asio::post(m_context, [this, known = std::move(known)]() {
+        m_traffic.placements.adoptView(known);
+    });
+}
+
+void GatewayThread::onViewsMissing(std::function<void(std::vector<std::string>)> handler)
+{
+    asio::post(m_context, [this, handler = std::move(handler)]() {
+        m_traffic.placements.onViewsMissing = handler;
+    });
+}
+
+void GatewayThread::readKnownViews(std::vector<std::string> services, std::function<void(std::vector<KnownView>)> reply)
+{
+    asio::post(m_context, [this, services = std::move(services), reply = std::move(reply)]() {
+        reply(m_traffic.placements.knownViews(services));
+    });
+}
+
 bool GatewayThread::needsStoreViews() const
 {
     return m_traffic.placements.needsStoreViews();
--- a/src/snipevalve/node/gateway_thread.hpp
+++ b/src/snipevalve/node/gateway_thread.hpp
@@ -26,6 +26,12 @@
     void setStoreView(ServiceView view);
     void onStoreUpdate(std::function<void(StoreUpdate)> handler);
     void requestConfig(std::uint64_t base);
+    void adoptView(KnownView known);
+    void onViewsMissing(std::function<void(std::vector<std::string>)> handler);
+
+    /// @brief Passes the views of these services that this host knows to `reply`, which is called on the traffic
+    /// thread.
+    void readKnownViews(std::vector<std::string> services, std::function<void(std::vector<KnownView>)> reply);
     bool needsStoreViews() const;
 
     /// @brief Closes each caller's connection after its next answer.
--- a/src/snipevalve/node/leader_dispatcher.cpp
+++ b/src/snipevalve/node/leader_dispatcher.cpp
@@ -92,6 +92,14 @@
     if (frame.has_config_base()) {
         addConfigChange(*host, frame.config_base());
     }
+    if (frame.wanted_views_size() > 0) {
+        onWantedViews(host, frame);
+    }
+    for (const proto::KnownView &known : frame.known_views()) {
+        if (onKnownView) {
+            onKnownView(fromProto(known));
+        }
+    }
     for (const proto::Done &done : frame.dones()) {
         onDone(host, done, now);
     }
@@ -101,6 +109,37 @@
     flush();
 }
 
+/// Services that are led here need no reply: the host gets their views as a leader's.
+void LeaderDispatcher::onWantedViews(const std::shared_ptr<Host> &host, const proto::HostFrame &frame)
+{
+    std::vector<std::string> services;
+    for (const std::string &service : frame.wanted_views()) {
+        if (!m_ledServices.contains(service)) {
+            services.push_back(service);
+        }
+    }
+    if (services.empty() || !onViewsWanted) {
+        return;
+    }
+    onViewsWanted(std::move(services), [this, host](const std::vector<KnownView> &known) {
+        for (const KnownView &each : known) {
+            *host->pending.add_known_views() = toProto(each);
+        }
+        flush();
+    });
+}
+
+void LeaderDispatcher::requestViews(const std::vector<std::string> &services)
+{
+    for (const std::shared_ptr<Host> &host : m_hosts) {
+        host->pending.clear_wanted_views();
+        for (const std::string &service : services) {
+            host->pending.add_wanted_views(service);
+        }
+    }
+    flush();
+}
+
 void LeaderDispatcher::onAsk(const std::shared_ptr<Host> &host, const proto::Ask &ask, TimePoint now)
 {
     const auto led = m_ledServices.find(ask.service());
@@ -200,7 +239,8 @@
         const proto::LeaderFrame &pending = host->pending;
         const bool isUpdateDue = addStoreUpdate(*host);
         const bool hasContent = isUpdateDue || pending.has_config()
-            || pending.permits_size() + pending.refusals_size() + pending.views_size() > 0;
+            || pending.permits_size() + pending.refusals_size() + pending.views_size() > 0
+            || pending.known_views_size() + pending.wanted_views_size() > 0;
         if (!hasContent && now - host->sentAt < HeartbeatInterval) {
             continue;
         }
--- a/src/snipevalve/node/leader_dispatcher.hpp
+++ b/src/snipevalve/node/leader_dispatcher.hpp
@@ -24,6 +24,17 @@
     /// @brief Called for each first attempt of a request to a keyed service, with the expected work.
     std::function<void(const std::string &service, std::uint16_t key, Seconds work)> onKeyedAsk;
 
+    using KnownViewsReply = std::function<void(std::vector<KnownView>)>;
+
+    /// @brief Called with the services of which a host lacks the views, and with where to pass what is known of them.
+    std::function<void(std::vector<std::string> services, KnownViewsReply reply)> onViewsWanted;
+
+    /// @brief Called with a view that a host has sent in reply to requestViews().
+    std::function<void(KnownView known)> onKnownView;
+
+    /// @brief Asks all connected hosts for the views of these services.
+    void requestViews(const std::vector<std::string> &services);
+
     /// @brief Accepts and serves connections of hosts until the acceptor is closed.
     Awaitable<void> serve(Tcp::acceptor &acceptor);
 
@@ -92,6 +103,7 @@
     void onFrame(const std::shared_ptr<Host> &host, const proto::HostFrame &frame);
     void onAsk(const std::shared_ptr<Host> &host, const proto::Ask &ask, TimePoint now);
     void onDone(const std::shared_ptr<Host> &host, const proto::Done &done, TimePoint now);
+    void onWantedViews(const std::shared_ptr<Host> &host, const proto::HostFrame &frame);
     void onHostGone(const std::shared_ptr<Host> &host);
     void collectDecisions(LedService &led);
     void flush();
--- a/src/snipevalve/node/placements.cpp
+++ b/src/snipevalve/node/placements.cpp
@@ -4,6 +4,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include "snipevalve/core/log_text.hpp"
+
 namespace snipevalve {
 
 namespace {
@@ -45,7 +47,7 @@
     return *dispatcher;
 }
 
-LeaderLink *Placements::leaderLinkOf(const std::string &service)
+LeaderLink *Placements::leaderLinkOf(const std::string &service) const
 {
     const auto leader = m_leaders.find(service);
     if (leader == m_leaders.end()) {
@@ -55,6 +57,26 @@
     return link != m_links.end() && link->second->isOpen() ? link->second.get() : nullptr;
 }
 
+/// Whether the service's leader can be reached and has not denied that it leads the service.
+bool Placements::isLed(const std::string &service) const
+{
+    return leaderLinkOf(service) != nullptr && !m_nextAskOfDenier.contains(service);
+}
+
+/// A host that has denied leading the service is asked again only now and then: it may have taken the service over.
+LeaderLink *Placements::leaderLinkForAsk(const std::string &service, TimePoint now)
+{
+    constexpr Milliseconds AskInterval(500);
+    const auto nextAsk = m_nextAskOfDenier.find(service);
+    if (nextAsk != m_nextAskOfDenier.end()) {
+        if (now < nextAsk->second) {
+            return nullptr;
+        }
+        nextAsk->second = now + AskInterval;
+    }
+    return leaderLinkOf(service);
+}
+
 Awaitable<DispatchDecision> Placements::acquire(std::string service, WorkItem item, Ticket &ticket)
 {
     const Ticket mine = ++m_lastTicket;
@@ -65,7 +87,7 @@
     send.service = service;
     send.item = std::move(item);
     send.decisionTimer = std::make_unique<asio::steady_timer>(m_executor, send.item.deadline);
-    if (LeaderLink *link = leaderLinkOf(service)) {
+    if (LeaderLink *link = leaderLinkForAsk(service, Clock::now())) {
         send.link = link->weak_from_this();
         proto::HostFrame frame;
         *frame.add_asks() = toProto(service, send.item, Clock::now());
@@ -183,6 +205,11 @@
     if (leaders == m_leaders) {
         return;
     }
+    std::erase_if(m_nextAskOfDenier, [this, &leaders](const auto &entry) {
+        const auto before = m_leaders.find(entry.first);
+        const auto after = leaders.find(entry.first);
+        return before == m_leaders.end() || after == leaders.end() || !(before->second == after->second);
+    });
     m_leaders = leaders;
     for (const auto &[service, endpoint] : leaders) {
         m_services.insert(service);
@@ -190,10 +217,13 @@
     updateLinks();
 }
 
-/// Keeps one link to each leader and each seed, and closes all others.
+/// Keeps one link to each leader, and to each seed while it may know what this host does not. Closes all others.
 void Placements::updateLinks()
 {
-    std::set<Endpoint> wanted = m_seeds;
+    std::set<Endpoint> wanted;
+    if (!m_isConfigKnown || m_leaders.empty()) {
+        wanted = m_seeds;
+    }
     for (const auto &[service, endpoint] : m_leaders) {
         wanted.insert(endpoint);
     }
@@ -218,10 +248,10 @@
     updateLinks();
 }
 
-void Placements::leaveSeeds()
+void Placements::setConfigKnown()
 {
-    if (!m_seeds.empty()) {
-        m_seeds.clear();
+    if (!m_isConfigKnown) {
+        m_isConfigKnown = true;
         updateLinks();
     }
 }
@@ -326,14 +356,29 @@
 {
     m_hostCount = std::max<std::uint32_t>(1, frame.hosts());
     for (const proto::View &view : frame.views()) {
+        m_nextAskOfDenier.erase(view.service());
         setView(fromProto(view));
     }
     for (const proto::ViewChange &message : frame.view_changes()) {
+        m_nextAskOfDenier.erase(message.service());
         const ViewChange change = fromProto(message);
-        setView(applyChange(m_views[change.service], change));
+        const ServiceView *known = m_views.find(change.service);
+        setView(applyChange(known == nullptr ? ServiceView() : *known, change));
+    }
+    for (const proto::KnownView &known : frame.known_views()) {
+        adoptView(fromProto(known));
+    }
+    if (frame.wanted_views_size() > 0) {
+        proto::HostFrame reply;
+        for (const KnownView &known : knownViews({frame.wanted_views().begin(), frame.wanted_views().end()})) {
+            *reply.add_known_views() = toProto(known);
+        }
+        link.send(reply);
     }
     for (const proto::Permit &permit : frame.permits()) {
-        if (m_sends.contains(permit.ticket())) {
+        const auto send = m_sends.find(permit.ticket());
+        if (send != m_sends.end()) {
+            m_nextAskOfDenier.erase(send->second.service);
             decide(permit.ticket(), fromProto(permit));
         }
     }
@@ -343,8 +388,12 @@
             continue;
         }
         if (!refusal.not_leader()) {
+            m_nextAskOfDenier.erase(position->second.service);
             decide(refusal.ticket(), fromProto(refusal));
-        } else if (!position->second.decision) {
+            continue;
+        }
+        m_nextAskOfDenier.try_emplace(position->second.service, Clock::now());
+        if (!position->second.decision) {
             submitLocally(position->second);
         } else {
             position->second.link.reset();
@@ -356,9 +405,15 @@
 void Placements::setView(const ServiceView &view)
 {
     m_services.insert(view.service);
-    m_views[view.service] = view;
-    Dispatcher &dispatcher = localDispatcher(view.service);
     const TimePoint now = Clock::now();
+    m_views.set(view, now);
+    useView(view, now);
+}
+
+/// Makes the local dispatcher work with this view.
+void Placements::useView(const ServiceView &view, TimePoint now)
+{
+    Dispatcher &dispatcher = localDispatcher(view.service);
     dispatcher.setSlotShare(std::min(1.0, LocalShareFactor / m_hostCount));
     dispatcher.setServers(view.servers, now);
     if (view.keyed) {
@@ -370,11 +425,54 @@
 void Placements::setStoreView(const ServiceView &view)
 {
     m_services.insert(view.service);
-    if (leaderLinkOf(view.service) == nullptr) {
+    if (!isLed(view.service)) {
         setView(view);
     }
 }
 
+void Placements::adoptView(const KnownView &known)
+{
+    const TimePoint now = Clock::now();
+    if (!isLed(known.view.service) && m_views.adopt(known, now)) {
+        spdlog::info("link: event=view_adopted service={} servers={} age_ms={}", escapeLogValue(known.view.service),
+                     known.view.servers.size(), known.age.count());
+        m_services.insert(known.view.service);
+        useView(known.view, now);
+    }
+}
+
+std::vector<KnownView> Placements::knownViews(const std::vector<std::string> &services) const
+{
+    return m_views.offer(services, Clock::now());
+}
+
+void Placements::requestMissingViews(TimePoint now)
+{
+    std::vector<std::string> leaderless;
+    for (const std::string &service : m_services) {
+        if (isLed(service)) {
+            m_views.confirm(service, now);
+        } else {
+            leaderless.push_back(service);
+        }
+    }
+    m_needsStoreViews = !leaderless.empty();
+    const std::vector<std::string> missing = m_views.missing(leaderless, now);
+    if (missing.empty()) {
+        return;
+    }
+    proto::HostFrame frame;
+    for (const std::string &service : missing) {
+        frame.add_wanted_views(service);
+    }
+    for (const auto &[endpoint, link] : m_links) {
+        link->send(frame);
+    }
+    if (onViewsMissing) {
+        onViewsMissing(missing);
+    }
+}
+
 void Placements::advance()
 {
     const TimePoint now = Clock::now();
@@ -385,10 +483,7 @@
         dispatcher->advance(now);
         deliverLocalDecisions(*dispatcher);
     }
-    const bool isLed = std::all_of(m_services.begin(), m_services.end(), [this](const std::string &service) {
-        return leaderLinkOf(service) != nullptr;
-    });
-    m_needsStoreViews = !isLed;
+    requestMissingViews(now);
 }
 
 bool Placements::needsStoreViews() const
--- a/src/snipevalve/node/placements.hpp
+++ b/src/snipevalve/node/placements.hpp
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "snipevalve/dispatch/dispatcher.hpp"
+#include "snipevalve/node/known_views.hpp"
 #include "snipevalve/node/leader_link.hpp"
 #include "snipevalve/node/store_update.hpp"
 
@@ -45,18 +46,24 @@
     /// @brief Sets the leaders by service. Services without a leader are dispatched locally.
     void setLeaders(const std::map<std::string, Endpoint> &leaders);
 
-    /// @brief Connects to these hosts to learn the configuration and the leaders, until leaveSeeds().
+    /// @brief Connects to these hosts to learn the configuration and the leaders, while one of them is unknown.
+    ///
+    /// Load pattern: all hosts restart. The leader table then names leaders that have restarted too and know no more
+    /// than this host, and after that it is empty for a while.
     void connectToSeeds(const std::vector<Endpoint> &seeds);
 
-    /// @brief Closes the links to seeds that lead no service. Called once a configuration is known.
-    ///
-    /// The leader table alone is no reason to leave the seeds: after a loss of all hosts it names leaders that have
-    /// restarted and know no more than this host.
-    void leaveSeeds();
+    /// @brief Tells that a configuration is known, so that seeds are only needed while there are no leaders.
+    void setConfigKnown();
 
     /// @brief Sets a view that was read from the store. Ignored while the leader is connected: its views are newer.
     void setStoreView(const ServiceView &view);
 
+    /// @brief Takes a view from another host that has no leader either, unless this host knows a younger one.
+    void adoptView(const KnownView &known);
+
+    /// @brief The views of these services that this host can pass on to another one.
+    std::vector<KnownView> knownViews(const std::vector<std::string> &services) const;
+
     /// @brief Runs what depends on time: rejects late requests and closes silent links. To be called about every 50 ms.
     void advance();
 
@@ -70,6 +77,9 @@
     /// @brief Called with the state of the store that a leader relays.
     std::function<void(StoreUpdate)> onStoreUpdate;
 
+    /// @brief Called with the services whose views this host lacks, so that the hosts connected to it are asked too.
+    std::function<void(std::vector<std::string>)> onViewsMissing;
+
 private:
     /// One attempt of a request, from acquire() to finish().
     struct Send
@@ -83,7 +93,10 @@
     };
 
     Dispatcher &localDispatcher(const std::string &service);
-    LeaderLink *leaderLinkOf(const std::string &service);
+    LeaderLink *leaderLinkOf(const std::string &service) const;
+    LeaderLink *leaderLinkForAsk(const std::string &service, TimePoint now);
+    bool isLed(const std::string &service) const;
+    void requestMissingViews(TimePoint now);
     void decide(Ticket ticket, DispatchDecision decision);
     void connectTo(const Endpoint &endpoint);
     void updateLinks();
@@ -94,6 +107,7 @@
     void onFrame(LeaderLink &link, const proto::LeaderFrame &frame);
     void forwardStoreUpdate(LeaderLink &link, const proto::LeaderFrame &frame);
     void setView(const ServiceView &view);
+    void useView(const ServiceView &view, TimePoint now);
     void report(const Send &send, Ticket ticket, WorkEnd end, Duration took);
 
     asio::any_io_executor m_executor;
@@ -104,9 +118,12 @@
     std::map<Ticket, Send> m_sends;
     std::map<std::string, std::unique_ptr<Dispatcher>> m_localDispatchers; ///< by service
     std::map<std::string, Endpoint> m_leaders; ///< by service
-    std::set<Endpoint> m_seeds; ///< hosts to stay connected to until a configuration is known
+    std::set<Endpoint> m_seeds;
+    bool m_isConfigKnown = false;
     std::map<Endpoint, std::shared_ptr<LeaderLink>> m_links;
-    std::map<std::string, ServiceView> m_views; ///< by service, as last sent by the leaders
+    KnownViews m_views;
+    /// By service: the host that the leader table names does not lead it; the next request is sent there at this time.
+    std::map<std::string, TimePoint> m_nextAskOfDenier;
     std::set<std::string> m_services; ///< every service seen in requests, views or the leader table
     std::atomic<bool> m_needsStoreViews = true;
     StoreUpdate m_lastForwarded; ///< newest version and time that onStoreUpdate was called with
--- a/src/snipevalve/node/placements_test.cpp
+++ b/src/snipevalve/node/placements_test.cpp
@@ -46,9 +46,9 @@
     LeaderDispatcher leaderDesk(context.get_executor(), settings, 1);
     asio::co_spawn(context, seedDesk.serve(seedAcceptor), asio::detached);
     asio::co_spawn(context, leaderDesk.serve(leaderAcceptor), asio::detached);
-    auto placements = std::make_unique<Placements>(context.get_executor(), settings, 1);
+    Placements placements(context.get_executor(), settings, 1);
     std::uint64_t announced = 0;
-    placements->onStoreUpdate = [&announced](const StoreUpdate &update) {
+    placements.onStoreUpdate = [&announced](const StoreUpdate &update) {
         announced = std::max(announced, update.configVersion);
     };
     const auto runBriefly = [&context]() {
@@ -56,9 +56,9 @@
         context.run_for(Milliseconds(150));
     };
 
-    placements->connectToSeeds({seed});
+    placements.connectToSeeds({seed});
     runBriefly();
-    placements->setLeaders({{"service", staleLeader}});
+    placements.setLeaders({{"service", staleLeader}});
     runBriefly();
     auto config = std::make_shared<GatewayConfig>();
     config->version = 7;
@@ -66,15 +66,68 @@
     runBriefly();
     CHECK(announced == 7);
 
-    placements->leaveSeeds();
+    placements.setConfigKnown();
     runBriefly();
     config = std::make_shared<GatewayConfig>();
     config->version = 8;
     seedDesk.setConfig(config);
     runBriefly();
-    CHECK(announced == 7);
-    placements.reset();
+    CHECK(announced == 7); // the leader is enough
+
+    placements.setLeaders({});
+    context.restart();
+    context.run_for(Milliseconds(300));
+    CHECK(announced == 8); // without leaders, the seeds are needed again
+}
+
+/// Hosts restart while the store is away and the leader of before has restarted too; one host still knows the servers.
+TEST_CASE("a host that has restarted without the store sends requests to the servers that another host knows")
+{
+    asio::io_context context;
+    NodeSettings settings;
+    settings.address = "127.0.0.83";
+    const Endpoint survivor{"127.0.0.84", 19'302};
+    Tcp::acceptor acceptor = listenOn(context.get_executor(), survivor);
+    LeaderDispatcher desk(context.get_executor(), settings, 1); // leads nothing
+    Placements known(context.get_executor(), settings, 1);
+    desk.onViewsWanted = [&known](const std::vector<std::string> &services, const auto &reply) {
+        reply(known.knownViews(services));
+    };
+    UpstreamServer server;
+    server.id = "a";
+    server.slots = 2;
+    known.setStoreView({"service", false, {server}, {}});
+    asio::co_spawn(context, desk.serve(acceptor), asio::detached);
+    Placements placements(context.get_executor(), settings, 1);
+    placements.setLeaders({{"service", survivor}});
+    const auto runBriefly = [&]() {
+        for (int step = 0; step < 12; ++step) {
+            context.restart();
+            context.run_for(Milliseconds(50));
+            placements.advance();
+            desk.advance();
+        }
+    };
+    runBriefly(); // connects
+
+    std::optional<DispatchDecision> decision;
+    Ticket ticket = 0;
+    WorkItem item;
+    item.targetBy = Clock::now() + Milliseconds(9'000);
+    item.deadline = Clock::now() + Milliseconds(10'000);
+    asio::co_spawn(
+        context,
+        [&]() -> Awaitable<void> {
+            decision = co_await placements.acquire("service", item, ticket);
+        },
+        asio::detached);
     runBriefly();
+    REQUIRE(decision);
+    REQUIRE(std::holds_alternative<Placement>(*decision));
+    CHECK(std::get<Placement>(*decision).server.id == "a");
+    placements.setLeaders({});
+    context.restart();
+    context.run_for(Milliseconds(50));
 }
 
 } // namespace snipevalve
