Keep a key that fills a server on it; move the other keys away

Cause: in a hot spell one key asks for 20 to 50 slots of a server that has 4.

Change: a key that takes 0.9 of its server's capacity moves only to a server with 1.25 times that capacity free; otherwise it stays, and the keys beside it leave, also in narrow ranges.

Test: 'moves once to a fast server and stays there' fails without the change (the other keys stay beside it).

--- a/src/snipevalve/ownership/key_balance.cpp
+++ b/src/snipevalve/ownership/key_balance.cpp
@@ -16,6 +16,11 @@
 /// A key heavier than the spare capacity of the new server moves only if the new server's utilisation is then at most
 /// this share of the old server's.
 constexpr double MaxUtilisationRatio = 0.8;
+/// A key whose load is at least this share of its server's capacity fills the server alone.
+constexpr double FillingShare = 0.9;
+/// Such a key moves only to a server on which this multiple of the old server's capacity is free for it. Each move
+/// blocks the key until its running requests have ended.
+constexpr double MinCapacityGain = 1.25;
 constexpr std::size_t MinMovesPerRound = 10;
 /// A round may make one move per this many servers. Each move blocks its keys for about the duration of one request.
 constexpr std::size_t ServersPerMove = 4;
@@ -148,27 +153,32 @@
     }
 }
 
-std::optional<KeyWindow> findWindow(const ServerLoad &server, const std::vector<float> &loads, double wantedLoad)
+/// @param minUsefulLoad a window with less load is not worth a move
+std::optional<KeyWindow> findWindow(const ServerLoad &server, const std::vector<float> &loads, double wantedLoad,
+                                    double minUsefulLoad)
 {
     KeyWindowSearch search(wantedLoad * MinLoadShare, wantedLoad * MaxLoadShare);
     for (const KeyRange &range : server.ranges) {
         searchRange(search, range, loads);
     }
     const std::optional<KeyWindow> window = search.best();
-    const bool isUseful = window && window->load >= wantedLoad * MinUsefulShare;
+    const bool isUseful = window && window->load >= minUsefulLoad;
     return isUseful ? window : std::nullopt;
 }
 
 /// The lightest single key that is heavier than the wanted load and whose move clearly relieves its server.
+/// @param staying a key that does not move
 std::optional<KeyWindow> findHeavyKey(const ServerLoad &from, const ServerLoad &to, const std::vector<float> &loads,
-                                      double wantedLoad)
+                                      double wantedLoad, const std::optional<KeyWindow> &staying)
 {
     std::optional<KeyWindow> best;
     for (const KeyRange &range : from.ranges) {
         for (std::uint32_t key = range.from; key <= range.to; ++key) {
             const double load = loads[key];
             const double utilisationAfter = (to.load + load) / to.capacity;
-            const bool isUseful = load > wantedLoad && utilisationAfter <= MaxUtilisationRatio * from.utilisation();
+            const bool stays = staying && staying->keys.from == key;
+            const bool isUseful =
+                !stays && load > wantedLoad && utilisationAfter <= MaxUtilisationRatio * from.utilisation();
             if (isUseful && (!best || load < best->load)) {
                 best = KeyWindow{{static_cast<std::uint16_t>(key), static_cast<std::uint16_t>(key)}, load};
             }
@@ -177,6 +187,31 @@
     return best;
 }
 
+/// The heaviest key of the server, if it fills the server alone.
+std::optional<KeyWindow> findFillingKey(const ServerLoad &server, const std::vector<float> &loads)
+{
+    std::optional<KeyWindow> heaviest;
+    for (const KeyRange &range : server.ranges) {
+        for (std::uint32_t key = range.from; key <= range.to; ++key) {
+            if (!heaviest || loads[key] > heaviest->load) {
+                heaviest = KeyWindow{{static_cast<std::uint16_t>(key), static_cast<std::uint16_t>(key)}, loads[key]};
+            }
+        }
+    }
+    return heaviest && heaviest->load >= FillingShare * server.capacity ? heaviest : std::nullopt;
+}
+
+/// The server with the most free capacity, if the key gains enough there.
+ServerLoad *findFasterServer(std::vector<ServerLoad> &servers, const ServerLoad &from)
+{
+    const auto hasLessRoom = [](const ServerLoad &left, const ServerLoad &right) {
+        return left.capacity - left.load < right.capacity - right.load;
+    };
+    const auto roomiest = std::max_element(servers.begin(), servers.end(), hasLessRoom);
+    const bool isGain = roomiest->capacity - roomiest->load >= MinCapacityGain * from.capacity;
+    return isGain ? &*roomiest : nullptr;
+}
+
 /// Limits the load of each key to the largest capacity of a server: a key has one owner, so no server could serve more.
 std::vector<float> capLoads(std::vector<float> loads, const std::map<std::string, double> &capacities)
 {
@@ -260,16 +295,29 @@
         if (mostUtilised->load <= 0 || (!isOverloaded && !hasNoKeys)) {
             break;
         }
+        const std::optional<KeyWindow> filling = findFillingKey(*mostUtilised, loads);
+        if (ServerLoad *faster = filling ? findFasterServer(servers, *mostUtilised) : nullptr) {
+            moves.push_back({filling->keys, mostUtilised->id, faster->id});
+            removeWindow(mostUtilised->ranges, filling->keys);
+            mostUtilised->load -= filling->load;
+            faster->load += filling->load;
+            faster->hasKeys = true;
+            continue;
+        }
         constexpr double FirstLoadShare = 0.4; ///< of the most utilised server's load, for a server without keys
         const double room = targetLevel * leastUtilised->capacity - leastUtilised->load;
-        const double wantedLoad =
-            hasNoKeys ? std::min(mostUtilised->load * FirstLoadShare, room) : std::min(excess, room);
+        double wantedLoad = hasNoKeys ? std::min(mostUtilised->load * FirstLoadShare, room) : std::min(excess, room);
         if (wantedLoad < options.minMoveLoad && !hasNoKeys) {
             break;
         }
-        auto window = findWindow(*mostUtilised, loads, wantedLoad);
+        if (filling) {
+            // The filling key stays, and the others leave its server.
+            wantedLoad = std::min(wantedLoad, mostUtilised->load - filling->load);
+        }
+        const double minUsefulLoad = filling ? options.minMoveLoad : wantedLoad * MinUsefulShare;
+        auto window = findWindow(*mostUtilised, loads, wantedLoad, minUsefulLoad);
         if (!window) {
-            window = findHeavyKey(*mostUtilised, *leastUtilised, loads, wantedLoad);
+            window = findHeavyKey(*mostUtilised, *leastUtilised, loads, wantedLoad, filling);
         }
         if (!window) {
             // A single key makes up the load, and it stays.
--- a/src/snipevalve/ownership/key_balance_test.cpp
+++ b/src/snipevalve/ownership/key_balance_test.cpp
@@ -176,6 +176,55 @@
     }
 }
 
+TEST_CASE("a key that asks for more than any server has moves once to a fast server and stays there")
+{
+    // Load pattern: a third of all requests ask for one key for five seconds, servers differ in speed, and earlier hot
+    // spots have left each with many ranges. The key went from one fast server to the next six times, and was
+    // unavailable for 0.3 to 0.5 s each time.
+    constexpr std::uint32_t Servers = 16;
+    constexpr std::uint32_t RangesEach = 6;
+    constexpr std::uint16_t HotKey = 30'000;
+    constexpr int Rounds = 25; // of 0.2 s
+    const bool startsOnSlowServer = GENERATE(true, false);
+    std::vector<float> byKey(KeyCount, 25.0F / KeyCount);
+    byKey[HotKey] = 20;
+    std::map<std::string, double> usable;
+    std::vector<std::string> owners(KeyCount);
+    for (std::uint32_t key = 0; key < KeyCount; ++key) {
+        const std::uint32_t number = key * Servers * RangesEach / KeyCount % Servers;
+        owners[key] = "s" + std::to_string(number);
+        const bool ownsHotKey = number == HotKey * Servers * RangesEach / KeyCount % Servers;
+        const bool isSlow = ownsHotKey ? startsOnSlowServer : number % 3 == 0;
+        usable[owners[key]] = isSlow ? 2.5 : 5.7;
+    }
+    KeyBalanceOptions options;
+    options.maxMoves = maxMovesPerRound(Servers);
+    options.window = Seconds(0.7);
+    int hotKeyMoves = 0;
+    for (int round = 0; round < Rounds; ++round) {
+        std::vector<OwnedRange> ranges;
+        for (std::uint32_t key = 0; key < KeyCount; ++key) {
+            if (key == 0 || ranges.back().owner != owners[key]) {
+                ranges.push_back({{static_cast<std::uint16_t>(key), static_cast<std::uint16_t>(key)}, owners[key]});
+            }
+            ranges.back().keys.to = static_cast<std::uint16_t>(key);
+        }
+        for (const KeyMove &move : planKeyMoves(ranges, byKey, usable, options)) {
+            hotKeyMoves += move.keys.contains(HotKey) ? 1 : 0;
+            for (std::uint32_t key = move.keys.from; key <= move.keys.to; ++key) {
+                owners[key] = move.to;
+            }
+        }
+    }
+    CHECK(hotKeyMoves <= 1);
+    CHECK(usable[owners[HotKey]] > 5.0);
+    double others = 0;
+    for (std::uint32_t key = 0; key < KeyCount; ++key) {
+        others += key != HotKey && owners[key] == owners[HotKey] ? byKey[key] : 0;
+    }
+    CHECK(others < 0.5); // of 1.6 at the start
+}
+
 TEST_CASE("a new server gets keys even if no server is overloaded")
 {
     auto all = capacities();
