--- a/include/snipevalve/ownership/detail/key_authority_impl.hpp
+++ b/include/snipevalve/ownership/detail/key_authority_impl.hpp
@@ -24,16 +24,20 @@
 } // namespace detail
 
 template <typename Rules>
-BasicKeyAuthority<Rules>::BasicKeyAuthority(KeyPlan plan, KeyAuthorityTimes times, TimePoint now)
+BasicKeyAuthority<Rules>::BasicKeyAuthority(KeyPlan plan, KeyAuthorityTimes times, TimePoint now, bool noLongHolds)
     : m_times(times)
     , m_plan(std::move(plan))
     , m_leaseEnd(now)
     , m_balancedAt(now)
 {
+    const bool isFirstTerm = m_plan.term == 0;
     ++m_plan.term;
     m_plan.version = 0;
+    m_plan.deputy = {};
     // The previous leader sent its last grant before this term began.
-    const TimePoint predecessorHoldEnd = now + m_times.maxArrivalDelay + withClockDrift(m_times.longHold);
+    const Milliseconds longestHold = noLongHolds ? m_times.hold : m_times.longHold;
+    const TimePoint predecessorHoldEnd = now + m_times.maxArrivalDelay + withClockDrift(longestHold);
+    m_longHoldEnd = noLongHolds || isFirstTerm ? TimePoint() : predecessorHoldEnd;
     for (const PlannedRange &range : m_plan.ranges) {
         Segment segment;
         segment.keys = range.keys;
@@ -118,9 +122,76 @@
     m_leaseEnd = until;
     m_storeAnswers = storeAnswers;
     if (wasAnswering && !storeAnswers) {
-        // Every server has to get the long hold before this leader's lease ends.
-        for (Segment &segment : m_segments) {
-            segment.sendAt = segment.state == State::Held ? TimePoint() : segment.sendAt;
+        renewAllAtOnce();
+    }
+}
+
+/// Every server has to get the long hold before this leader's lease ends.
+template <typename Rules>
+void BasicKeyAuthority<Rules>::renewAllAtOnce()
+{
+    for (Segment &segment : m_segments) {
+        segment.sendAt = segment.state == State::Held ? TimePoint() : segment.sendAt;
+    }
+}
+
+/// Whether every plan that may be in the store allows long holds: it names no deputy, or one that has consented.
+template <typename Rules>
+bool BasicKeyAuthority<Rules>::mayGrantLongHolds() const
+{
+    const auto allows = [this](const PlanDeputy &deputy) {
+        return deputy.run.empty() || m_consents.contains(deputy.epoch);
+    };
+    return !Rules::WaitForConsent || (allows(m_plan.deputy) && allows(m_savedDeputy));
+}
+
+/// Whether a server may still have a long hold of this or an earlier leader.
+template <typename Rules>
+bool BasicKeyAuthority<Rules>::mayLongHoldsLast(TimePoint now) const
+{
+    const bool isInFlight = std::any_of(m_segments.begin(), m_segments.end(), [this](const Segment &segment) {
+        return segment.call != 0 && segment.callHold > m_times.hold;
+    });
+    return Rules::NameDeputyLate && (now < m_longHoldEnd || isInFlight);
+}
+
+/// A successor relies on what the plan says of its deputy, so a plan may name a deputy only when no long hold lasts. A
+/// deputy that has consented is named anew, with another epoch, once these holds have ended.
+template <typename Rules>
+void BasicKeyAuthority<Rules>::setDeputy(const std::string &run, TimePoint now)
+{
+    const bool isCurrent = run == m_deputy.run && !m_consents.contains(m_deputy.epoch);
+    if (isCurrent || !m_storeAnswers) {
+        return;
+    }
+    const bool isNamed = !run.empty() && !mayLongHoldsLast(now);
+    const bool isRemoved = run != m_deputy.run && !m_deputy.run.empty();
+    if (!isNamed && !isRemoved) {
+        return;
+    }
+    m_deputy = isNamed ? PlanDeputy{run, ++m_lastEpoch} : PlanDeputy{};
+    m_ownersChanged = true;
+}
+
+template <typename Rules>
+void BasicKeyAuthority<Rules>::onDeputyConsent(std::uint64_t term, std::uint64_t epoch)
+{
+    const bool isNew = term == m_plan.term && m_consents.insert(epoch).second;
+    if (isNew && !m_storeAnswers) {
+        renewAllAtOnce();
+    }
+}
+
+template <typename Rules>
+void BasicKeyAuthority<Rules>::askDeputies(TimePoint now, Actions &actions)
+{
+    if (m_storeAnswers || now < m_askDeputyAt || mayGrantLongHolds()) {
+        return;
+    }
+    m_askDeputyAt = now + m_times.askDeputyInterval;
+    for (const PlanDeputy &deputy : {m_savedDeputy, m_plan.deputy}) {
+        if (!deputy.run.empty() && !m_consents.contains(deputy.epoch)) {
+            actions.push_back(AskDeputy{m_plan.term, deputy});
         }
     }
 }
@@ -285,13 +356,16 @@
 }
 
 template <typename Rules>
-void BasicKeyAuthority<Rules>::savePlan(Actions &actions)
+void BasicKeyAuthority<Rules>::savePlan(TimePoint now, Actions &actions)
 {
     const bool isCurrent = m_planSaved && !m_ownersChanged;
     if (m_planInFlight || isCurrent) {
         return;
     }
     m_ownersChanged = false;
+    if (!(m_deputy == m_plan.deputy) && mayLongHoldsLast(now)) {
+        m_deputy = {}; // a long hold has been granted since the deputy was chosen
+    }
     std::vector<PlannedRange> ranges;
     for (const Segment &segment : m_segments) {
         if (segment.owner.id.empty()) {
@@ -305,10 +379,11 @@
             ranges.push_back({segment.keys, segment.owner});
         }
     }
-    if (ranges == m_plan.ranges && m_planSaved) {
+    if (ranges == m_plan.ranges && m_deputy == m_plan.deputy && m_planSaved) {
         return;
     }
     m_plan.ranges = std::move(ranges);
+    m_plan.deputy = m_deputy;
     ++m_plan.version;
     m_planInFlight = true;
     actions.push_back(SaveKeyPlan{m_plan});
@@ -330,6 +405,7 @@
 {
     m_planInFlight = false;
     m_planSaved = true;
+    m_savedDeputy = m_plan.deputy;
     for (Segment &segment : m_segments) {
         if (segment.state == State::Planned && isPlanned(segment)) {
             segment.state = State::Granting;
@@ -375,7 +451,7 @@
         actions.push_back(ReleaseKeys{segment.call, *server, segment.keys, segment.fence});
         return;
     }
-    segment.callHold = m_storeAnswers ? m_times.hold : m_times.longHold;
+    segment.callHold = m_storeAnswers || !mayGrantLongHolds() ? m_times.hold : m_times.longHold;
     actions.push_back(
         GrantKeys{segment.call, *server, segment.keys, segment.fence, segment.callHold, segment.handover});
 }
@@ -428,6 +504,9 @@
 template <typename Rules>
 void BasicKeyAuthority<Rules>::onGrantEnd(Segment &segment, KeyCallOutcome end, TimePoint now)
 {
+    if (segment.callHold > m_times.hold) {
+        m_longHoldEnd = std::max(m_longHoldEnd, now + m_times.maxArrivalDelay + withClockDrift(segment.callHold));
+    }
     switch (end) {
     case KeyCallOutcome::Accepted:
         segment.state = State::Held;
@@ -565,7 +644,8 @@
     }
     assignUnowned(now);
     if (holdsLease(now)) {
-        savePlan(actions);
+        savePlan(now, actions);
+        askDeputies(now, actions);
         countCalls();
         for (Segment &segment : m_segments) {
             if (m_planSaved || !Rules::SavePlanFirst) {
--- a/include/snipevalve/ownership/key_authority.hpp
+++ b/include/snipevalve/ownership/key_authority.hpp
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -29,6 +30,7 @@
     Milliseconds mergeInterval{4'000}; ///< between two rounds of `planKeyMerges`; longer than most hot spots last
     Milliseconds fastMergeInterval{1'000}; ///< the same while there are many ranges, each of which needs renewals
     Milliseconds coalesceInterval{100}; ///< between two searches for adjacent ranges with the same owner
+    Milliseconds askDeputyInterval{100}; ///< between two requests for consent to long holds
     Milliseconds maxArrivalDelay{400}; ///< an unanswered call may still arrive this long after it timed out
     double maxClockDrift = 0.02; ///< a server's clock may run slow by this fraction
 };
@@ -59,13 +61,20 @@
     KeyPlan plan;
 };
 
+/// @brief Asks the deputy to consent to long holds, as the store does not answer.
+struct AskDeputy
+{
+    std::uint64_t term = 0;
+    PlanDeputy deputy;
+};
+
 /// @brief Describes a decision about ownership, for the log.
 struct OwnershipNote
 {
     std::string text;
 };
 
-using KeyAction = std::variant<GrantKeys, ReleaseKeys, SaveKeyPlan, OwnershipNote>;
+using KeyAction = std::variant<GrantKeys, ReleaseKeys, SaveKeyPlan, AskDeputy, OwnershipNote>;
 
 /// @brief How a call to a server ended.
 enum class KeyCallOutcome {
@@ -85,6 +94,8 @@
         true; ///< unanswered grants count from their latest arrival, also after a release
     static constexpr bool CheckLease = true; ///< nothing is sent once another leader may exist
     static constexpr bool AllowForSlowClock = true; ///< a hold may last longer when a server's clock runs slow
+    static constexpr bool WaitForConsent = true; ///< a plan's deputy consents before a long hold is granted
+    static constexpr bool NameDeputyLate = true; ///< a plan names a deputy only when no earlier long hold can last
 };
 
 /// @brief Decides which server owns which keys of one service, for one term of one leader. It does no I/O, starts no
@@ -93,8 +104,9 @@
 /// The plan in the store names for each key the only server that may own it. Only the leader writes the plan, by
 /// compare-and-swap, and it grants keys to a server only after the plan that names the server has been written. A new
 /// leader can therefore renew the grants of the plan at once. It waits only for the keys of servers that are gone,
-/// until the longest hold that its predecessor may have granted has expired. The leader sends nothing after its lease
-/// in the store has ended (`setLeaderLease`), and no other leader can exist before that.
+/// until the longest hold that its predecessor may have granted has expired. While the store does not answer, grants
+/// have long holds; if the plan names a deputy, only with the deputy's consent (see DeputyConsents). The leader sends
+/// nothing after its lease in the store has ended (`setLeaderLease`), and no other leader can exist before that.
 template <typename Rules>
 class BasicKeyAuthority
 {
@@ -102,7 +114,8 @@
     /// @param plan the plan in the store; empty before the first one
     /// @param times durations and intervals
     /// @param now start of the term
-    BasicKeyAuthority(KeyPlan plan, KeyAuthorityTimes times, TimePoint now);
+    /// @param noLongHolds whether the previous leader has certainly granted no long holds
+    BasicKeyAuthority(KeyPlan plan, KeyAuthorityTimes times, TimePoint now, bool noLongHolds = false);
 
     /// @brief Sets the servers of the service. A server that is missing has left or can't reach the store.
     void setServers(const std::vector<UpstreamServer> &servers, TimePoint now);
@@ -112,6 +125,12 @@
     /// @param storeAnswers false while the store does not answer this host
     void setLeaderLease(TimePoint until, bool storeAnswers);
 
+    /// @brief Sets the run of the host that the next plans name as deputy; empty for none.
+    void setDeputy(const std::string &run, TimePoint now);
+
+    /// @brief Tells that the deputy has consented to long holds.
+    void onDeputyConsent(std::uint64_t term, std::uint64_t epoch);
+
     /// @brief The recent load of each key and the capacity of each server.
     struct Demand
     {
@@ -205,8 +224,12 @@
     void assignUnowned(TimePoint now);
     std::string leastLoaded() const;
     void coalesceNeighbours(TimePoint now);
-    void savePlan(Actions &actions);
+    void savePlan(TimePoint now, Actions &actions);
     bool isPlanned(const Segment &segment) const;
+    bool mayGrantLongHolds() const;
+    bool mayLongHoldsLast(TimePoint now) const;
+    void askDeputies(TimePoint now, Actions &actions);
+    void renewAllAtOnce();
     void countCalls();
     void send(Segment &segment, TimePoint now, Actions &actions);
     void recordOutcome(const std::string &server, KeyCallOutcome end);
@@ -226,7 +249,13 @@
     bool m_storeAnswers = true;
     bool m_planSaved = false; ///< whether a plan of this term has been saved
     bool m_planInFlight = false;
-    bool m_ownersChanged = false; ///< whether owners have changed since the last plan was made
+    bool m_ownersChanged = false; ///< whether owners or the deputy have changed since the last plan was made
+    PlanDeputy m_deputy; ///< for the next plan
+    PlanDeputy m_savedDeputy; ///< of the last plan that was saved
+    std::uint64_t m_lastEpoch = 0;
+    std::set<std::uint64_t> m_consents; ///< epochs of the deputies that have consented
+    TimePoint m_longHoldEnd; ///< every answered or given-up grant with a long hold has expired by then
+    TimePoint m_askDeputyAt;
     std::uint64_t m_sequence = 0;
     std::uint64_t m_lastCall = 0;
     TimePoint m_balancedAt;
--- a/include/snipevalve/ownership/key_plan.hpp
+++ b/include/snipevalve/ownership/key_plan.hpp
@@ -22,6 +22,15 @@
     bool operator==(const PlannedRange &) const = default;
 };
 
+/// @brief The host without whose consent the leader grants no long holds.
+struct PlanDeputy
+{
+    std::string run; ///< of the host's process; empty when there is no deputy
+    std::uint64_t epoch = 0; ///< increases with each deputy that a leader names, also when it names the same run again
+
+    bool operator==(const PlanDeputy &) const = default;
+};
+
 /// @brief Which server may own which keys, as recorded in the store. A server is granted keys only after a plan that
 /// names it has been written, so a new leader knows every possible owner.
 struct KeyPlan
@@ -29,6 +38,7 @@
     std::uint64_t term = 0; ///< increases with each leader
     std::uint64_t version = 0; ///< increases with each plan of a term
     std::vector<PlannedRange> ranges; ///< in ascending order, without overlap
+    PlanDeputy deputy;
 
     bool operator==(const KeyPlan &) const = default;
 };
--- a/src/snipevalve/node/control/lease_holder.hpp
+++ b/src/snipevalve/node/control/lease_holder.hpp
@@ -84,6 +84,12 @@
         return now - m_answeredAt < m_times.renewInterval + m_times.overdueAfter;
     }
 
+    /// @brief When the store last answered a renewal.
+    TimePoint answeredAt() const
+    {
+        return m_answeredAt;
+    }
+
     /// @brief Stops renewing the lease, since it has expired or protects nothing any more.
     void drop()
     {
--- a/src/snipevalve/node/control/node_control.hpp
+++ b/src/snipevalve/node/control/node_control.hpp
@@ -14,6 +14,7 @@
 #include "snipevalve/gateway/server_directory.hpp"
 #include "snipevalve/node/control/prefix_watcher.hpp"
 #include "snipevalve/node/control/service_leader.hpp"
+#include "snipevalve/node/deputy_ask.hpp"
 #include "snipevalve/node/store_update.hpp"
 #include "snipevalve/supervisor/supervisor.hpp"
 
@@ -35,6 +36,7 @@
         std::function<void(std::map<std::string, Endpoint>)> leaders;
         std::function<void(ServiceView)> view;
         std::function<void(std::uint64_t)> requestConfig; ///< requests the changes since a version from a leader
+        std::function<void(DeputyAsk)> deputyConsent; ///< tells a leader that this host consents to long holds
         std::function<void(KnownView)> knownView; ///< a view that another host has passed on
         /// Passes the views that the traffic thread knows to the second argument, on the control thread.
         std::function<void(std::vector<std::string>, LeaderDispatcher::KnownViewsReply)> readKnownViews;
@@ -50,6 +52,7 @@
         , m_client(executor, settings.address)
         , m_desk(executor, settings, seed)
         , m_lease(m_store, leaseTimes(settings))
+        , m_consents(settings.run)
         , m_acceptor(listenOn(executor, settings.control))
     {
         m_desk.onKeyedAsk = [this](const std::string &service, std::uint16_t key, Seconds work) {
@@ -58,10 +61,44 @@
                 leader->second->onKeyedAsk(key, work);
             }
         };
+        m_desk.onDeputyConsent = [this](const std::string &service, std::uint64_t term, std::uint64_t epoch) {
+            const auto leader = m_ledServices.find(service);
+            if (leader != m_ledServices.end()) {
+                leader->second->onDeputyConsent(term, epoch);
+            }
+        };
         m_desk.onViewsWanted = m_outputs.readKnownViews;
         m_desk.onKnownView = m_outputs.knownView;
     }
 
+    /// @brief Notes the services whose leaders have named this host as deputy: it takes them over first.
+    void onDeputyOf(const std::vector<std::string> &services)
+    {
+        m_deputyOf.insert(services.begin(), services.end());
+    }
+
+    /// @brief Consents to long holds of a leader that the store does not answer, unless the store answers this host or
+    /// another leader: then another host can take over, and long holds would only delay it.
+    void onDeputyAsk(const DeputyAsk &ask)
+    {
+        const TimePoint now = Clock::now();
+        if (now - m_deputyProbe.startedAt >= DeputyProbeLifetime) {
+            m_deputyProbe = {now, {}};
+            asio::co_spawn(m_executor, probeStore(ask.service), LogFailure("own"));
+        }
+        const bool isUndecided = !m_deputyProbe.answers && ask.outage < LongestDeputyDoubt;
+        const bool answersOthers = ask.othersAnsweredAt && now - *ask.othersAnsweredAt < FreshLeaseAge;
+        if (isUndecided || answersOthers || m_deputyProbe.answers.value_or(false)) {
+            return;
+        }
+        const bool consents = m_consents.consent(ask.service, ask.term, ask.deputy);
+        spdlog::info("own: event=asked_as_deputy service={} term={} epoch={} outage_ms={} consents={}",
+                     escapeLogValue(ask.service), ask.term, ask.deputy.epoch, ask.outage.count(), consents);
+        if (consents) {
+            m_outputs.deputyConsent(ask);
+        }
+    }
+
     /// @brief Asks the connected hosts for views that the traffic thread lacks.
     void requestViews(const std::vector<std::string> &services)
     {
@@ -177,6 +214,22 @@
     /// Hosts with at least this share of a core win most elections, so they read the store at once.
     static constexpr double StrongProcessorShare = 0.3;
 
+    /// A deputy that has learnt nothing of the store consents after this time of the leader's outage: the leader's
+    /// lease ends 1.75 s after the last answer, and all servers have to get their long holds before that.
+    static constexpr Milliseconds LongestDeputyDoubt{1'300};
+    /// Leases are renewed each 0.5 s, and a leader asks for consent 0.9 s after its last answer. So a renewal of
+    /// another leader within this time shows that the store answers some hosts.
+    static constexpr Milliseconds FreshLeaseAge{450};
+    /// How long a probe of the store counts.
+    static constexpr Milliseconds DeputyProbeLifetime{1'000};
+
+    /// This host's own attempt to reach the store, on behalf of a leader that does not.
+    struct DeputyProbe
+    {
+        TimePoint startedAt;
+        std::optional<bool> answers; ///< unset while the call is under way
+    };
+
     static LeaseTimes leaseTimes(const NodeSettings &settings)
     {
         LeaseTimes times;
@@ -560,6 +613,15 @@
         m_viewsChanged = true;
     }
 
+    Awaitable<void> probeStore(std::string service)
+    {
+        const TimePoint startedAt = m_deputyProbe.startedAt;
+        const auto plan = co_await m_store.read(planKey(service));
+        if (m_deputyProbe.startedAt == startedAt) {
+            m_deputyProbe.answers = plan.ok();
+        }
+    }
+
     /// Takes over services that have no leader.
     Awaitable<void> elect()
     {
@@ -572,8 +634,10 @@
             if (service.empty()) {
                 continue;
             }
-            timer.expires_after(electionDelay());
-            co_await timer.async_wait(awaitInto(ignored));
+            if (m_deputyOf.erase(service) == 0) {
+                timer.expires_after(electionDelay());
+                co_await timer.async_wait(awaitInto(ignored));
+            }
             if (isLeaderless(service) && m_backoff.mayCall(Clock::now())) {
                 m_takeoverService = service;
                 co_await takeOver(service);
@@ -637,8 +701,9 @@
         m_leaders.leaders[service] = {m_settings.control, result->current.revision};
         spdlog::info("lead: event=taken_over service={} revision={} lease={}", service, result->current.revision,
                      lease);
-        const auto leader = std::make_shared<ServiceLeader<Platform>>(
-            m_executor, m_store, m_client, m_desk, m_lease, *m_config->service(service), m_settings.longestGrant);
+        const auto leader =
+            std::make_shared<ServiceLeader<Platform>>(m_executor, m_store, m_client, m_desk, m_lease, m_consents,
+                                                      *m_config->service(service), m_settings.longestGrant);
         m_ledServices[service] = leader;
         m_viewsChanged = true;
         if (!co_await leader->start()) {
@@ -698,6 +763,7 @@
         }
         // Only this host's own reads count: relaying what another leader confirmed would hide the delay of each hop.
         m_desk.setStoreReadTime(std::min(m_configWatcher.upToDateAt(), m_leaderWatcher.upToDateAt()));
+        m_desk.setLeaseRenewalTime(m_ledServices.empty() ? TimePoint() : m_lease.answeredAt());
         m_desk.advance();
     }
 
@@ -721,6 +787,7 @@
     HttpClient m_client;
     LeaderDispatcher m_desk;
     LeaseHolder<Store> m_lease;
+    DeputyConsents m_consents;
     Tcp::acceptor m_acceptor;
     StoreBackoff m_backoff;
     PrefixWatcher<Store> m_configWatcher{
@@ -748,6 +815,8 @@
     bool m_leadersKnown = false;
     /// By service: the revision of the leader key that this host has written.
     std::map<std::string, std::uint64_t> m_leaderKeyRevisions;
+    std::set<std::string> m_deputyOf; ///< services that this host takes over without delay
+    DeputyProbe m_deputyProbe;
     std::map<std::string, std::uint64_t>
         m_removedLeaderKeys; ///< by service: newest revision of a stale key that was removed
     std::map<std::string, std::shared_ptr<ServiceLeader<Platform>>> m_ledServices;
--- a/src/snipevalve/node/control/node_process.hpp
+++ b/src/snipevalve/node/control/node_process.hpp
@@ -46,6 +46,16 @@
                 m_control.onLeaderUpdate(news);
             });
         });
+        m_traffic.onDeputyAsk([this](DeputyAsk ask) {
+            asio::post(m_context, [this, ask = std::move(ask)]() {
+                m_control.onDeputyAsk(ask);
+            });
+        });
+        m_traffic.onDeputyOf([this](std::vector<std::string> services) {
+            asio::post(m_context, [this, services = std::move(services)]() {
+                m_control.onDeputyOf(services);
+            });
+        });
         m_traffic.onViewsMissing([this](std::vector<std::string> services) {
             asio::post(m_context, [this, services = std::move(services)]() {
                 m_control.requestViews(services);
@@ -98,6 +108,9 @@
         outputs.requestConfig = [this](std::uint64_t base) {
             m_traffic.requestConfig(base);
         };
+        outputs.deputyConsent = [this](DeputyAsk ask) {
+            m_traffic.consentAsDeputy(std::move(ask));
+        };
         outputs.knownView = [this](KnownView known) {
             m_traffic.adoptView(std::move(known));
         };
--- a/src/snipevalve/node/control/service_leader.hpp
+++ b/src/snipevalve/node/control/service_leader.hpp
@@ -6,12 +6,14 @@
 
 #include <spdlog/spdlog.h>
 
+#include "snipevalve/core/log_text.hpp"
 #include "snipevalve/core/suspension.hpp"
 #include "snipevalve/net/http_client.hpp"
 #include "snipevalve/net/spawn.hpp"
 #include "snipevalve/node/control/lease_holder.hpp"
 #include "snipevalve/node/control/platform_api.hpp"
 #include "snipevalve/node/leader_dispatcher.hpp"
+#include "snipevalve/ownership/deputy_consents.hpp"
 #include "snipevalve/ownership/key_loads.hpp"
 
 namespace snipevalve {
@@ -30,12 +32,14 @@
     using Store = typename Platform::Store;
 
     ServiceLeader(asio::any_io_executor executor, Store &store, HttpClient &client, LeaderDispatcher &desk,
-                  LeaseHolder<Store> &lease, GatewayService service, Milliseconds longestGrant)
+                  LeaseHolder<Store> &lease, DeputyConsents &consents, GatewayService service,
+                  Milliseconds longestGrant)
         : m_executor(std::move(executor))
         , m_store(store)
         , m_client(client)
         , m_desk(desk)
         , m_lease(lease)
+        , m_consents(consents)
         , m_service(std::move(service))
         , m_fastLoads(FastWindow)
         , m_slowLoads(SlowWindow)
@@ -69,12 +73,22 @@
         }
         m_planRevision = stored->revision;
         m_startedAt = Clock::now();
-        m_authority = std::make_unique<KeyAuthority>(plan, m_times, m_startedAt);
-        spdlog::info("lead: event=term_begins service={} term={} ranges={}", m_service.name, plan.term + 1,
-                     plan.ranges.size());
+        const bool noLongHolds = m_consents.closeTerm(m_service.name, plan);
+        m_authority = std::make_unique<KeyAuthority>(plan, m_times, m_startedAt, noLongHolds);
+        spdlog::info("lead: event=term_begins service={} term={} ranges={} no_long_holds={}", m_service.name,
+                     plan.term + 1, plan.ranges.size(), noLongHolds);
         co_return true;
     }
 
+    /// @brief Tells that the deputy has consented to long holds.
+    void onDeputyConsent(std::uint64_t term, std::uint64_t epoch)
+    {
+        if (!m_stopped && m_authority) {
+            spdlog::info("own: event=consent service={} term={} epoch={}", m_service.name, term, epoch);
+            m_authority->onDeputyConsent(term, epoch);
+        }
+    }
+
     void stop()
     {
         m_stopped = true;
@@ -142,6 +156,7 @@
             m_serversChanged = false;
         }
         m_authority->setLeaderLease(m_lease.heldUntil(), m_lease.storeAnswers(now));
+        m_authority->setDeputy(m_desk.chooseDeputy(m_authority->plan().deputy.run), now);
         if (now - m_decayedAt >= DecayInterval) {
             const Duration elapsed = std::min<Duration>(now - m_decayedAt, SlowWindow);
             m_fastLoads.decay(elapsed);
@@ -180,6 +195,11 @@
                      m_authority->plan().term, m_authority->plan().version, note.text);
     }
 
+    void start(const AskDeputy &ask)
+    {
+        m_desk.askDeputy(m_service.name, ask, Clock::now() - m_lease.answeredAt());
+    }
+
     void start(const SaveKeyPlan &save)
     {
         spawnMember(m_executor, this->shared_from_this(), &ServiceLeader::savePlan, save.plan);
@@ -249,6 +269,12 @@
             }
             if (result.ok()) {
                 m_planRevision = result->current.revision;
+                if (!plan.deputy.run.empty() && !(plan.deputy == m_savedDeputy)) {
+                    spdlog::info("own: event=deputy service={} run={} epoch={}", m_service.name,
+                                 escapeLogValue(plan.deputy.run), plan.deputy.epoch);
+                    m_desk.notifyDeputy(m_service.name, plan.deputy.run);
+                }
+                m_savedDeputy = plan.deputy;
                 m_authority->onPlanSaved(Clock::now());
                 advance();
                 co_return;
@@ -263,6 +289,7 @@
     HttpClient &m_client;
     LeaderDispatcher &m_desk;
     LeaseHolder<Store> &m_lease;
+    DeputyConsents &m_consents;
     GatewayService m_service;
     KeyAuthorityTimes m_times;
     std::unique_ptr<KeyAuthority> m_authority; ///< null for an unkeyed service and before start()
@@ -274,6 +301,7 @@
     TimePoint m_advancedAt;
     Duration m_advanceDuration{};
     std::uint64_t m_planRevision = 0;
+    PlanDeputy m_savedDeputy; ///< of the last plan that was saved
     std::vector<UpstreamServer> m_servers;
     bool m_serversChanged = false; ///< since the authority was told
     bool m_hasServers = false; ///< false until service discovery has been read once
--- a/src/snipevalve/node/gateway_thread.cpp
+++ b/src/snipevalve/node/gateway_thread.cpp
@@ -142,6 +142,27 @@
     });
 }
 
+void GatewayThread::onDeputyAsk(std::function<void(DeputyAsk)> handler)
+{
+    asio::post(m_context, [this, handler = std::move(handler)]() {
+        m_traffic.placements.onDeputyAsk = handler;
+    });
+}
+
+void GatewayThread::onDeputyOf(std::function<void(std::vector<std::string>)> handler)
+{
+    asio::post(m_context, [this, handler = std::move(handler)]() {
+        m_traffic.placements.onDeputyOf = handler;
+    });
+}
+
+void GatewayThread::consentAsDeputy(DeputyAsk ask)
+{
+    asio::post(m_context, [this, ask = std::move(ask)]() {
+        m_traffic.placements.consentAsDeputy(ask);
+    });
+}
+
 void GatewayThread::onViewsMissing(std::function<void(std::vector<std::string>)> handler)
 {
     asio::post(m_context, [this, handler = std::move(handler)]() {
--- a/src/snipevalve/node/gateway_thread.hpp
+++ b/src/snipevalve/node/gateway_thread.hpp
@@ -26,6 +26,9 @@
     void setStoreView(ServiceView view);
     void onStoreUpdate(std::function<void(StoreUpdate)> handler);
     void requestConfig(std::uint64_t base);
+    void onDeputyAsk(std::function<void(DeputyAsk)> handler);
+    void onDeputyOf(std::function<void(std::vector<std::string>)> handler);
+    void consentAsDeputy(DeputyAsk ask);
     void adoptView(KnownView known);
     void onViewsMissing(std::function<void(std::vector<std::string>)> handler);
 
--- a/src/snipevalve/node/leader_dispatcher.cpp
+++ b/src/snipevalve/node/leader_dispatcher.cpp
@@ -87,6 +87,8 @@
     if (!frame.host().empty()) {
         host->name = frame.host();
         host->zone = frame.zone();
+        host->run = frame.run();
+        host->processorPermille = frame.processor_permille();
         spdlog::info("link: event=host_joined host={} hosts={}", host->name, m_hosts.size());
     }
     if (frame.has_config_base()) {
@@ -100,6 +102,11 @@
             onKnownView(fromProto(known));
         }
     }
+    for (const proto::DeputyConsent &consent : frame.consents()) {
+        if (onDeputyConsent && consent.run() == host->run) {
+            onDeputyConsent(consent.service(), consent.term(), consent.epoch());
+        }
+    }
     for (const proto::Done &done : frame.dones()) {
         onDone(host, done, now);
     }
@@ -129,6 +136,55 @@
     });
 }
 
+LeaderDispatcher::Host *LeaderDispatcher::hostOfRun(const std::string &run) const
+{
+    const auto position = std::find_if(m_hosts.begin(), m_hosts.end(), [&run](const std::shared_ptr<Host> &host) {
+        return host->run == run;
+    });
+    return position == m_hosts.end() ? nullptr : position->get();
+}
+
+std::string LeaderDispatcher::chooseDeputy(const std::string &current) const
+{
+    if (!current.empty() && hostOfRun(current) != nullptr) {
+        return current;
+    }
+    const auto rank = [this](const Host &host) {
+        return std::make_tuple(host.processorPermille, host.zone != m_settings.zone, host.run);
+    };
+    const Host *best = nullptr;
+    for (const std::shared_ptr<Host> &host : m_hosts) {
+        const bool isOther = !host->run.empty() && host->run != m_settings.run;
+        if (isOther && (best == nullptr || rank(*host) > rank(*best))) {
+            best = host.get();
+        }
+    }
+    return best == nullptr ? std::string() : best->run;
+}
+
+void LeaderDispatcher::notifyDeputy(const std::string &service, const std::string &run)
+{
+    if (Host *host = hostOfRun(run)) {
+        host->pending.add_deputy_of(service);
+        flush();
+    }
+}
+
+void LeaderDispatcher::askDeputy(const std::string &service, const AskDeputy &ask, Duration outage)
+{
+    Host *host = hostOfRun(ask.deputy.run);
+    if (host == nullptr) {
+        return;
+    }
+    proto::DeputyConsent *message = host->pending.add_deputy_asks();
+    message->set_service(service);
+    message->set_term(ask.term);
+    message->set_run(ask.deputy.run);
+    message->set_epoch(ask.deputy.epoch);
+    message->set_outage_ms(static_cast<std::uint32_t>(std::chrono::duration_cast<Milliseconds>(outage).count()));
+    flush();
+}
+
 void LeaderDispatcher::requestViews(const std::vector<std::string> &services)
 {
     for (const std::shared_ptr<Host> &host : m_hosts) {
@@ -240,7 +296,8 @@
         const bool isUpdateDue = addStoreUpdate(*host);
         const bool hasContent = isUpdateDue || pending.has_config()
             || pending.permits_size() + pending.refusals_size() + pending.views_size() > 0
-            || pending.known_views_size() + pending.wanted_views_size() > 0;
+            || pending.known_views_size() + pending.wanted_views_size() > 0
+            || pending.deputy_asks_size() + pending.deputy_of_size() > 0;
         if (!hasContent && now - host->sentAt < HeartbeatInterval) {
             continue;
         }
@@ -248,6 +305,10 @@
             const auto age = std::chrono::duration_cast<Milliseconds>(now - m_storeReadTime);
             host->pending.set_store_age_ms(static_cast<std::uint32_t>(age.count()));
         }
+        if (m_leaseRenewedAt != TimePoint()) {
+            const auto age = std::chrono::duration_cast<Milliseconds>(now - m_leaseRenewedAt);
+            host->pending.set_lease_age_ms(static_cast<std::uint32_t>(age.count()));
+        }
         host->pending.set_hosts(static_cast<std::uint32_t>(m_hosts.size()));
         host->channel->send(host->pending);
         host->pending.Clear();
@@ -334,6 +395,11 @@
     flush();
 }
 
+void LeaderDispatcher::setLeaseRenewalTime(TimePoint renewedAt)
+{
+    m_leaseRenewedAt = renewedAt;
+}
+
 void LeaderDispatcher::setStoreReadTime(TimePoint current)
 {
     m_storeReadTime = current;
--- a/src/snipevalve/node/leader_dispatcher.hpp
+++ b/src/snipevalve/node/leader_dispatcher.hpp
@@ -12,6 +12,7 @@
 #include "snipevalve/dispatch_link/frame_channel.hpp"
 #include "snipevalve/dispatch_link/messages.hpp"
 #include "snipevalve/node/node_settings.hpp"
+#include "snipevalve/ownership/key_authority.hpp"
 
 namespace snipevalve {
 
@@ -32,6 +33,21 @@
     /// @brief Called with a view that a host has sent in reply to requestViews().
     std::function<void(KnownView known)> onKnownView;
 
+    /// @brief Called when a host consents, as a leader's deputy, to long holds.
+    std::function<void(const std::string &service, std::uint64_t term, std::uint64_t epoch)> onDeputyConsent;
+
+    /// @brief The run of the connected host that should be the deputy of a leader on this host.
+    /// @param current the run of the present deputy, which stays while it is connected; empty for none
+    /// @return the run of the strongest host, preferably in another zone; empty when no host is connected
+    std::string chooseDeputy(const std::string &current) const;
+
+    /// @brief Tells a host that the saved plan of a service names it as deputy.
+    void notifyDeputy(const std::string &service, const std::string &run);
+
+    /// @brief Asks a service's deputy to consent to long holds.
+    /// @param outage how long the store has not answered this host
+    void askDeputy(const std::string &service, const AskDeputy &ask, Duration outage);
+
     /// @brief Asks all connected hosts for the views of these services.
     void requestViews(const std::vector<std::string> &services);
 
@@ -59,6 +75,9 @@
     /// @brief Sets the time at which configuration and leaders were last known to be up to date with the store.
     void setStoreReadTime(TimePoint current);
 
+    /// @brief Sets the time at which the store last renewed this host's lease; the clock's epoch without a lease.
+    void setLeaseRenewalTime(TimePoint renewedAt);
+
     /// @brief Runs what depends on time: rejects late requests, sends heartbeats and changed views. To be called about
     /// every 20 ms.
     void advance();
@@ -74,6 +93,8 @@
         std::uint32_t number = 0;
         std::string name;
         std::string zone;
+        std::string run; ///< identifies the run of its process
+        std::uint32_t processorPermille = 0; ///< of a core
         proto::LeaderFrame pending; ///< content of the next frame
         TimePoint sentAt;
         std::uint64_t configVersion = 0; ///< last version announced to the host
@@ -111,6 +132,7 @@
     void addConfigChange(Host &host, std::uint64_t base) const;
     bool addStoreUpdate(Host &host) const;
     std::uint64_t configVersion() const;
+    Host *hostOfRun(const std::string &run) const;
 
     asio::any_io_executor m_executor;
     const NodeSettings &m_settings;
@@ -123,6 +145,7 @@
     std::deque<std::shared_ptr<const GatewayConfig>> m_configs; ///< the latest versions in ascending order
     LeaderTable m_leaders;
     TimePoint m_storeReadTime;
+    TimePoint m_leaseRenewedAt; ///< zero without a lease
 };
 
 } // namespace snipevalve
--- a/src/snipevalve/node/leader_link.cpp
+++ b/src/snipevalve/node/leader_link.cpp
@@ -11,6 +11,7 @@
 
 constexpr Milliseconds ConnectTimeout(500); ///< hosts of one region have round trips of a few milliseconds
 constexpr Milliseconds ReconnectDelay(200);
+constexpr double PermillePerUnit = 1'000;
 
 } // namespace
 
@@ -71,6 +72,8 @@
             proto::HostFrame hello;
             hello.set_host(m_settings.host);
             hello.set_zone(m_settings.zone);
+            hello.set_run(m_settings.run);
+            hello.set_processor_permille(static_cast<std::uint32_t>(m_settings.processorShare * PermillePerUnit));
             m_channel->send(hello);
             co_await readFrames();
         }
--- a/src/snipevalve/node/placements.cpp
+++ b/src/snipevalve/node/placements.cpp
@@ -368,6 +368,17 @@
     for (const proto::KnownView &known : frame.known_views()) {
         adoptView(fromProto(known));
     }
+    for (const proto::DeputyConsent &ask : frame.deputy_asks()) {
+        if (onDeputyAsk) {
+            onDeputyAsk(toDeputyAsk(ask, link.leader()));
+        }
+    }
+    if (frame.has_lease_age_ms()) {
+        m_leaseRenewals[link.leader()] = Clock::now() - Milliseconds(frame.lease_age_ms());
+    }
+    if (frame.deputy_of_size() > 0 && onDeputyOf) {
+        onDeputyOf({frame.deputy_of().begin(), frame.deputy_of().end()});
+    }
     if (frame.wanted_views_size() > 0) {
         proto::HostFrame reply;
         for (const KnownView &known : knownViews({frame.wanted_views().begin(), frame.wanted_views().end()})) {
@@ -446,6 +457,32 @@
     return m_views.offer(services, Clock::now());
 }
 
+DeputyAsk Placements::toDeputyAsk(const proto::DeputyConsent &ask, const Endpoint &leader) const
+{
+    DeputyAsk result{ask.service(), ask.term(), {ask.run(), ask.epoch()}, Milliseconds(ask.outage_ms()), {}, leader};
+    for (const auto &[endpoint, renewedAt] : m_leaseRenewals) {
+        if (!(endpoint == leader)) {
+            result.othersAnsweredAt = std::max(result.othersAnsweredAt.value_or(renewedAt), renewedAt);
+        }
+    }
+    return result;
+}
+
+void Placements::consentAsDeputy(const DeputyAsk &ask)
+{
+    const auto link = m_links.find(ask.leader);
+    if (link == m_links.end()) {
+        return;
+    }
+    proto::HostFrame frame;
+    proto::DeputyConsent *consent = frame.add_consents();
+    consent->set_service(ask.service);
+    consent->set_term(ask.term);
+    consent->set_run(ask.deputy.run);
+    consent->set_epoch(ask.deputy.epoch);
+    link->second->send(frame);
+}
+
 void Placements::requestMissingViews(TimePoint now)
 {
     std::vector<std::string> leaderless;
--- a/src/snipevalve/node/placements.hpp
+++ b/src/snipevalve/node/placements.hpp
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "snipevalve/dispatch/dispatcher.hpp"
+#include "snipevalve/node/deputy_ask.hpp"
 #include "snipevalve/node/known_views.hpp"
 #include "snipevalve/node/leader_link.hpp"
 #include "snipevalve/node/store_update.hpp"
@@ -80,6 +81,15 @@
     /// @brief Called with the services whose views this host lacks, so that the hosts connected to it are asked too.
     std::function<void(std::vector<std::string>)> onViewsMissing;
 
+    /// @brief Called when a leader asks this host, as its deputy, to consent to long holds.
+    std::function<void(DeputyAsk)> onDeputyAsk;
+
+    /// @brief Called with the services whose leaders have named this host as deputy.
+    std::function<void(std::vector<std::string>)> onDeputyOf;
+
+    /// @brief Sends the consent to the leader that has asked.
+    void consentAsDeputy(const DeputyAsk &ask);
+
 private:
     /// One attempt of a request, from acquire() to finish().
     struct Send
@@ -107,6 +117,7 @@
     void onFrame(LeaderLink &link, const proto::LeaderFrame &frame);
     void forwardStoreUpdate(LeaderLink &link, const proto::LeaderFrame &frame);
     void setView(const ServiceView &view);
+    DeputyAsk toDeputyAsk(const proto::DeputyConsent &ask, const Endpoint &leader) const;
     void useView(const ServiceView &view, TimePoint now);
     void report(const Send &send, Ticket ticket, WorkEnd end, Duration took);
 
@@ -127,6 +138,7 @@
     std::set<std::string> m_services; ///< every service seen in requests, views or the leader table
     std::atomic<bool> m_needsStoreViews = true;
     StoreUpdate m_lastForwarded; ///< newest version and time that onStoreUpdate was called with
+    std::map<Endpoint, TimePoint> m_leaseRenewals; ///< by leader: when the store last renewed its lease
     std::weak_ptr<LeaderLink> m_newestConfigLink; ///< to the leader that announced the newest configuration
 };
 
--- a/src/snipevalve/ownership/key_authority_test.cpp
+++ b/src/snipevalve/ownership/key_authority_test.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr Milliseconds SimulationLength(20'000);
+/// Long enough for two changes of leader with an outage of the store between them.
+constexpr Milliseconds LongSimulationLength(40'000);
 constexpr double UsualFaultRate = 0.004; ///< chance of each kind of fault in each step
 /// A rate at which faults last about 10 s, longer than the holds of the previous leader: a host that is cut off for so
 /// long would renew grants that its successor has already counted as expired.
@@ -14,10 +16,10 @@
 
 /// The first of `count` seeds whose simulation gives a key two owners; 0 when there is none.
 template <typename Rules>
-unsigned firstViolatingSeed(unsigned count, double faultRate = UsualFaultRate)
+unsigned firstViolatingSeed(unsigned count, double faultRate = UsualFaultRate, Milliseconds length = SimulationLength)
 {
     for (unsigned seed = 1; seed <= count; ++seed) {
-        if (test::KeySimulation<Rules>(seed, faultRate).run(SimulationLength).doubleOwnedMs > 0) {
+        if (test::KeySimulation<Rules>(seed, faultRate).run(length).doubleOwnedMs > 0) {
             return seed;
         }
     }
@@ -44,6 +46,16 @@
     static constexpr bool CheckLease = false;
 };
 
+struct LongHoldsWithoutConsent : StandardKeyRules
+{
+    static constexpr bool WaitForConsent = false;
+};
+
+struct NameDeputyDuringLongHolds : StandardKeyRules
+{
+    static constexpr bool NameDeputyLate = false;
+};
+
 struct TrustServersClocks : StandardKeyRules
 {
     static constexpr bool AllowForSlowClock = false;
@@ -55,17 +67,22 @@
 {
     std::size_t ownedSamples = 0;
     std::size_t samples = 0;
-    for (const double faultRate : {UsualFaultRate, LongFaultRate}) {
+    std::size_t termsWithoutLongHolds = 0;
+    const std::vector<std::pair<double, Milliseconds>> runs{
+        {UsualFaultRate, SimulationLength}, {LongFaultRate, SimulationLength}, {LongFaultRate, LongSimulationLength}};
+    for (const auto &[faultRate, length] : runs) {
         for (unsigned seed = 1; seed <= 1000; ++seed) {
-            const auto result = test::KeySimulation<StandardKeyRules>(seed, faultRate).run(SimulationLength);
-            INFO("seed " << seed << ", faults " << faultRate);
+            const auto result = test::KeySimulation<StandardKeyRules>(seed, faultRate).run(length);
+            INFO("seed " << seed << ", faults " << faultRate << ", length " << length.count());
             CHECK(result.doubleOwnedMs == 0);
             ownedSamples += result.ownedSamples;
             samples += result.samples;
+            termsWithoutLongHolds += result.termsWithoutLongHolds;
         }
     }
     // A simulation in which no key has an owner would pass the check above.
     CHECK(ownedSamples > samples / 4);
+    CHECK(termsWithoutLongHolds > 200); // one simulation in fifteen, so that the deputies are tested, too
 }
 
 TEST_CASE("the simulation detects the absence of each safety rule")
@@ -76,13 +93,18 @@
     const unsigned late = firstViolatingSeed<ForgetLateGrants>(Seeds);
     const unsigned lease = firstViolatingSeed<SendWithoutLease>(Seeds, LongFaultRate);
     const unsigned clock = firstViolatingSeed<TrustServersClocks>(Seeds);
+    const unsigned consent = firstViolatingSeed<LongHoldsWithoutConsent>(Seeds, LongFaultRate, LongSimulationLength);
+    const unsigned deputy =
+        firstViolatingSeed<NameDeputyDuringLongHolds>(2 * Seeds, LongFaultRate, LongSimulationLength);
     WARN("first failing seeds: plan " << plan << ", hold " << hold << ", late grants " << late << ", lease " << lease
-                                      << ", clock " << clock);
+                                      << ", clock " << clock << ", consent " << consent << ", deputy " << deputy);
     CHECK(plan > 0);
     CHECK(hold > 0);
     CHECK(late > 0);
     CHECK(lease > 0);
     CHECK(clock > 0);
+    CHECK(consent > 0);
+    CHECK(deputy > 0);
 }
 
 TEST_CASE("unresponsive servers with many ranges get few of the leader's calls, and other servers are renewed in time")
@@ -187,4 +209,106 @@
     CHECK(plansSaved <= 2);
 }
 
+TEST_CASE("keys of a server that is lost right after a change of leader are served soon if the deputy has taken over")
+{
+    // Load pattern: a leader is lost, and 3 s later servers fall silent. Their keys waited for 10.6 s from the change
+    // of leader, since the old leader might have granted holds of 10 s.
+    struct Example
+    {
+        std::string name;
+        bool hasConsented;
+        std::string successor;
+        Milliseconds darkUntil; ///< after the change of leader
+    };
+    const auto example = GENERATE(values<Example>({
+        {"the deputy, asked for nothing", false, "deputy#1", Milliseconds(4'600)},
+        {"the deputy, which has consented to long holds", true, "deputy#1", Milliseconds(10'700)},
+        {"the deputy's host after a restart", false, "deputy#2", Milliseconds(10'700)},
+        {"another host", false, "other#1", Milliseconds(10'700)},
+    }));
+    INFO(example.name);
+    std::vector<UpstreamServer> servers(2);
+    servers[0].id = "lost";
+    servers[1].id = "sound";
+    for (UpstreamServer &server : servers) {
+        server.slots = 2;
+        server.incarnation = 1;
+    }
+    KeyPlan plan{7, 1, {{{0, 65'535}, incarnationOf(servers[0])}}, {"deputy#1", 3}};
+    DeputyConsents consents(example.successor);
+    if (example.hasConsented) {
+        REQUIRE(consents.consent("service", plan.term, plan.deputy));
+    }
+    TimePoint now = Clock::now();
+    const TimePoint start = now;
+    KeyAuthority authority(plan, {}, now, consents.closeTerm("service", plan));
+    CHECK_FALSE(consents.consent("service", plan.term, plan.deputy)); // too late
+    while (now < start + Milliseconds(12'000)) {
+        now += Milliseconds(20);
+        const bool isLost = now - start > Milliseconds(500);
+        authority.setServers(isLost ? std::vector<UpstreamServer>{servers[1]} : servers, now);
+        authority.setLeaderLease(now + Milliseconds(1'000), true);
+        for (const KeyAction &action : authority.advance(now)) {
+            if (std::holds_alternative<SaveKeyPlan>(action)) {
+                authority.onPlanSaved(now);
+            } else if (const auto *grant = std::get_if<GrantKeys>(&action)) {
+                const bool isAnswered = grant->server.id == "sound";
+                authority.onCallOutcome(grant->call, isAnswered ? KeyCallOutcome::Accepted : KeyCallOutcome::NotSent,
+                                        {}, now);
+            }
+        }
+        const KeyOwners owners = authority.owners(now);
+        const std::string *owner = owners.ownerOf(0);
+        if (owner != nullptr && *owner == "sound") {
+            break;
+        }
+    }
+    CHECK(now - start <= example.darkUntil);
+    CHECK(now - start > example.darkUntil - Milliseconds(200));
+}
+
+TEST_CASE("a leader without the store grants long holds as soon as its deputy consents, and names it anew afterwards")
+{
+    std::vector<UpstreamServer> servers(1);
+    servers[0].id = "a";
+    servers[0].slots = 2;
+    servers[0].incarnation = 1;
+    TimePoint now = Clock::now();
+    KeyAuthority authority({}, {}, now); // the first term, so no earlier hold can last
+    authority.setServers(servers, now);
+    Milliseconds lastHold{0};
+    std::optional<AskDeputy> asked;
+    const auto runFor = [&](Milliseconds length, bool storeAnswers) {
+        const TimePoint end = now + length;
+        while (now < end) {
+            now += Milliseconds(20);
+            authority.setLeaderLease(now + Milliseconds(1'000), storeAnswers);
+            authority.setDeputy("deputy#1", now);
+            for (const KeyAction &action : authority.advance(now)) {
+                if (std::holds_alternative<SaveKeyPlan>(action)) {
+                    authority.onPlanSaved(now);
+                } else if (const auto *grant = std::get_if<GrantKeys>(&action)) {
+                    lastHold = grant->hold;
+                    authority.onCallOutcome(grant->call, KeyCallOutcome::Accepted, {}, now);
+                } else if (const auto *ask = std::get_if<AskDeputy>(&action)) {
+                    asked = *ask;
+                }
+            }
+        }
+    };
+    runFor(Milliseconds(500), true);
+    CHECK(authority.plan().deputy == PlanDeputy{"deputy#1", 1});
+    CHECK_FALSE(asked);
+    runFor(Milliseconds(200), false);
+    REQUIRE(asked);
+    CHECK(lastHold == Milliseconds(4'000));
+    authority.onDeputyConsent(asked->term, asked->deputy.epoch);
+    runFor(Milliseconds(40), false);
+    CHECK(lastHold == Milliseconds(10'000));
+    runFor(Milliseconds(10'000), true);
+    CHECK(authority.plan().deputy == PlanDeputy{"deputy#1", 1}); // long holds may last
+    runFor(Milliseconds(1'500), true);
+    CHECK(authority.plan().deputy == PlanDeputy{"deputy#1", 2});
+}
+
 } // namespace snipevalve
--- a/src/snipevalve/ownership/key_plan.cpp
+++ b/src/snipevalve/ownership/key_plan.cpp
@@ -19,7 +19,10 @@
         }
         ranges.push_back({range.keys.from, range.keys.to, position->second});
     }
-    const Json json{{"term", plan.term}, {"version", plan.version}, {"servers", servers}, {"ranges", ranges}};
+    Json json{{"term", plan.term}, {"version", plan.version}, {"servers", servers}, {"ranges", ranges}};
+    if (!plan.deputy.run.empty()) {
+        json["deputy"] = {plan.deputy.run, plan.deputy.epoch};
+    }
     return json.dump();
 }
 
@@ -30,6 +33,9 @@
         KeyPlan plan;
         plan.term = json.at("term").get<std::uint64_t>();
         plan.version = json.at("version").get<std::uint64_t>();
+        if (const auto deputy = json.find("deputy"); deputy != json.end()) {
+            plan.deputy = {deputy->at(0).get<std::string>(), deputy->at(1).get<std::uint64_t>()};
+        }
         std::vector<ServerIncarnation> servers;
         for (const auto &server : json.at("servers")) {
             servers.push_back({server.at(0).get<std::string>(), server.at(1).get<std::int64_t>()});
--- a/src/snipevalve/ownership/key_simulation_test.hpp
+++ b/src/snipevalve/ownership/key_simulation_test.hpp
@@ -13,6 +13,7 @@
 #include <string>
 #include <vector>
 
+#include "snipevalve/ownership/deputy_consents.hpp"
 #include "snipevalve/ownership/detail/key_authority_impl.hpp"
 
 namespace snipevalve::test {
@@ -22,6 +23,7 @@
 inline constexpr std::size_t Probes = 16;
 inline constexpr std::uint32_t ProbeWidth = KeyCount / Probes;
 inline constexpr Milliseconds Step{10};
+inline constexpr const char *Service = "service";
 
 /// A server with the faults that the platform allows: its clock for holds may run slow, an unanswered grant may take
 /// effect seconds later, and a restart loses all grants.
@@ -93,6 +95,7 @@
     int doubleOwnedMs = 0; ///< milliseconds in which some probe had two owners
     std::size_t ownedSamples = 0; ///< samples that found an owner
     std::size_t samples = 0; ///< one per probe and step
+    std::size_t termsWithoutLongHolds = 0; ///< terms whose leader knew that its predecessor had granted none
 };
 
 template <typename Rules>
@@ -104,6 +107,9 @@
         : m_random(seed)
         , m_faultRate(faultRate)
     {
+        for (std::size_t number = 0; number < m_hosts.size(); ++number) {
+            restartHost(number);
+        }
         for (std::size_t at = 0; at < m_servers.size(); ++at) {
             m_servers[at].entry.id = "s" + std::to_string(at);
             m_servers[at].entry.slots = 2;
@@ -138,6 +144,9 @@
         std::vector<UpstreamServer> servers; ///< as last read from the store
         std::uint64_t planRevision = 0;
         std::uint64_t generation = 0; ///< identifies the term, to discard late results of an earlier one
+        DeputyConsents consents{""};
+        int runs = 0; ///< of the process
+        bool hasForgottenLease = false; ///< the lease in the store belongs to an earlier run
     };
 
     struct Event
@@ -210,6 +219,27 @@
         if (chance(m_faultRate)) {
             m_delayGrants = !m_delayGrants;
         }
+        if (chance(m_faultRate / 2)) {
+            restartHost(pick(m_hosts.size()));
+        }
+    }
+
+    /// Kills the process of a host and starts it again: it forgets its term and what it has consented to.
+    void restartHost(std::size_t number)
+    {
+        Host &host = m_hosts[number];
+        const int runs = host.runs + 1;
+        const std::uint64_t generation = host.generation + 1;
+        host = Host();
+        host.runs = runs;
+        host.generation = generation;
+        host.consents = DeputyConsents(runOf(number));
+        host.hasForgottenLease = m_store.leader == number;
+    }
+
+    std::string runOf(std::size_t number) const
+    {
+        return std::to_string(number) + "#" + std::to_string(m_hosts[number].runs);
     }
 
     std::size_t pick(std::size_t count)
@@ -237,6 +267,7 @@
         }
         host.authority->setServers(host.servers, m_now);
         host.authority->setLeaderLease(host.leaseEnd, host.reachesStore);
+        host.authority->setDeputy(chance(0.9) ? runOf(1 - number) : std::string(), m_now);
         if (chance(0.05)) {
             makeKeysHot(host);
         }
@@ -281,16 +312,27 @@
         if (!host.reachesStore) {
             return;
         }
+        if (m_store.leader == number && host.hasForgottenLease) {
+            return;
+        }
         if (m_store.leader == number && m_now - host.renewedAt >= RenewInterval) {
             host.renewedAt = m_now;
             host.leaseEnd = m_now + Lease - Margin;
             m_store.leaseEnd = m_now + Lease;
         } else if (m_store.leader == FakeStore::NoLeader) {
-            host = Host{nullptr, m_now + Lease - Margin, m_now, {}, true, {}, m_store.revision, host.generation + 1};
+            host.authority.reset();
+            host.leaseEnd = m_now + Lease - Margin;
+            host.renewedAt = m_now;
+            host.servers.clear();
+            host.planRevision = m_store.revision;
+            ++host.generation;
+            host.hasForgottenLease = false;
             m_store.leader = number;
             m_store.leaseEnd = m_now + Lease;
             const KeyPlan plan = m_store.plan.empty() ? KeyPlan() : *parseKeyPlan(m_store.plan);
-            host.authority = std::make_unique<BasicKeyAuthority<Rules>>(plan, KeyAuthorityTimes(), m_now);
+            const bool noLongHolds = host.consents.closeTerm(Service, plan);
+            m_result.termsWithoutLongHolds += noLongHolds ? 1 : 0;
+            host.authority = std::make_unique<BasicKeyAuthority<Rules>>(plan, KeyAuthorityTimes(), m_now, noLongHolds);
         }
     }
 
@@ -298,6 +340,36 @@
     {
     }
 
+    void perform(std::size_t number, const AskDeputy &ask)
+    {
+        schedule(randomDelay(1, 60), [this, number, generation = m_hosts[number].generation, ask]() {
+            answerAsDeputy(1 - number, number, generation, ask);
+        });
+    }
+
+    /// A paused deputy answers when it resumes. One that reaches the store mostly refuses.
+    void answerAsDeputy(std::size_t deputy, std::size_t leader, std::uint64_t generation, const AskDeputy &ask)
+    {
+        Host &host = m_hosts[deputy];
+        if (m_now < host.pausedUntil) {
+            schedule(host.pausedUntil - m_now + Step, [this, deputy, leader, generation, ask]() {
+                answerAsDeputy(deputy, leader, generation, ask);
+            });
+            return;
+        }
+        const bool isWilling = !host.reachesStore || chance(0.2);
+        const bool isLost = chance(0.2);
+        if (!isWilling || !host.consents.consent(Service, ask.term, ask.deputy) || isLost) {
+            return;
+        }
+        schedule(randomDelay(1, 60), [this, leader, generation, ask]() {
+            Host &asking = m_hosts[leader];
+            if (asking.generation == generation && asking.authority) {
+                asking.authority->onDeputyConsent(ask.term, ask.deputy.epoch);
+            }
+        });
+    }
+
     void perform(std::size_t number, const SaveKeyPlan &save)
     {
         trySavingPlan(number, m_hosts[number].generation, toText(save.plan));
