Move a comment above the member that it describes

Cause: the formatter had broken the line of m_removedLeaderKeys in two, with the comment behind it. Change: wording and place of two comments, no code.

--- a/src/snipevalve/node/control/node_control.hpp
+++ b/src/snipevalve/node/control/node_control.hpp
@@ -816,9 +816,9 @@
     /// By service: the revision of the leader key that this host has written.
     std::map<std::string, std::uint64_t> m_leaderKeyRevisions;
     std::set<std::string> m_deputyOf; ///< services that this host takes over without delay
-    DeputyProbe m_deputyProbe;
-    std::map<std::string, std::uint64_t>
-        m_removedLeaderKeys; ///< by service: newest revision of a stale key that was removed
+    DeputyProbe m_deputyProbe; ///< the last one
+    /// By service: the newest revision of a stale leader key that this host has removed.
+    std::map<std::string, std::uint64_t> m_removedLeaderKeys;
     std::map<std::string, std::shared_ptr<ServiceLeader<Platform>>> m_ledServices;
     ServerDirectory m_directory;
     bool m_serversKnown = false;
