Draw the simulation's random numbers in a fixed order

Cause: answering a release drew two random numbers in the arguments of one call. No other expression of the simulation draws twice.

Change: the delay is drawn first, the loss second, each in a statement of its own.

--- a/src/snipevalve/ownership/key_simulation_test.hpp
+++ b/src/snipevalve/ownership/key_simulation_test.hpp
@@ -448,8 +448,11 @@
                 m_servers[at].release(release.keys);
             }
         });
-        scheduleOutcome(number, release.call, chance(0.1) ? KeyCallOutcome::NoAnswer : KeyCallOutcome::Accepted,
-                        oneWay + randomDelay(1, 300));
+        // Separate statements: compilers differ in the order in which they evaluate a call's arguments.
+        const Milliseconds outcomeDelay = oneWay + randomDelay(1, 300);
+        const bool isLost = chance(0.1);
+        scheduleOutcome(number, release.call, isLost ? KeyCallOutcome::NoAnswer : KeyCallOutcome::Accepted,
+                        outcomeDelay);
     }
 
     void scheduleOutcome(std::size_t number, std::uint64_t call, KeyCallOutcome end, Milliseconds after)
