Let keys that have moved stay away from their previous owner for 10 s

Cause: balancing and merging undo each other. A range moves to a less used server "to balance the load"; there it lies between two ranges of its old owner and moves back "to merge with an adjacent range" 0.2 s later. A request whose answer the old owner lost is then repeated there. The old owner runs it for the second time, with another owner's hold in between.

Change: RecentOwners remembers which server has lost which keys (released or run out). Moves by load, merges and the choice for unowned keys pass over such a server for returnDelay (10 s, longer than any caller of a keyed service waits on the users' sites); unowned keys go there only if no other server is usable, and the log says so.

Why it works: a repeat that comes within the life of its request now meets another owner, unless that owner is lost in the meantime.

--- a/include/snipevalve/ownership/detail/key_authority_impl.hpp
+++ b/include/snipevalve/ownership/detail/key_authority_impl.hpp
@@ -205,6 +205,12 @@
     segment.sendAt = {};
 }
 
+template <typename Rules>
+void BasicKeyAuthority<Rules>::noteLoss(const Segment &segment, TimePoint now)
+{
+    m_recentOwners.add(segment.keys, segment.owner.id, now + m_times.returnDelay);
+}
+
 template <typename Rules>
 void BasicKeyAuthority<Rules>::release(Segment &segment, const std::string &nextOwner, TimePoint now)
 {
@@ -235,6 +241,7 @@
         if (now >= std::max(segment.holdEnd, segment.lateHoldEnd) || !Rules::WaitForExpiry) {
             m_decisions.push_back("keys " + detail::describe(segment.keys) + " are unowned: the grant to "
                                   + segment.owner.id + " has run out");
+            noteLoss(segment, now);
             setUnowned(segment);
         } else if (!segment.released && liveServer(segment.owner) != nullptr) {
             m_decisions.push_back("keys " + detail::describe(segment.keys) + " are granted again: " + segment.owner.id
@@ -254,18 +261,20 @@
     }
 }
 
-/// The server with the fewest keys per slot among those that are not draining.
+/// The server with the fewest keys per slot among those that are not draining, preferably one that has not lost the
+/// keys recently.
 template <typename Rules>
-std::string BasicKeyAuthority<Rules>::leastLoaded() const
+std::string BasicKeyAuthority<Rules>::leastLoaded(const KeyRange &keys) const
 {
     std::string best;
-    double bestShare = 0;
+    std::pair<bool, double> bestRank;
     for (const auto &[id, server] : m_servers) {
         const auto position = m_keyCounts.find(id);
         const double share = (position == m_keyCounts.end() ? 0.0 : position->second) / server.slots;
-        if (!server.draining && (best.empty() || share < bestShare)) {
+        const std::pair<bool, double> rank(m_recentOwners.contains(keys, id), share);
+        if (!server.draining && (best.empty() || rank < bestRank)) {
             best = id;
-            bestShare = share;
+            bestRank = rank;
         }
     }
     return best;
@@ -319,8 +328,11 @@
         Segment &segment = m_segments[at];
         const auto preferred = m_servers.find(segment.nextOwner);
         const bool isPreferredUsable = preferred != m_servers.end() && !preferred->second.draining;
-        const std::string target = isPreferredUsable ? segment.nextOwner : leastLoaded();
+        const std::string target = isPreferredUsable ? segment.nextOwner : leastLoaded(segment.keys);
         const ServerIncarnation life = incarnationOf(m_servers.at(target));
+        if (m_recentOwners.contains(segment.keys, target)) {
+            m_decisions.push_back("keys " + detail::describe(segment.keys) + " return early to " + target);
+        }
         segment.state = State::Planned;
         segment.owner = life;
         m_ownersChanged = true;
@@ -543,6 +555,7 @@
     if (end != KeyCallOutcome::Accepted) {
         segment.sendAt = now + retryDelay(segment.owner.id);
         if (now >= std::max(segment.holdEnd, segment.lateHoldEnd)) {
+            noteLoss(segment, now);
             setUnowned(segment);
         }
         return;
@@ -555,6 +568,7 @@
         segment.released = true;
         return;
     }
+    noteLoss(segment, now);
     setUnowned(segment);
 }
 
@@ -595,6 +609,7 @@
         return;
     }
     m_balancedAt = now;
+    m_recentOwners.expire(now);
     std::map<std::string, double> usableCapacities;
     for (const auto &[id, server] : m_servers) {
         const auto position = demand.capacities.find(id);
@@ -608,10 +623,10 @@
     options.meanWork = demand.meanWork;
     // The slow average is more precise; the fast one shows recent changes that the slow one does not show yet.
     options.window = demand.slowWindow;
-    std::vector<KeyMove> moves = planKeyMoves(movable, demand.slowAverage, usableCapacities, options);
+    std::vector<KeyMove> moves = planKeyMoves(movable, demand.slowAverage, usableCapacities, options, m_recentOwners);
     if (moves.empty()) {
         options.window = demand.fastWindow;
-        moves = planKeyMoves(movable, demand.fastAverage, usableCapacities, options);
+        moves = planKeyMoves(movable, demand.fastAverage, usableCapacities, options, m_recentOwners);
     }
     for (const KeyMove &keyMove : moves) {
         move(keyMove, "to balance the load", now);
@@ -626,7 +641,7 @@
     for (std::size_t key = 0; key < highest.size(); ++key) {
         highest[key] = std::max(highest[key], demand.fastAverage[key]);
     }
-    for (const KeyMove &keyMove : planKeyMerges(movableRanges(now), highest, usableCapacities)) {
+    for (const KeyMove &keyMove : planKeyMerges(movableRanges(now), highest, usableCapacities, m_recentOwners)) {
         move(keyMove, "to merge with an adjacent range", now);
     }
 }
--- a/include/snipevalve/ownership/key_authority.hpp
+++ b/include/snipevalve/ownership/key_authority.hpp
@@ -31,6 +31,7 @@
     Milliseconds fastMergeInterval{1'000}; ///< the same while there are many ranges, each of which needs renewals
     Milliseconds coalesceInterval{100}; ///< between two searches for adjacent ranges with the same owner
     Milliseconds askDeputyInterval{100}; ///< between two requests for consent to long holds
+    Milliseconds returnDelay{10'000}; ///< keys return to a previous owner after it, unless no other server is usable
     Milliseconds maxArrivalDelay{400}; ///< an unanswered call may still arrive this long after it timed out
     double maxClockDrift = 0.02; ///< a server's clock may run slow by this fraction
 };
@@ -222,7 +223,7 @@
     void release(Segment &segment, const std::string &nextOwner, TimePoint now);
     void updateOwnerState(Segment &segment, TimePoint now);
     void assignUnowned(TimePoint now);
-    std::string leastLoaded() const;
+    std::string leastLoaded(const KeyRange &keys) const;
     void coalesceNeighbours(TimePoint now);
     void savePlan(TimePoint now, Actions &actions);
     bool isPlanned(const Segment &segment) const;
@@ -237,6 +238,7 @@
     void onGrantEnd(Segment &segment, KeyCallOutcome end, TimePoint now);
     void onReleaseEnd(Segment &segment, KeyCallOutcome end, const std::string &handover, TimePoint now);
     void setUnowned(Segment &segment);
+    void noteLoss(const Segment &segment, TimePoint now);
     std::vector<OwnedRange> movableRanges(TimePoint now) const;
     void move(const KeyMove &move, const std::string &reason, TimePoint now);
 
@@ -261,6 +263,7 @@
     TimePoint m_balancedAt;
     TimePoint m_mergedAt;
     TimePoint m_coalescedAt;
+    RecentOwners m_recentOwners;
     std::map<std::string, Calls> m_calls; ///< by server
     std::map<std::string, int> m_unanswered; ///< by server: consecutive calls without an answer
     std::vector<std::string> m_decisions;
--- a/include/snipevalve/ownership/key_balance.hpp
+++ b/include/snipevalve/ownership/key_balance.hpp
@@ -7,6 +7,7 @@
 
 #include "snipevalve/dispatch/key_owners.hpp"
 #include "snipevalve/dispatch/service_times.hpp"
+#include "snipevalve/ownership/recent_owners.hpp"
 
 namespace snipevalve {
 
@@ -46,9 +47,10 @@
 /// @param loads by key: busy slots
 /// @param capacities by server: slots, weighted by speed; only servers that may receive keys
 /// @param options limits and thresholds
+/// @param recent servers to which keys may not return yet
 std::vector<KeyMove> planKeyMoves(const std::vector<OwnedRange> &movable, const std::vector<float> &loads,
                                   const std::map<std::string, double> &capacities,
-                                  const KeyBalanceOptions &options = {});
+                                  const KeyBalanceOptions &options = {}, const RecentOwners &recent = {});
 
 /// @brief Chooses narrow ranges to merge with an adjacent range. A range between two ranges of one other server moves
 /// to that server when it has the capacity. While there are many ranges, a narrow one may also merge with either
@@ -59,8 +61,9 @@
 /// @param movable ranges that may be moved now, in ascending order
 /// @param loads by key: busy slots, the highest of the averages
 /// @param capacities by server: slots, weighted by speed; only servers that may receive keys
+/// @param recent servers to which keys may not return yet
 std::vector<KeyMove> planKeyMerges(const std::vector<OwnedRange> &movable, const std::vector<float> &loads,
-                                   const std::map<std::string, double> &capacities);
+                                   const std::map<std::string, double> &capacities, const RecentOwners &recent = {});
 
 } // namespace snipevalve
 
--- a/src/snipevalve/ownership/key_authority_test.cpp
+++ b/src/snipevalve/ownership/key_authority_test.cpp
@@ -311,4 +311,82 @@
     CHECK(authority.plan().deputy == PlanDeputy{"deputy#1", 2});
 }
 
+TEST_CASE("keys that have moved by load do not return to their previous owner within the life of a request")
+{
+    struct Example
+    {
+        std::string name;
+        std::vector<PlannedRange> ranges;
+        std::map<std::uint16_t, float> loads; ///< by key: busy slots
+    };
+    const ServerIncarnation a{"a", 1};
+    const ServerIncarnation b{"b", 1};
+    const ServerIncarnation c{"c", 1};
+    const auto example = GENERATE_COPY(values<Example>({
+        {"a server without keys gets some, which a merge returns", {{{0, 65'535}, a}}, {{100, 0.1F}, {200, 0.1F}}},
+        {"two servers without keys",
+         {{{0, 40'000}, a}, {{40'001, 65'535}, a}},
+         {{100, 0.2F}, {200, 0.2F}, {41'000, 0.3F}}},
+        {"a hot range between two ranges of its owner",
+         {{{0, 30'000}, a}, {{30'001, 50'000}, b}, {{50'001, 65'535}, c}},
+         {{10'000, 1.2F}, {10'001, 1.2F}, {40'000, 0.2F}, {60'000, 0.2F}}},
+    }));
+    INFO(example.name);
+    std::vector<UpstreamServer> servers(3);
+    BasicKeyAuthority<StandardKeyRules>::Demand demand;
+    const std::array<const char *, 3> ids{"a", "b", "c"};
+    for (std::size_t at = 0; at < servers.size(); ++at) {
+        servers[at].id = ids[at];
+        servers[at].slots = 2;
+        servers[at].incarnation = 1;
+        demand.capacities[ids[at]] = 2;
+    }
+    demand.slowAverage.assign(KeyCount, 0.0F);
+    for (const auto &[key, load] : example.loads) {
+        demand.slowAverage[key] = load;
+    }
+    demand.fastAverage = demand.slowAverage;
+    demand.fastWindow = Milliseconds(700);
+    demand.slowWindow = Milliseconds(6'000);
+    demand.meanWork = Seconds(0.1);
+    TimePoint now = Clock::now();
+    const TimePoint end = now + Milliseconds(30'000);
+    KeyAuthority authority({1, 1, example.ranges, {}}, {}, now);
+    authority.setServers(servers, now);
+    std::map<std::uint16_t, std::string> owners;
+    std::map<std::uint16_t, std::map<std::string, TimePoint>> lostAt; ///< by key and previous owner
+    std::size_t moves = 0;
+    while (now < end) {
+        now += Milliseconds(20);
+        authority.setLeaderLease(now + Milliseconds(1'000), true);
+        authority.balance(demand, now);
+        for (const KeyAction &action : authority.advance(now)) {
+            if (std::holds_alternative<SaveKeyPlan>(action)) {
+                authority.onPlanSaved(now);
+            } else if (const auto *grant = std::get_if<GrantKeys>(&action)) {
+                authority.onCallOutcome(grant->call, KeyCallOutcome::Accepted, {}, now);
+            } else if (const auto *release = std::get_if<ReleaseKeys>(&action)) {
+                authority.onCallOutcome(release->call, KeyCallOutcome::Accepted, "handover", now);
+            }
+        }
+        const KeyOwners known = authority.owners(now);
+        for (const auto &[key, load] : example.loads) {
+            const std::string *owner = known.ownerOf(key);
+            if (owner == nullptr || *owner == owners[key]) {
+                continue;
+            }
+            if (!owners[key].empty()) {
+                lostAt[key][owners[key]] = now;
+                ++moves;
+            }
+            const auto lost = lostAt[key].find(*owner);
+            INFO("key " << key << " at " << std::chrono::duration_cast<Milliseconds>(end - now).count()
+                        << " ms before the end");
+            CHECK((lost == lostAt[key].end() || now - lost->second >= KeyAuthorityTimes().returnDelay));
+            owners[key] = *owner;
+        }
+    }
+    CHECK(moves > 0);
+}
+
 } // namespace snipevalve
--- a/src/snipevalve/ownership/key_balance.cpp
+++ b/src/snipevalve/ownership/key_balance.cpp
@@ -43,6 +43,7 @@
     std::vector<KeyRange> ranges;
     bool hasKeys = false;
     bool isOverloaded = false; ///< beyond the noise
+    bool isPassedOver = false; ///< has recently lost what the most utilised server could give it
 
     double utilisation() const
     {
@@ -154,11 +155,11 @@
 }
 
 /// @param minUsefulLoad a window with less load is not worth a move
-std::optional<KeyWindow> findWindow(const ServerLoad &server, const std::vector<float> &loads, double wantedLoad,
-                                    double minUsefulLoad)
+std::optional<KeyWindow> findWindow(const std::vector<KeyRange> &ranges, const std::vector<float> &loads,
+                                    double wantedLoad, double minUsefulLoad)
 {
     KeyWindowSearch search(wantedLoad * MinLoadShare, wantedLoad * MaxLoadShare);
-    for (const KeyRange &range : server.ranges) {
+    for (const KeyRange &range : ranges) {
         searchRange(search, range, loads);
     }
     const std::optional<KeyWindow> window = search.best();
@@ -167,12 +168,14 @@
 }
 
 /// The lightest single key that is heavier than the wanted load and whose move clearly relieves its server.
+/// @param ranges of `from`, from which the key is chosen
 /// @param staying a key that does not move
-std::optional<KeyWindow> findHeavyKey(const ServerLoad &from, const ServerLoad &to, const std::vector<float> &loads,
-                                      double wantedLoad, const std::optional<KeyWindow> &staying)
+std::optional<KeyWindow> findHeavyKey(const ServerLoad &from, const std::vector<KeyRange> &ranges, const ServerLoad &to,
+                                      const std::vector<float> &loads, double wantedLoad,
+                                      const std::optional<KeyWindow> &staying)
 {
     std::optional<KeyWindow> best;
-    for (const KeyRange &range : from.ranges) {
+    for (const KeyRange &range : ranges) {
         for (std::uint32_t key = range.from; key <= range.to; ++key) {
             const double load = loads[key];
             const double utilisationAfter = (to.load + load) / to.capacity;
@@ -201,15 +204,16 @@
     return heaviest && heaviest->load >= FillingShare * server.capacity ? heaviest : std::nullopt;
 }
 
-/// The server with the most free capacity, if the key gains enough there.
-ServerLoad *findFasterServer(std::vector<ServerLoad> &servers, const ServerLoad &from)
+/// The server with the most free capacity, if the key gains enough there and may move there.
+ServerLoad *findFasterServer(std::vector<ServerLoad> &servers, const ServerLoad &from, const KeyWindow &key,
+                             const RecentOwners &recent)
 {
     const auto hasLessRoom = [](const ServerLoad &left, const ServerLoad &right) {
         return left.capacity - left.load < right.capacity - right.load;
     };
     const auto roomiest = std::max_element(servers.begin(), servers.end(), hasLessRoom);
     const bool isGain = roomiest->capacity - roomiest->load >= MinCapacityGain * from.capacity;
-    return isGain ? &*roomiest : nullptr;
+    return isGain && !recent.contains(key.keys, roomiest->id) ? &*roomiest : nullptr;
 }
 
 /// Limits the load of each key to the largest capacity of a server: a key has one owner, so no server could serve more.
@@ -225,23 +229,18 @@
     return loads;
 }
 
-/// Removes the keys of the window from the ranges.
-void removeWindow(std::vector<KeyRange> &ranges, const KeyRange &window)
+std::vector<ServerLoad>::iterator mostUtilisedOf(std::vector<ServerLoad> &servers)
 {
-    std::vector<KeyRange> left;
-    for (const KeyRange &range : ranges) {
-        if (window.from > range.to || window.to < range.from) {
-            left.push_back(range);
-            continue;
-        }
-        if (range.from < window.from) {
-            left.push_back({range.from, static_cast<std::uint16_t>(window.from - 1)});
-        }
-        if (window.to < range.to) {
-            left.push_back({static_cast<std::uint16_t>(window.to + 1), range.to});
-        }
+    return std::max_element(servers.begin(), servers.end(), [](const ServerLoad &left, const ServerLoad &right) {
+        return left.utilisation() < right.utilisation();
+    });
+}
+
+void allowAll(std::vector<ServerLoad> &servers)
+{
+    for (ServerLoad &server : servers) {
+        server.isPassedOver = false;
     }
-    ranges = std::move(left);
 }
 
 /// The standard deviation of an exponentially averaged Poisson load.
@@ -272,17 +271,20 @@
 }
 
 std::vector<KeyMove> planKeyMoves(const std::vector<OwnedRange> &movable, const std::vector<float> &requestedLoads,
-                                  const std::map<std::string, double> &capacities, const KeyBalanceOptions &options)
+                                  const std::map<std::string, double> &capacities, const KeyBalanceOptions &options,
+                                  const RecentOwners &recent)
 {
     const std::vector<float> loads = capLoads(requestedLoads, capacities);
     std::vector<ServerLoad> servers = loadsByServer(movable, loads, capacities);
     const double targetLevel = targetUtilisation(servers, options);
     std::vector<KeyMove> moves;
     const auto isLessUtilised = [](const ServerLoad &left, const ServerLoad &right) {
-        return left.utilisation() < right.utilisation();
+        return std::make_pair(left.isPassedOver, left.utilisation())
+            < std::make_pair(right.isPassedOver, right.utilisation());
     };
     while (moves.size() < options.maxMoves && servers.size() > 1) {
-        const auto [leastUtilised, mostUtilised] = std::minmax_element(servers.begin(), servers.end(), isLessUtilised);
+        const auto leastUtilised = std::min_element(servers.begin(), servers.end(), isLessUtilised);
+        const auto mostUtilised = mostUtilisedOf(servers);
         // A server without keys gets some even if no server is overloaded: it was added to be used.
         const bool hasNoKeys = !leastUtilised->hasKeys;
         const double excess = mostUtilised->load - targetLevel * mostUtilised->capacity;
@@ -296,9 +298,9 @@
             break;
         }
         const std::optional<KeyWindow> filling = findFillingKey(*mostUtilised, loads);
-        if (ServerLoad *faster = filling ? findFasterServer(servers, *mostUtilised) : nullptr) {
+        if (ServerLoad *faster = filling ? findFasterServer(servers, *mostUtilised, *filling, recent) : nullptr) {
             moves.push_back({filling->keys, mostUtilised->id, faster->id});
-            removeWindow(mostUtilised->ranges, filling->keys);
+            mostUtilised->ranges = subtract(mostUtilised->ranges, filling->keys);
             mostUtilised->load -= filling->load;
             faster->load += filling->load;
             faster->hasKeys = true;
@@ -315,26 +317,34 @@
             wantedLoad = std::min(wantedLoad, mostUtilised->load - filling->load);
         }
         const double minUsefulLoad = filling ? options.minMoveLoad : wantedLoad * MinUsefulShare;
-        auto window = findWindow(*mostUtilised, loads, wantedLoad, minUsefulLoad);
+        const std::vector<KeyRange> ranges = recent.without(mostUtilised->ranges, leastUtilised->id);
+        auto window = findWindow(ranges, loads, wantedLoad, minUsefulLoad);
         if (!window) {
-            window = findHeavyKey(*mostUtilised, *leastUtilised, loads, wantedLoad, filling);
+            window = findHeavyKey(*mostUtilised, ranges, *leastUtilised, loads, wantedLoad, filling);
+        }
+        const bool isReturn = !window && ranges != mostUtilised->ranges && !leastUtilised->isPassedOver;
+        if (isReturn) {
+            leastUtilised->isPassedOver = true;
+            continue;
         }
         if (!window) {
             // A single key makes up the load, and it stays.
             servers.erase(mostUtilised);
+            allowAll(servers);
             continue;
         }
         moves.push_back({window->keys, mostUtilised->id, leastUtilised->id});
-        removeWindow(mostUtilised->ranges, window->keys);
+        mostUtilised->ranges = subtract(mostUtilised->ranges, window->keys);
         mostUtilised->load -= window->load;
         leastUtilised->load += window->load;
         leastUtilised->hasKeys = true;
+        allowAll(servers);
     }
     return moves;
 }
 
 std::vector<KeyMove> planKeyMerges(const std::vector<OwnedRange> &movable, const std::vector<float> &loads,
-                                   const std::map<std::string, double> &capacities)
+                                   const std::map<std::string, double> &capacities, const RecentOwners &recent)
 {
     constexpr std::size_t MaxCalmMerges = 4; ///< in one round
     constexpr std::size_t MinFastMerges = 32; ///< in one round, while there are many ranges
@@ -370,7 +380,7 @@
         const OwnedRange *best = nullptr;
         for (const OwnedRange *candidate : {left, right}) {
             const auto candidateCapacity = candidate == nullptr ? capacities.end() : capacities.find(candidate->owner);
-            const bool fits = candidateCapacity != capacities.end()
+            const bool fits = candidateCapacity != capacities.end() && !recent.contains(middle.keys, candidate->owner)
                 && loadByServer[candidate->owner] + movedLoad <= targetLevel * candidateCapacity->second;
             if (fits && (best == nullptr || loadByServer[candidate->owner] < loadByServer[best->owner])) {
                 best = candidate;
--- /dev/null
+++ b/src/snipevalve/ownership/recent_owners_test.cpp
@@ -0,0 +1,91 @@
+#include <catch2/catch.hpp>
+
+#include "snipevalve/ownership/key_balance.hpp"
+#include "snipevalve/ownership/recent_owners.hpp"
+
+namespace snipevalve {
+
+namespace {
+
+const TimePoint Start = TimePoint(std::chrono::hours(1));
+
+} // namespace
+
+TEST_CASE("a server counts as a recent owner of the keys that it has lost, until the time given")
+{
+    RecentOwners recent;
+    recent.add({100, 199}, "a", Start + Milliseconds(1'000));
+    recent.add({150, 299}, "a", Start + Milliseconds(2'000));
+    recent.add({100, 199}, "b", Start + Milliseconds(2'000));
+
+    struct Example
+    {
+        std::string server;
+        KeyRange keys;
+        bool before; ///< whether it counts before the first entry ends
+        bool between; ///< after the first and before the second one
+    };
+    const auto example = GENERATE(values<Example>({
+        {"a", {100, 100}, true, false},
+        {"a", {0, 99}, false, false},
+        {"a", {0, 100}, true, false},
+        {"a", {299, 299}, true, true},
+        {"a", {300, 65'535}, false, false},
+        {"b", {199, 65'535}, true, true},
+        {"c", {0, 65'535}, false, false},
+    }));
+    INFO(example.server << " " << example.keys.from << "-" << example.keys.to);
+    CHECK(recent.contains(example.keys, example.server) == example.before);
+    recent.expire(Start + Milliseconds(1'000));
+    CHECK(recent.contains(example.keys, example.server) == example.between);
+    recent.expire(Start + Milliseconds(2'000));
+    CHECK_FALSE(recent.contains(example.keys, example.server));
+}
+
+TEST_CASE("ranges lose the keys that a recent owner has lost")
+{
+    struct Example
+    {
+        std::vector<KeyRange> ranges;
+        KeyRange lost;
+        std::vector<KeyRange> left;
+    };
+    const auto example = GENERATE(values<Example>({
+        {{{0, 65'535}}, {10, 20}, {{0, 9}, {21, 65'535}}},
+        {{{0, 65'535}}, {0, 65'535}, {}},
+        {{{0, 9}, {30, 39}}, {5, 34}, {{0, 4}, {35, 39}}},
+        {{{0, 9}, {30, 39}}, {10, 29}, {{0, 9}, {30, 39}}},
+        {{{65'535, 65'535}}, {65'535, 65'535}, {}},
+    }));
+    RecentOwners recent;
+    recent.add(example.lost, "a", Start);
+    CHECK(recent.without(example.ranges, "a") == example.left);
+    CHECK(recent.without(example.ranges, "b") == example.ranges);
+}
+
+TEST_CASE("moves and merges pass over a server that has recently lost the keys")
+{
+    std::vector<float> loads(KeyCount, 0.0F);
+    const std::map<std::string, double> capacities{{"full", 2}, {"empty", 2}, {"idle", 2}};
+    const std::vector<OwnedRange> ranges{{{0, 999}, "full"}, {{1'000, 65'535}, "idle"}};
+    for (const std::uint16_t key : {10, 20, 30, 40}) {
+        loads[key] = 0.6F;
+    }
+    loads[2'000] = 0.2F;
+    RecentOwners recent;
+    recent.add({0, 999}, "empty", Start);
+    const auto moves = planKeyMoves(ranges, loads, capacities, {}, recent);
+    REQUIRE_FALSE(moves.empty());
+    for (const KeyMove &move : moves) {
+        INFO(move.keys.from << "-" << move.keys.to << " from " << move.from << " to " << move.to);
+        CHECK((move.from != "full" || move.to == "idle"));
+    }
+
+    const std::vector<OwnedRange> enclosed{{{0, 999}, "full"}, {{1'000, 1'009}, "idle"}, {{1'010, 65'535}, "full"}};
+    const std::vector<float> noLoad(KeyCount, 0.0F);
+    CHECK(planKeyMerges(enclosed, noLoad, capacities).size() == 1);
+    recent.add({1'005, 1'005}, "full", Start);
+    CHECK(planKeyMerges(enclosed, noLoad, capacities, recent).empty());
+}
+
+} // namespace snipevalve
