Let a new leader measure loads before it merges ranges

Cause: a term's first merge was due at once, when the averages of the loads had run for 0.2 s.

Change: the merge interval counts from the start of the term.

Test: "a new leader merges no ranges before it has measured their load" failed before (first merge after 0.2 s, expected 4 s at least).

--- a/include/snipevalve/ownership/detail/key_authority_impl.hpp
+++ b/include/snipevalve/ownership/detail/key_authority_impl.hpp
@@ -29,6 +29,7 @@
     , m_plan(std::move(plan))
     , m_leaseEnd(now)
     , m_balancedAt(now)
+    , m_mergedAt(now)
 {
     const bool isFirstTerm = m_plan.term == 0;
     ++m_plan.term;
--- a/src/snipevalve/ownership/key_authority_test.cpp
+++ b/src/snipevalve/ownership/key_authority_test.cpp
@@ -389,4 +389,47 @@
     CHECK(moves > 0);
 }
 
+TEST_CASE("a new leader merges no ranges before it has measured their load")
+{
+    std::vector<UpstreamServer> servers(2);
+    servers[0].id = "a";
+    servers[1].id = "b";
+    for (UpstreamServer &server : servers) {
+        server.slots = 2;
+        server.incarnation = 1;
+    }
+    const ServerIncarnation a = incarnationOf(servers[0]);
+    const ServerIncarnation b = incarnationOf(servers[1]);
+    TimePoint now = Clock::now();
+    const TimePoint start = now;
+    KeyAuthority authority(
+        {1, 1, {{{0, 999}, a}, {{1'000, 1'009}, b}, {{1'010, 40'000}, a}, {{40'001, 65'535}, b}}, {}}, {}, now);
+    authority.setServers(servers, now);
+    KeyAuthority::Demand demand;
+    demand.slowAverage.assign(KeyCount, 0.0F);
+    demand.slowAverage[500] = demand.slowAverage[50'000] = 0.2F;
+    demand.fastAverage = demand.slowAverage;
+    demand.fastWindow = Milliseconds(700);
+    demand.slowWindow = Milliseconds(6'000);
+    demand.meanWork = Seconds(0.1);
+    demand.capacities = {{"a", 2}, {"b", 2}};
+    std::optional<TimePoint> mergedAt;
+    while (!mergedAt && now < start + Milliseconds(10'000)) {
+        now += Milliseconds(20);
+        authority.setLeaderLease(now + Milliseconds(1'000), true);
+        authority.balance(demand, now);
+        for (const KeyAction &action : authority.advance(now)) {
+            if (std::holds_alternative<SaveKeyPlan>(action)) {
+                authority.onPlanSaved(now);
+            } else if (const auto *grant = std::get_if<GrantKeys>(&action)) {
+                authority.onCallOutcome(grant->call, KeyCallOutcome::Accepted, {}, now);
+            } else if (std::holds_alternative<ReleaseKeys>(action)) {
+                mergedAt = now;
+            }
+        }
+    }
+    REQUIRE(mergedAt);
+    CHECK(*mergedAt - start >= KeyAuthorityTimes().mergeInterval);
+}
+
 } // namespace snipevalve
