Give keys no second owner after the store comes back from an older copy

Cause: a plan in the store is believed because the store once confirmed it. Terms begin again below those that servers have seen.

Change, in the pure part: a leader says what it knows of its predecessors (PredecessorKnowledge). A plan of an earlier era leaves all keys with unknown owners until every hold of that era has expired; the plan records them for the next leader. The leader of the earlier era knows its own plan (knownPlan) for as long as another leader can't have changed it: a new leader leaves all owners as they are for 1.5 s. Terms of an era are above those of the eras before.

The simulation also takes the store away for all hosts without a restore.

--- a/include/snipevalve/ownership/detail/key_authority_impl.hpp
+++ b/include/snipevalve/ownership/detail/key_authority_impl.hpp
@@ -16,6 +16,11 @@
 /// the 53 bits that a JSON number represents exactly.
 inline constexpr unsigned FenceSequenceBits = 24;
 
+/// More terms than a service can have within one era: each takes milliseconds at least, and a copy is seconds old.
+inline constexpr std::uint64_t TermsPerEra = 1U << 16U;
+/// The term must fit into the 29 bits that a fencing token has for it.
+inline constexpr std::uint64_t MaxEra = (1U << 13U) - 1;
+
 inline std::string describe(const KeyRange &keys)
 {
     return std::to_string(keys.from) + "-" + std::to_string(keys.to);
@@ -25,31 +30,77 @@
 
 template <typename Rules>
 BasicKeyAuthority<Rules>::BasicKeyAuthority(KeyPlan plan, KeyAuthorityTimes times, TimePoint now, bool noLongHolds)
+    : BasicKeyAuthority(PredecessorKnowledge{std::move(plan), true, Milliseconds(0), noLongHolds, 1}, times, now)
+{
+}
+
+template <typename Rules>
+BasicKeyAuthority<Rules>::BasicKeyAuthority(PredecessorKnowledge known, KeyAuthorityTimes times, TimePoint now)
     : m_times(times)
-    , m_plan(std::move(plan))
     , m_leaseEnd(now)
     , m_balancedAt(now)
     , m_mergedAt(now)
 {
-    const bool isFirstTerm = m_plan.term == 0;
-    ++m_plan.term;
+    known.isPlanComplete = known.isPlanComplete || !Rules::DistrustOldPlan;
+    const bool isFirstTerm = known.plan.term == 0 && known.isPlanComplete;
+    const Milliseconds longestHold = known.noLongHolds ? m_times.hold : m_times.longHold;
+    const Milliseconds activeFor = Rules::CountActivePredecessor ? known.activeFor : Milliseconds(0);
+    const TimePoint predecessorHoldEnd = now + activeFor + m_times.maxArrivalDelay + withClockDrift(longestHold);
+    m_longHoldEnd = known.noLongHolds || isFirstTerm ? TimePoint() : predecessorHoldEnd;
+    m_ownerChangesFrom = isFirstTerm || !Rules::DelayOwnerChanges ? TimePoint() : now + m_times.ownerChangeDelay;
+    inherit(known, predecessorHoldEnd);
+    fillGaps();
+    m_plan = std::move(known.plan);
+    m_plan.term = std::max(m_plan.term + 1, Rules::RaiseTermWithEra ? known.leastTerm : 1);
     m_plan.version = 0;
     m_plan.deputy = {};
-    // The previous leader sent its last grant before this term began.
-    const Milliseconds longestHold = noLongHolds ? m_times.hold : m_times.longHold;
-    const TimePoint predecessorHoldEnd = now + m_times.maxArrivalDelay + withClockDrift(longestHold);
-    m_longHoldEnd = noLongHolds || isFirstTerm ? TimePoint() : predecessorHoldEnd;
-    for (const PlannedRange &range : m_plan.ranges) {
+}
+
+/// @param holdEnd every grant of earlier leaders has expired by then
+template <typename Rules>
+void BasicKeyAuthority<Rules>::inherit(const PredecessorKnowledge &known, TimePoint holdEnd)
+{
+    for (const PlannedRange &range : known.plan.ranges) {
+        if (!known.isPlanComplete) {
+            addUnknownOwner(range.keys, range.owner.id, holdEnd);
+            continue;
+        }
         Segment segment;
         segment.keys = range.keys;
         segment.state = State::Granting;
         segment.owner = range.owner;
-        segment.holdEnd = predecessorHoldEnd;
+        segment.holdEnd = holdEnd;
         segment.inherited = true;
-        segment.sendAt = now;
         m_segments.push_back(std::move(segment));
     }
-    fillGaps();
+    for (const KeyRange &keys : known.plan.unknownOwners) {
+        addUnknownOwner(keys, {}, holdEnd);
+    }
+    std::sort(m_segments.begin(), m_segments.end(), [](const Segment &left, const Segment &right) {
+        return left.keys.from < right.keys.from;
+    });
+    if (!known.isPlanComplete) {
+        fillGaps();
+        for (Segment &segment : m_segments) {
+            segment.state = State::Orphaned;
+            segment.released = true;
+            segment.holdEnd = holdEnd;
+        }
+    }
+}
+
+/// Adds keys that any server may own until `holdEnd`.
+/// @param nextOwner the server that gets them then, if it is usable; empty for any
+template <typename Rules>
+void BasicKeyAuthority<Rules>::addUnknownOwner(const KeyRange &keys, const std::string &nextOwner, TimePoint holdEnd)
+{
+    Segment segment;
+    segment.keys = keys;
+    segment.state = State::Orphaned;
+    segment.nextOwner = nextOwner;
+    segment.holdEnd = holdEnd;
+    segment.released = true;
+    m_segments.push_back(std::move(segment));
 }
 
 /// Adds an unowned segment for each gap between the ranges of the plan.
@@ -209,7 +260,9 @@
 template <typename Rules>
 void BasicKeyAuthority<Rules>::noteLoss(const Segment &segment, TimePoint now)
 {
-    m_recentOwners.add(segment.keys, segment.owner.id, now + m_times.returnDelay);
+    if (!segment.owner.id.empty()) {
+        m_recentOwners.add(segment.keys, segment.owner.id, now + m_times.returnDelay);
+    }
 }
 
 template <typename Rules>
@@ -240,8 +293,9 @@
     }
     if (segment.state == State::Orphaned) {
         if (now >= std::max(segment.holdEnd, segment.lateHoldEnd) || !Rules::WaitForExpiry) {
-            m_decisions.push_back("keys " + detail::describe(segment.keys) + " are unowned: the grant to "
-                                  + segment.owner.id + " has run out");
+            const std::string owner = segment.isOwnerUnknown() ? "an unknown owner" : segment.owner.id;
+            m_decisions.push_back("keys " + detail::describe(segment.keys) + " are unowned: the grant to " + owner
+                                  + " has run out");
             noteLoss(segment, now);
             setUnowned(segment);
         } else if (!segment.released && liveServer(segment.owner) != nullptr) {
@@ -257,7 +311,7 @@
         m_decisions.push_back("keys " + detail::describe(segment.keys) + " are orphaned and wait: " + segment.owner.id
                               + " is gone");
         segment.state = State::Orphaned;
-    } else if (server->draining && segment.state == State::Held) {
+    } else if (server->draining && segment.state == State::Held && now >= m_ownerChangesFrom) {
         release(segment, {}, now);
     }
 }
@@ -298,6 +352,9 @@
 template <typename Rules>
 void BasicKeyAuthority<Rules>::assignUnowned(TimePoint now)
 {
+    if (now < m_ownerChangesFrom) {
+        return;
+    }
     const bool isAnyUnowned = std::any_of(m_segments.begin(), m_segments.end(), [](const Segment &segment) {
         return segment.state == State::Unowned;
     });
@@ -380,7 +437,11 @@
         m_deputy = {}; // a long hold has been granted since the deputy was chosen
     }
     std::vector<PlannedRange> ranges;
+    std::vector<KeyRange> unknownOwners;
     for (const Segment &segment : m_segments) {
+        if (segment.isOwnerUnknown() && Rules::RecordUnknownOwners) {
+            appendKeys(unknownOwners, segment.keys);
+        }
         if (segment.owner.id.empty()) {
             continue;
         }
@@ -392,10 +453,13 @@
             ranges.push_back({segment.keys, segment.owner});
         }
     }
-    if (ranges == m_plan.ranges && m_deputy == m_plan.deputy && m_planSaved) {
+    const bool isUnchanged =
+        ranges == m_plan.ranges && unknownOwners == m_plan.unknownOwners && m_deputy == m_plan.deputy;
+    if (isUnchanged && m_planSaved) {
         return;
     }
     m_plan.ranges = std::move(ranges);
+    m_plan.unknownOwners = std::move(unknownOwners);
     m_plan.deputy = m_deputy;
     ++m_plan.version;
     m_planInFlight = true;
@@ -418,6 +482,7 @@
 {
     m_planInFlight = false;
     m_planSaved = true;
+    m_savedPlan = m_plan;
     m_savedDeputy = m_plan.deputy;
     for (Segment &segment : m_segments) {
         if (segment.state == State::Planned && isPlanned(segment)) {
@@ -605,7 +670,7 @@
 void BasicKeyAuthority<Rules>::balance(const Demand &demand, TimePoint now)
 {
     const bool isDue = now - m_balancedAt >= m_times.balanceInterval && m_planSaved && !m_planInFlight
-        && holdsLease(now) && m_storeAnswers;
+        && holdsLease(now) && m_storeAnswers && now >= m_ownerChangesFrom;
     if (!isDue) {
         return;
     }
@@ -703,7 +768,14 @@
     std::vector<OrphanedRange> dark;
     for (const Segment &segment : m_segments) {
         const TimePoint end = std::max(segment.holdEnd, segment.lateHoldEnd);
-        if (segment.state == State::Orphaned && now < end) {
+        if (segment.state != State::Orphaned || now >= end) {
+            continue;
+        }
+        const bool extendsLast =
+            !dark.empty() && dark.back().keys.to + 1U == segment.keys.from && dark.back().until == end;
+        if (extendsLast) {
+            dark.back().keys.to = segment.keys.to;
+        } else {
             dark.push_back({segment.keys, end});
         }
     }
@@ -716,6 +788,18 @@
     return m_plan;
 }
 
+/// Another leader may exist once this leader's lease has ended. It leaves all keys with the owners in the last saved
+/// plan for `ownerChangeDelay`.
+template <typename Rules>
+std::optional<KeyPlan> BasicKeyAuthority<Rules>::knownPlan(TimePoint leaseEnd, TimePoint now) const
+{
+    const bool isKnown = now < leaseEnd + m_times.ownerChangeDelay || !Rules::LimitKnownPlan;
+    if (!m_planSaved || !isKnown) {
+        return std::nullopt;
+    }
+    return m_planInFlight ? commonPlan(m_savedPlan, m_plan) : m_savedPlan;
+}
+
 } // namespace snipevalve
 
 #endif // SNIPEVALVE_OWNERSHIP_DETAIL_KEY_AUTHORITY_IMPL_HPP
--- a/include/snipevalve/ownership/key_authority.hpp
+++ b/include/snipevalve/ownership/key_authority.hpp
@@ -32,6 +32,7 @@
     Milliseconds coalesceInterval{100}; ///< between two searches for adjacent ranges with the same owner
     Milliseconds askDeputyInterval{100}; ///< between two requests for consent to long holds
     Milliseconds returnDelay{10'000}; ///< keys return to a previous owner after it, unless no other server is usable
+    Milliseconds ownerChangeDelay{1'500}; ///< a new leader leaves all keys with the owners in the plan for this long
     Milliseconds maxArrivalDelay{400}; ///< an unanswered call may still arrive this long after it timed out
     double maxClockDrift = 0.02; ///< a server's clock may run slow by this fraction
 };
@@ -75,6 +76,21 @@
     std::string text;
 };
 
+/// @brief What a new leader knows of the leaders before it.
+struct PredecessorKnowledge
+{
+    KeyPlan plan; ///< the last known plan; empty before the first one
+    /// False when newer plans may have been written and lost: then any server may own any key.
+    bool isPlanComplete = true;
+    Milliseconds activeFor{0}; ///< an earlier leader may still grant keys for this long
+    bool noLongHolds = false; ///< the previous leader has certainly granted no long holds
+    std::uint64_t leastTerm = 1; ///< above the terms of all plans that may have been lost
+};
+
+/// @brief The number of the first term in an era of the store (see `ConfigStore::era`). It is above every term of the
+/// earlier eras, whose plans may have been lost.
+std::uint64_t firstTermOfEra(std::uint64_t era);
+
 using KeyAction = std::variant<GrantKeys, ReleaseKeys, SaveKeyPlan, AskDeputy, OwnershipNote>;
 
 /// @brief How a call to a server ended.
@@ -97,6 +113,12 @@
     static constexpr bool AllowForSlowClock = true; ///< a hold may last longer when a server's clock runs slow
     static constexpr bool WaitForConsent = true; ///< a plan's deputy consents before a long hold is granted
     static constexpr bool NameDeputyLate = true; ///< a plan names a deputy only when no earlier long hold can last
+    static constexpr bool DistrustOldPlan = true; ///< a plan of an earlier era of the store does not tell all owners
+    static constexpr bool RecordUnknownOwners = true; ///< the plan names the keys that may have an unknown owner
+    static constexpr bool DelayOwnerChanges = true; ///< a new leader first leaves all keys with the owners in the plan
+    static constexpr bool LimitKnownPlan = true; ///< a leader's own plan is known for a limited time after its lease
+    static constexpr bool CountActivePredecessor = true; ///< holds count from the last moment of an earlier leader
+    static constexpr bool RaiseTermWithEra = true; ///< terms of a new era are above those of earlier ones
 };
 
 /// @brief Decides which server owns which keys of one service, for one term of one leader. It does no I/O, starts no
@@ -108,6 +130,10 @@
 /// until the longest hold that its predecessor may have granted has expired. While the store does not answer, grants
 /// have long holds; if the plan names a deputy, only with the deputy's consent (see DeputyConsents). The leader sends
 /// nothing after its lease in the store has ended (`setLeaderLease`), and no other leader can exist before that.
+///
+/// When the store is restored from an older copy, a new era begins, and plans and leases may have been lost. The leader
+/// of the earlier era knows which servers may own keys (`knownPlan`) as long as no other leader can have changed that;
+/// any other leader waits until every hold of the earlier era has expired.
 template <typename Rules>
 class BasicKeyAuthority
 {
@@ -118,6 +144,11 @@
     /// @param noLongHolds whether the previous leader has certainly granted no long holds
     BasicKeyAuthority(KeyPlan plan, KeyAuthorityTimes times, TimePoint now, bool noLongHolds = false);
 
+    /// @param known what is known of the earlier leaders
+    /// @param times durations and intervals
+    /// @param now start of the term
+    BasicKeyAuthority(PredecessorKnowledge known, KeyAuthorityTimes times, TimePoint now);
+
     /// @brief Sets the servers of the service. A server that is missing has left or can't reach the store.
     void setServers(const std::vector<UpstreamServer> &servers, TimePoint now);
 
@@ -169,6 +200,11 @@
 
     const KeyPlan &plan() const;
 
+    /// @brief The plan that tells every possible owner, after the store has lost it.
+    /// @param leaseEnd when this leader's last lease ended
+    /// @return nothing when another leader may have changed owners since, or before the first plan was saved
+    std::optional<KeyPlan> knownPlan(TimePoint leaseEnd, TimePoint now) const;
+
 private:
     enum class State {
         Orphaned, ///< a lost server, or one with a late grant, may own the keys until the holds end
@@ -195,6 +231,11 @@
         Milliseconds callHold{0}; ///< hold of the last grant that was sent
         bool released = false; ///< the owner has released the keys, but an unanswered grant may still reach it
         bool inherited = false; ///< owned under the previous leader, so the owner already serves the keys
+
+        bool isOwnerUnknown() const
+        {
+            return state == State::Orphaned && owner.id.empty();
+        }
     };
 
     using Actions = std::vector<KeyAction>;
@@ -218,6 +259,8 @@
     Duration withClockDrift(Milliseconds hold) const;
     const UpstreamServer *liveServer(const ServerIncarnation &life) const;
     std::uint64_t nextFence();
+    void inherit(const PredecessorKnowledge &known, TimePoint holdEnd);
+    void addUnknownOwner(const KeyRange &keys, const std::string &nextOwner, TimePoint holdEnd);
     void fillGaps();
     void split(std::uint32_t from);
     void release(Segment &segment, const std::string &nextOwner, TimePoint now);
@@ -244,6 +287,8 @@
 
     KeyAuthorityTimes m_times;
     KeyPlan m_plan; ///< the plan in the store, or the one that is being saved
+    KeyPlan m_savedPlan; ///< the last plan of this term that was saved
+    TimePoint m_ownerChangesFrom; ///< no key gets another owner before this time
     std::vector<Segment> m_segments; ///< in ascending order, covering all keys
     std::map<std::string, UpstreamServer> m_servers;
     std::map<std::string, double> m_keyCounts; ///< by server: keys that it owns or is about to get
--- a/include/snipevalve/ownership/key_plan.hpp
+++ b/include/snipevalve/ownership/key_plan.hpp
@@ -39,10 +39,16 @@
     std::uint64_t version = 0; ///< increases with each plan of a term
     std::vector<PlannedRange> ranges; ///< in ascending order, without overlap
     PlanDeputy deputy;
+    /// Keys that a server may own which the plan does not name, in ascending order and without overlap with `ranges`.
+    /// There are some after the store has been restored from a copy, until every earlier hold has expired.
+    std::vector<KeyRange> unknownOwners;
 
     bool operator==(const KeyPlan &) const = default;
 };
 
+/// @brief Appends keys to ascending ranges; they extend the last range if they follow it directly.
+void appendKeys(std::vector<KeyRange> &ranges, const KeyRange &keys);
+
 /// @brief Formats the plan as compact JSON.
 std::string toText(const KeyPlan &plan);
 
@@ -50,6 +56,10 @@
 /// @return InvalidArgument if the text is not a valid plan
 absl::StatusOr<KeyPlan> parseKeyPlan(std::string_view text);
 
+/// @brief What is certain when one of two plans is in force: keys for which they differ have unknown owners.
+/// @return a plan with term, version and no deputy of the first plan
+KeyPlan commonPlan(const KeyPlan &first, const KeyPlan &second);
+
 } // namespace snipevalve
 
 #endif // SNIPEVALVE_OWNERSHIP_KEY_PLAN_HPP
--- a/src/snipevalve/ownership/key_authority_test.cpp
+++ b/src/snipevalve/ownership/key_authority_test.cpp
@@ -1,3 +1,7 @@
+#include <functional>
+#include <mutex>
+#include <thread>
+
 #include <catch2/catch.hpp>
 
 #include "snipevalve/ownership/key_simulation_test.hpp"
@@ -9,21 +13,81 @@
 constexpr Milliseconds SimulationLength(20'000);
 /// Long enough for two changes of leader with an outage of the store between them.
 constexpr Milliseconds LongSimulationLength(40'000);
-constexpr double UsualFaultRate = 0.004; ///< chance of each kind of fault in each step
+constexpr test::FaultRates UsualFaults{0.004};
 /// A rate at which faults last about 10 s, longer than the holds of the previous leader: a host that is cut off for so
 /// long would renew grants that its successor has already counted as expired.
-constexpr double LongFaultRate = 0.001;
+constexpr test::FaultRates LongFaults{0.001};
+/// The store often goes away for all hosts, so that deputies consent to long holds.
+constexpr test::FaultRates OutageFaults{0.001, 0, 0.002};
+/// The store is restored from a copy each 8 s, among faults that leave most holds intact.
+constexpr test::FaultRates RestoreFaults{0.001, 0.00125};
+/// The same among many faults.
+constexpr test::FaultRates UsualAndRestoreFaults{0.004, 0.0025};
+/// Restores so frequent that some follow a change of leader within a second.
+constexpr test::FaultRates FrequentRestoreFaults{0.002, 0.005};
 
-/// The first of `count` seeds whose simulation gives a key two owners; 0 when there is none.
+/// Runs the simulations of the seeds 1 to `count` on several threads. `use` gets each seed and its result, one at a
+/// time and in no fixed order. @param isDone ends the run early; seeds that have begun are finished
 template <typename Rules>
-unsigned firstViolatingSeed(unsigned count, double faultRate = UsualFaultRate, Milliseconds length = SimulationLength)
+void runSimulations(unsigned count, test::FaultRates rates, Milliseconds length,
+                    const std::function<void(unsigned seed, const test::SimulationResult &)> &use,
+                    const std::function<bool()> &isDone = {})
 {
-    for (unsigned seed = 1; seed <= count; ++seed) {
-        if (test::KeySimulation<Rules>(seed, faultRate).run(length).doubleOwnedMs > 0) {
-            return seed;
+    constexpr unsigned MaxThreads = 4;
+    std::mutex mutex;
+    unsigned nextSeed = 1;
+    const auto work = [&]() {
+        while (true) {
+            unsigned seed = 0;
+            {
+                const std::lock_guard lock(mutex);
+                if (nextSeed > count || (isDone && isDone())) {
+                    return;
+                }
+                seed = nextSeed++;
+            }
+            const auto result = test::KeySimulation<Rules>(seed, rates).run(length);
+            const std::lock_guard lock(mutex);
+            use(seed, result);
         }
+    };
+    std::vector<std::thread> threads;
+    for (unsigned at = 0; at < std::min(MaxThreads, std::max(1U, std::thread::hardware_concurrency())); ++at) {
+        threads.emplace_back(work);
+    }
+    for (std::thread &thread : threads) {
+        thread.join();
     }
-    return 0;
+}
+
+bool hasTwoOwners(const test::SimulationResult &result)
+{
+    return result.doubleOwnedMs > 0;
+}
+
+bool hasLowFence(const test::SimulationResult &result)
+{
+    return result.lowFences > 0;
+}
+
+/// The first of `count` seeds whose simulation breaks a rule; 0 when there is none.
+template <typename Rules>
+unsigned firstViolatingSeed(unsigned count, test::FaultRates rates = UsualFaults,
+                            Milliseconds length = SimulationLength,
+                            bool (*isViolation)(const test::SimulationResult &) = hasTwoOwners)
+{
+    unsigned first = 0;
+    runSimulations<Rules>(
+        count, rates, length,
+        [&](unsigned seed, const test::SimulationResult &result) {
+            if (isViolation(result)) {
+                first = first == 0 ? seed : std::min(first, seed);
+            }
+        },
+        [&first]() {
+            return first != 0;
+        });
+    return first;
 }
 
 struct GrantBeforePlanIsSaved : StandardKeyRules
@@ -61,6 +125,36 @@
     static constexpr bool AllowForSlowClock = false;
 };
 
+struct TrustOldPlan : StandardKeyRules
+{
+    static constexpr bool DistrustOldPlan = false;
+};
+
+struct ForgetUnknownOwners : StandardKeyRules
+{
+    static constexpr bool RecordUnknownOwners = false;
+};
+
+struct ChangeOwnersAtOnce : StandardKeyRules
+{
+    static constexpr bool DelayOwnerChanges = false;
+};
+
+struct TrustOwnPlanForever : StandardKeyRules
+{
+    static constexpr bool LimitKnownPlan = false;
+};
+
+struct IgnoreActivePredecessor : StandardKeyRules
+{
+    static constexpr bool CountActivePredecessor = false;
+};
+
+struct CountTermsFromOldPlan : StandardKeyRules
+{
+    static constexpr bool RaiseTermWithEra = false;
+};
+
 } // namespace
 
 TEST_CASE("no simulated faults give a key two owners")
@@ -68,17 +162,20 @@
     std::size_t ownedSamples = 0;
     std::size_t samples = 0;
     std::size_t termsWithoutLongHolds = 0;
-    const std::vector<std::pair<double, Milliseconds>> runs{
-        {UsualFaultRate, SimulationLength}, {LongFaultRate, SimulationLength}, {LongFaultRate, LongSimulationLength}};
-    for (const auto &[faultRate, length] : runs) {
-        for (unsigned seed = 1; seed <= 1000; ++seed) {
-            const auto result = test::KeySimulation<StandardKeyRules>(seed, faultRate).run(length);
-            INFO("seed " << seed << ", faults " << faultRate << ", length " << length.count());
-            CHECK(result.doubleOwnedMs == 0);
-            ownedSamples += result.ownedSamples;
-            samples += result.samples;
-            termsWithoutLongHolds += result.termsWithoutLongHolds;
-        }
+    const std::vector<std::pair<test::FaultRates, Milliseconds>> runs{{UsualFaults, SimulationLength},
+                                                                      {LongFaults, SimulationLength},
+                                                                      {LongFaults, LongSimulationLength},
+                                                                      {OutageFaults, LongSimulationLength}};
+    for (const auto &[rates, length] : runs) {
+        runSimulations<StandardKeyRules>(
+            1000, rates, length, [&, rates = rates, length = length](unsigned seed, const auto &result) {
+                INFO("seed " << seed << ", faults " << rates.each << ", length " << length.count());
+                CHECK(result.doubleOwnedMs == 0);
+                CHECK(result.lowFences == 0);
+                ownedSamples += result.ownedSamples;
+                samples += result.samples;
+                termsWithoutLongHolds += result.termsWithoutLongHolds;
+            });
     }
     // A simulation in which no key has an owner would pass the check above.
     CHECK(ownedSamples > samples / 4);
@@ -91,11 +188,11 @@
     const unsigned plan = firstViolatingSeed<GrantBeforePlanIsSaved>(Seeds);
     const unsigned hold = firstViolatingSeed<NoWaitForExpiry>(Seeds);
     const unsigned late = firstViolatingSeed<ForgetLateGrants>(Seeds);
-    const unsigned lease = firstViolatingSeed<SendWithoutLease>(Seeds, LongFaultRate);
+    const unsigned lease = firstViolatingSeed<SendWithoutLease>(Seeds, LongFaults);
     const unsigned clock = firstViolatingSeed<TrustServersClocks>(Seeds);
-    const unsigned consent = firstViolatingSeed<LongHoldsWithoutConsent>(Seeds, LongFaultRate, LongSimulationLength);
+    const unsigned consent = firstViolatingSeed<LongHoldsWithoutConsent>(Seeds, LongFaults, LongSimulationLength);
     const unsigned deputy =
-        firstViolatingSeed<NameDeputyDuringLongHolds>(2 * Seeds, LongFaultRate, LongSimulationLength);
+        firstViolatingSeed<NameDeputyDuringLongHolds>(2 * Seeds, OutageFaults, LongSimulationLength);
     WARN("first failing seeds: plan " << plan << ", hold " << hold << ", late grants " << late << ", lease " << lease
                                       << ", clock " << clock << ", consent " << consent << ", deputy " << deputy);
     CHECK(plan > 0);
@@ -107,6 +204,147 @@
     CHECK(deputy > 0);
 }
 
+TEST_CASE("a store restored from an old copy gives no key two owners")
+{
+    std::size_t ownedSamples = 0;
+    std::size_t samples = 0;
+    std::size_t continuedTerms = 0;
+    std::size_t uncertainTerms = 0;
+    const auto rates = GENERATE(RestoreFaults, UsualAndRestoreFaults, FrequentRestoreFaults);
+    runSimulations<StandardKeyRules>(1000, rates, LongSimulationLength, [&](unsigned seed, const auto &result) {
+        INFO("seed " << seed << ", faults " << rates.each);
+        CHECK(result.doubleOwnedMs == 0);
+        CHECK(result.lowFences == 0);
+        ownedSamples += result.ownedSamples;
+        samples += result.samples;
+        continuedTerms += result.continuedTerms;
+        uncertainTerms += result.uncertainTerms;
+    });
+    CHECK(ownedSamples > samples / 8);
+    CHECK(continuedTerms > 200);
+    CHECK(uncertainTerms > 200);
+}
+
+TEST_CASE("after a restore of the store, keys wait until every hold of an earlier leader has expired")
+{
+    struct Example
+    {
+        std::string name;
+        bool isPlanComplete;
+        std::vector<KeyRange> unknownOwners; ///< in the plan
+        Milliseconds servedFrom; ///< after the start of the term: key 100
+    };
+    // An earlier leader is active for 2 s; its last grant may take 0.4 s to arrive and last 10 s by a slow clock.
+    const auto example = GENERATE(values<Example>({
+        {"a plan of an earlier era", false, {}, Milliseconds(12'600)},
+        {"a plan that is complete but for other keys", true, {{50'001, 50'100}}, Milliseconds(0)},
+        {"a plan that is complete but for this key", true, {{0, 200}}, Milliseconds(12'600)},
+    }));
+    INFO(example.name);
+    std::vector<UpstreamServer> servers(2);
+    servers[0].id = "a";
+    servers[1].id = "b";
+    for (UpstreamServer &server : servers) {
+        server.slots = 2;
+        server.incarnation = 1;
+    }
+    PredecessorKnowledge known;
+    known.plan = KeyPlan{70'000, 3, {{{201, 50'000}, incarnationOf(servers[1])}}, {}, example.unknownOwners};
+    if (example.servedFrom == Milliseconds(0) || !example.isPlanComplete) {
+        known.plan.ranges.front().keys.from = 0;
+    }
+    known.isPlanComplete = example.isPlanComplete;
+    known.activeFor = Milliseconds(2'000);
+    known.leastTerm = firstTermOfEra(3);
+    TimePoint now = Clock::now();
+    const TimePoint start = now;
+    KeyAuthority authority(known, {}, now);
+    CHECK(authority.plan().term == firstTermOfEra(3));
+    authority.setServers(servers, now);
+    std::optional<Milliseconds> servedFrom;
+    while (now < start + Milliseconds(14'000)) {
+        for (const KeyAction &action : authority.advance(now)) {
+            if (const auto *save = std::get_if<SaveKeyPlan>(&action)) {
+                CHECK(*parseKeyPlan(toText(save->plan)) == save->plan);
+                authority.onPlanSaved(now);
+            } else if (const auto *grant = std::get_if<GrantKeys>(&action)) {
+                authority.onCallOutcome(grant->call, KeyCallOutcome::Accepted, {}, now);
+            }
+        }
+        const KeyOwners owners = authority.owners(now);
+        if (owners.ownerOf(100) != nullptr && !servedFrom) {
+            servedFrom = std::chrono::duration_cast<Milliseconds>(now - start);
+        }
+        now += Milliseconds(20);
+        authority.setLeaderLease(now + Milliseconds(1'000), true);
+    }
+    REQUIRE(servedFrom);
+    CHECK(*servedFrom >= example.servedFrom);
+    CHECK(*servedFrom <= example.servedFrom + Milliseconds(200));
+    CHECK(authority.plan().unknownOwners.empty());
+}
+
+TEST_CASE("two plans of which one is in force leave the owners unknown where they differ")
+{
+    const ServerIncarnation a{"a", 1};
+    const ServerIncarnation restarted{"a", 2};
+    const ServerIncarnation b{"b", 1};
+    struct Example
+    {
+        std::string name;
+        KeyPlan first;
+        KeyPlan second;
+        std::vector<PlannedRange> common;
+        std::vector<KeyRange> unknownOwners;
+    };
+    const auto example = GENERATE_COPY(values<Example>({
+        {"equal plans", {1, 1, {{{0, 9}, a}}, {}, {}}, {1, 2, {{{0, 9}, a}}, {}, {}}, {{{0, 9}, a}}, {}},
+        {"another owner of some keys",
+         {1, 1, {{{0, 9}, a}}, {}, {}},
+         {1, 2, {{{0, 3}, a}, {{4, 6}, b}, {{7, 9}, a}}, {}, {}},
+         {{{0, 3}, a}, {{7, 9}, a}},
+         {{4, 6}}},
+        {"another run of the owner",
+         {1, 1, {{{0, 9}, a}}, {}, {}},
+         {1, 2, {{{0, 9}, restarted}}, {}, {}},
+         {},
+         {{0, 9}}},
+        {"an owner in one plan only",
+         {1, 1, {}, {}, {}},
+         {1, 2, {{{65'000, 65'535}, b}}, {}, {}},
+         {},
+         {{65'000, 65'535}}},
+        {"an owner unknown before",
+         {1, 1, {{{0, 9}, a}}, {}, {{20, 29}}},
+         {1, 2, {{{0, 9}, a}, {{20, 24}, b}}, {}, {}},
+         {{{0, 9}, a}},
+         {{20, 29}}},
+    }));
+    INFO(example.name);
+    const KeyPlan common = commonPlan(example.first, example.second);
+    CHECK(common.ranges == example.common);
+    CHECK(common.unknownOwners == example.unknownOwners);
+}
+
+TEST_CASE("the simulation detects the absence of each rule for a restored store")
+{
+    constexpr unsigned Seeds = 1000;
+    const unsigned oldPlan = firstViolatingSeed<TrustOldPlan>(Seeds, RestoreFaults, LongSimulationLength);
+    const unsigned unknown = firstViolatingSeed<ForgetUnknownOwners>(Seeds, RestoreFaults, LongSimulationLength);
+    const unsigned atOnce =
+        firstViolatingSeed<ChangeOwnersAtOnce>(3 * Seeds, FrequentRestoreFaults, LongSimulationLength);
+    const unsigned forever = firstViolatingSeed<TrustOwnPlanForever>(Seeds, RestoreFaults, LongSimulationLength);
+    const unsigned terms =
+        firstViolatingSeed<CountTermsFromOldPlan>(Seeds, RestoreFaults, LongSimulationLength, hasLowFence);
+    WARN("first failing seeds: old plan " << oldPlan << ", unknown owners " << unknown << ", changes at once " << atOnce
+                                          << ", own plan forever " << forever << ", terms " << terms);
+    CHECK(oldPlan > 0);
+    CHECK(unknown > 0);
+    CHECK(atOnce > 0);
+    CHECK(forever > 0);
+    CHECK(terms > 0);
+}
+
 TEST_CASE("unresponsive servers with many ranges get few of the leader's calls, and other servers are renewed in time")
 {
     // Load pattern: 146 of 416 servers with four ranges each stop answering; their calls time out after 0.5 s.
@@ -274,7 +512,7 @@
     servers[0].slots = 2;
     servers[0].incarnation = 1;
     TimePoint now = Clock::now();
-    KeyAuthority authority({}, {}, now); // the first term, so no earlier hold can last
+    KeyAuthority authority(KeyPlan{}, {}, now); // the first term, so no earlier hold can last
     authority.setServers(servers, now);
     Milliseconds lastHold{0};
     std::optional<AskDeputy> asked;
@@ -351,7 +589,7 @@
     demand.meanWork = Seconds(0.1);
     TimePoint now = Clock::now();
     const TimePoint end = now + Milliseconds(30'000);
-    KeyAuthority authority({1, 1, example.ranges, {}}, {}, now);
+    KeyAuthority authority(KeyPlan{1, 1, example.ranges, {}, {}}, {}, now);
     authority.setServers(servers, now);
     std::map<std::uint16_t, std::string> owners;
     std::map<std::uint16_t, std::map<std::string, TimePoint>> lostAt; ///< by key and previous owner
@@ -403,7 +641,8 @@
     TimePoint now = Clock::now();
     const TimePoint start = now;
     KeyAuthority authority(
-        {1, 1, {{{0, 999}, a}, {{1'000, 1'009}, b}, {{1'010, 40'000}, a}, {{40'001, 65'535}, b}}, {}}, {}, now);
+        KeyPlan{1, 1, {{{0, 999}, a}, {{1'000, 1'009}, b}, {{1'010, 40'000}, a}, {{40'001, 65'535}, b}}, {}, {}}, {},
+        now);
     authority.setServers(servers, now);
     KeyAuthority::Demand demand;
     demand.slowAverage.assign(KeyCount, 0.0F);
--- a/src/snipevalve/ownership/key_simulation_test.hpp
+++ b/src/snipevalve/ownership/key_simulation_test.hpp
@@ -79,14 +79,49 @@
     }
 };
 
-/// The store, with one plan and the lease of one leader.
+/// The store, with the lease of one leader and one plan for each era. A restore from a copy begins a new era: plans
+/// that have been written since the copy was made are gone, and so is the lease.
 struct FakeStore
 {
-    std::string plan;
-    std::uint64_t revision = 0;
+    struct StoredPlan
+    {
+        std::string text;
+        std::uint64_t revision = 0;
+    };
+
+    using Plans = std::map<std::uint64_t, StoredPlan>; ///< by era
+
+    std::uint64_t era = 1;
+    Plans plans;
+    std::vector<std::pair<TimePoint, Plans>> history; ///< in ascending order; what the copies are made from
     std::size_t leader = NoLeader;
     TimePoint leaseEnd;
+    TimePoint awayUntil;
     static constexpr std::size_t NoLeader = 99;
+
+    void save(std::uint64_t planEra, const std::string &text, TimePoint now)
+    {
+        plans[planEra] = {text, plans[planEra].revision + 1};
+        history.emplace_back(now, plans);
+    }
+
+    void restore(TimePoint copiedAt)
+    {
+        while (!history.empty() && history.back().first > copiedAt) {
+            history.pop_back();
+        }
+        plans = history.empty() ? Plans() : history.back().second;
+        leader = NoLeader;
+        ++era;
+    }
+};
+
+/// Rates of the faults.
+struct FaultRates
+{
+    double each = 0.004; ///< chance of each kind of fault in each step; the default makes one of each kind in 2.5 s
+    double restore = 0; ///< chance in each step that the store goes away and is restored from a copy
+    double outage = 0; ///< chance in each step that the store goes away for all hosts and loses nothing
 };
 
 /// Result of one simulation.
@@ -96,16 +131,18 @@
     std::size_t ownedSamples = 0; ///< samples that found an owner
     std::size_t samples = 0; ///< one per probe and step
     std::size_t termsWithoutLongHolds = 0; ///< terms whose leader knew that its predecessor had granted none
+    std::size_t continuedTerms = 0; ///< first terms of an era whose leader knew the owners of the earlier era
+    std::size_t uncertainTerms = 0; ///< first terms of an era whose leader did not
+    std::size_t lowFences = 0; ///< grants of a key whose fencing token is not above that of an earlier owner
 };
 
 template <typename Rules>
 class KeySimulation
 {
 public:
-    /// @param faultRate chance of each kind of fault in each step; the default makes one of each kind in 2.5 s
-    explicit KeySimulation(unsigned seed, double faultRate = 0.004)
+    explicit KeySimulation(unsigned seed, FaultRates rates = {})
         : m_random(seed)
-        , m_faultRate(faultRate)
+        , m_rates(rates)
     {
         for (std::size_t number = 0; number < m_hosts.size(); ++number) {
             restartHost(number);
@@ -142,6 +179,9 @@
         TimePoint pausedUntil;
         bool reachesStore = true;
         std::vector<UpstreamServer> servers; ///< as last read from the store
+        std::uint64_t era = 0; ///< of the store, as far as this host knows; 0 before its first call
+        std::uint64_t planEra = 0; ///< of the authority's plan
+        TimePoint lostLeaseEnd; ///< end of the lease that was lost with the earlier era
         std::uint64_t planRevision = 0;
         std::uint64_t generation = 0; ///< identifies the term, to discard late results of an earlier one
         DeputyConsents consents{""};
@@ -149,6 +189,13 @@
         bool hasForgottenLease = false; ///< the lease in the store belongs to an earlier run
     };
 
+    /// The highest fencing token of a key that a server has accepted.
+    struct Fence
+    {
+        std::string server;
+        std::uint64_t fence = 0;
+    };
+
     struct Event
     {
         TimePoint at;
@@ -193,37 +240,73 @@
 
     void injectFaults()
     {
-        if (chance(m_faultRate)) {
+        if (m_rates.restore > 0) {
+            injectRestore();
+        }
+        if (m_rates.outage > 0 && m_now >= m_store.awayUntil && chance(m_rates.outage)) {
+            m_store.awayUntil = m_now + randomDelay(200, 3'000);
+        }
+        if (chance(m_rates.each)) {
             Host &host = m_hosts[pick(m_hosts.size())];
             host.pausedUntil = m_now + randomDelay(100, 6'000);
         }
-        if (chance(m_faultRate)) {
+        if (chance(m_rates.each)) {
             Host &host = m_hosts[pick(m_hosts.size())];
             host.reachesStore = !host.reachesStore;
         }
-        if (chance(m_faultRate)) {
+        if (chance(m_rates.each)) {
             FakeServer &server = m_servers[pick(m_servers.size())];
             server.isReachable = !server.isReachable;
         }
-        if (chance(m_faultRate)) {
+        if (chance(m_rates.each)) {
             FakeServer &server = m_servers[pick(m_servers.size())];
             server.isRegistered = !server.isRegistered;
         }
-        if (chance(m_faultRate / 2)) {
+        if (chance(m_rates.each / 2)) {
             m_servers[pick(m_servers.size())].restart();
         }
-        if (chance(m_faultRate)) {
+        if (chance(m_rates.each)) {
             FakeServer &server = m_servers[pick(m_servers.size())];
             server.entry.draining = !server.entry.draining;
         }
-        if (chance(m_faultRate)) {
+        if (chance(m_rates.each)) {
             m_delayGrants = !m_delayGrants;
         }
-        if (chance(m_faultRate / 2)) {
+        if (chance(m_rates.each / 2)) {
             restartHost(pick(m_hosts.size()));
         }
     }
 
+    /// The store goes away, often for longer than a lease, and returns as of up to 9 s before.
+    void injectRestore()
+    {
+        if (m_now >= m_store.awayUntil && chance(m_rates.restore)) {
+            const TimePoint awayAt = m_now;
+            const Milliseconds away = chance(0.5) ? randomDelay(10, 300) : randomDelay(300, 4'000);
+            const Milliseconds age = randomDelay(10, 9'000);
+            m_store.awayUntil = m_now + away;
+            schedule(away, [this, awayAt, age]() {
+                m_store.restore(awayAt - age);
+            });
+        }
+    }
+
+    bool reachesStore(const Host &host) const
+    {
+        return host.reachesStore && m_now >= m_store.awayUntil;
+    }
+
+    /// A host learns with an answer of the store that a new era has begun: its lease and its plan are gone.
+    void learnEra(Host &host)
+    {
+        if (host.era == m_store.era) {
+            return;
+        }
+        host.era = m_store.era;
+        host.lostLeaseEnd = host.leaseEnd;
+        host.leaseEnd = {};
+    }
+
     /// Kills the process of a host and starts it again: it forgets its term and what it has consented to.
     void restartHost(std::size_t number)
     {
@@ -257,7 +340,7 @@
         if (!host.authority) {
             return;
         }
-        if (host.reachesStore) {
+        if (reachesStore(host)) {
             host.servers.clear();
             for (const FakeServer &server : m_servers) {
                 if (server.isRegistered) {
@@ -266,7 +349,7 @@
             }
         }
         host.authority->setServers(host.servers, m_now);
-        host.authority->setLeaderLease(host.leaseEnd, host.reachesStore);
+        host.authority->setLeaderLease(host.leaseEnd, reachesStore(host));
         host.authority->setDeputy(chance(0.9) ? runOf(1 - number) : std::string(), m_now);
         if (chance(0.05)) {
             makeKeysHot(host);
@@ -309,9 +392,14 @@
         if (m_store.leader != FakeStore::NoLeader && m_now >= m_store.leaseEnd) {
             m_store.leader = FakeStore::NoLeader;
         }
-        if (!host.reachesStore) {
+        if (!reachesStore(host)) {
+            return;
+        }
+        constexpr double CallChance = 0.1; ///< of a call in each step: hosts call the store several times a second
+        if (host.era != m_store.era && !chance(CallChance)) {
             return;
         }
+        learnEra(host);
         if (m_store.leader == number && host.hasForgottenLease) {
             return;
         }
@@ -320,22 +408,59 @@
             host.leaseEnd = m_now + Lease - Margin;
             m_store.leaseEnd = m_now + Lease;
         } else if (m_store.leader == FakeStore::NoLeader) {
-            host.authority.reset();
+            // After a restore the leader of the earlier era mostly takes over first.
+            const bool isPreviousLeader = host.authority && host.planEra < m_store.era;
+            constexpr double OthersChance = 0.02;
+            if (m_store.era > 1 && !isPreviousLeader && !chance(OthersChance)) {
+                return;
+            }
+            PredecessorKnowledge known = knowledgeOf(host);
+            known.activeFor = known.activeFor == Milliseconds(0) ? known.activeFor : Lease;
             host.leaseEnd = m_now + Lease - Margin;
             host.renewedAt = m_now;
             host.servers.clear();
-            host.planRevision = m_store.revision;
+            host.planEra = m_store.era;
+            host.planRevision = m_store.plans[m_store.era].revision;
             ++host.generation;
             host.hasForgottenLease = false;
             m_store.leader = number;
             m_store.leaseEnd = m_now + Lease;
-            const KeyPlan plan = m_store.plan.empty() ? KeyPlan() : *parseKeyPlan(m_store.plan);
-            const bool noLongHolds = host.consents.closeTerm(Service, plan);
-            m_result.termsWithoutLongHolds += noLongHolds ? 1 : 0;
-            host.authority = std::make_unique<BasicKeyAuthority<Rules>>(plan, KeyAuthorityTimes(), m_now, noLongHolds);
+            m_result.termsWithoutLongHolds += known.noLongHolds ? 1 : 0;
+            host.authority = std::make_unique<BasicKeyAuthority<Rules>>(std::move(known), KeyAuthorityTimes(), m_now);
         }
     }
 
+    /// What a host that takes over knows of the earlier leaders.
+    PredecessorKnowledge knowledgeOf(Host &host)
+    {
+        PredecessorKnowledge known;
+        known.leastTerm = firstTermOfEra(m_store.era);
+        const auto current = m_store.plans.find(m_store.era);
+        const bool isPlanCurrent = current != m_store.plans.end() && !current->second.text.empty();
+        const bool isFirstEra = m_store.era == 1;
+        if (isPlanCurrent || isFirstEra) {
+            known.plan = isPlanCurrent ? *parseKeyPlan(current->second.text) : KeyPlan();
+            known.noLongHolds = host.consents.closeTerm(Service, known.plan);
+            return known;
+        }
+        known.activeFor = Milliseconds(1);
+        const std::optional<KeyPlan> own =
+            host.authority ? host.authority->knownPlan(host.lostLeaseEnd, m_now) : std::nullopt;
+        if (own) {
+            known.plan = *own;
+            ++m_result.continuedTerms;
+            return known;
+        }
+        ++m_result.uncertainTerms;
+        known.isPlanComplete = false;
+        for (const auto &[era, plan] : m_store.plans) {
+            if (!plan.text.empty()) {
+                known.plan = *parseKeyPlan(plan.text);
+            }
+        }
+        return known;
+    }
+
     void perform(std::size_t, const OwnershipNote &)
     {
     }
@@ -382,23 +507,29 @@
             if (host.generation != generation) {
                 return;
             }
-            if (!host.reachesStore || m_now < host.pausedUntil) {
+            if (!reachesStore(host) || m_now < host.pausedUntil) {
                 trySavingPlan(number, generation, text);
                 return;
             }
-            if (m_store.revision != host.planRevision && m_store.plan != text) {
-                host.authority.reset(); // superseded
+            const FakeStore::StoredPlan &stored = m_store.plans[host.planEra];
+            if (stored.revision != host.planRevision && stored.text != text) {
+                if (host.planEra == m_store.era) {
+                    host.authority.reset(); // superseded
+                }
                 return;
             }
-            if (m_store.plan != text) {
-                m_store.plan = text;
-                ++m_store.revision;
+            if (stored.text != text) {
+                m_store.save(host.planEra, text, m_now);
             }
             if (chance(0.2)) {
                 trySavingPlan(number, generation, text); // the answer was lost; the next attempt finds its own plan
                 return;
             }
-            host.planRevision = m_store.revision;
+            if (host.planEra != m_store.era) {
+                learnEra(host);
+                return;
+            }
+            host.planRevision = stored.revision;
             host.authority->onPlanSaved(m_now);
         });
     }
@@ -406,6 +537,11 @@
     void perform(std::size_t number, const GrantKeys &grant)
     {
         const std::size_t at = indexOf(grant.server.id);
+        for (std::size_t probe = 0; probe < Probes; ++probe) {
+            const Fence &last = m_lastFences[probe];
+            const bool isLow = last.server != grant.server.id && grant.fence <= last.fence;
+            m_result.lowFences += FakeServer::covers(grant.keys, probe) && isLow ? 1 : 0;
+        }
         const std::int64_t incarnation = grant.server.incarnation;
         if (!m_servers[at].isReachable) {
             scheduleOutcome(number, grant.call, KeyCallOutcome::NoAnswer, randomDelay(300, 500));
@@ -424,6 +560,13 @@
             const auto hold = std::chrono::duration<double, std::milli>(grant.hold) * server.clockFactor;
             const TimePoint end = arrival + std::chrono::duration_cast<Duration>(hold);
             *outcome = server.grant(grant.keys, grant.fence, end) ? KeyCallOutcome::Accepted : KeyCallOutcome::Refused;
+            for (std::size_t probe = 0; probe < Probes; ++probe) {
+                Fence &last = m_lastFences[probe];
+                if (*outcome == KeyCallOutcome::Accepted && FakeServer::covers(grant.keys, probe)
+                    && grant.fence > last.fence) {
+                    last = {grant.server.id, grant.fence};
+                }
+            }
         });
         const Milliseconds returnDelay = randomDelay(1, 60);
         const bool isAnswered = !isDelayed && !chance(0.1);
@@ -502,7 +645,8 @@
     }
 
     std::mt19937 m_random;
-    double m_faultRate;
+    FaultRates m_rates;
+    std::array<Fence, Probes> m_lastFences;
     typename BasicKeyAuthority<Rules>::Demand m_demand; ///< a member because its two vectors are large
     TimePoint m_now = TimePoint(std::chrono::hours(1));
     std::array<FakeServer, 3> m_servers;
