List a prefix anew in each era of the store

After a restore, watches of a revision that the store had not reached again got 410, and the list that followed was refused for its lower revision: the host learnt of no change until the revision had passed the old one. When it had passed it between two calls, nothing was refused and the changes in between were missed.

PrefixWatcher lists anew when the store's era is not that of its list, and takes a lower revision then; within one era it still refuses it. An answer that is Aborted counts as an answer, so it is no outage. WatchHandlers has onRestored, called once for each era before its list.

--- a/src/snipevalve/node/control/prefix_watcher.hpp
+++ b/src/snipevalve/node/control/prefix_watcher.hpp
@@ -28,6 +28,7 @@
     std::function<void(const StoredList &)> onList; ///< a snapshot of all values below the prefix
     std::function<void(const StoreEvent &)> onEvent;
     std::function<void(Duration)> onRecovery; ///< the store answers again; receives the length of the outage
+    std::function<void()> onRestored; ///< the next list comes from a store restored from a copy; empty: not told
     std::function<bool()> isNeeded; ///< false pauses the watch; empty: always needed
     std::function<bool()> isPassive; ///< whether no other host depends on this one's state; empty: never passive
 };
@@ -35,7 +36,7 @@
 /// @brief Tracks the values below a prefix of the store: lists them once, then watches for changes.
 ///
 /// A failed watch is repeated from the same revision, so no event is missed. When the store has compacted that part of
-/// its history, all values are listed again.
+/// its history, or has been restored from a copy, all values are listed again.
 template <ConfigStore Store>
 class PrefixWatcher
 {
@@ -63,7 +64,7 @@
                 continue;
             }
             absl::Status status;
-            if (m_isListed) {
+            if (m_isListed && m_store.era() == m_era) {
                 status = co_await watchOnce();
             } else {
                 status = co_await listOnce();
@@ -107,12 +108,18 @@
         auto list = co_await m_store.list(m_options.prefix);
         recordResult(list.status());
         if (list.ok()) {
-            const bool isOlder = list->revision < m_revision;
+            const bool isNewEra = m_store.era() != m_era;
+            const bool isOlder = !isNewEra && list->revision < m_revision;
             if (isOlder) {
                 co_return absl::UnavailableError("the store returned an older revision than the last one read");
             }
+            const bool isRestored = isNewEra && m_era != 0;
+            m_era = m_store.era();
             m_revision = list->revision;
             m_isListed = true;
+            if (isRestored && m_handlers.onRestored) {
+                m_handlers.onRestored();
+            }
             m_handlers.onList(*list);
         }
         co_return list.status();
@@ -141,7 +148,9 @@
     void recordResult(const absl::Status &status)
     {
         const TimePoint now = Clock::now();
-        if (!status.ok()) {
+        // A store that was restored during the call has answered, too, but its answer is not used.
+        const bool isAnswer = status.ok() || absl::IsAborted(status);
+        if (!isAnswer) {
             m_backoff.onFailure(now);
             if (!m_lostAt) {
                 m_lostAt = now;
@@ -151,7 +160,7 @@
             return;
         }
         m_backoff.onSuccess();
-        m_upToDateAt = now;
+        m_upToDateAt = status.ok() ? now : m_upToDateAt;
         if (m_lostAt) {
             const Duration outage = now - *m_lostAt;
             spdlog::info("store: event=regained prefix={} revision={} outage_ms={}", m_options.prefix, m_revision,
@@ -168,6 +177,7 @@
     WatchOptions m_options;
     WatchHandlers m_handlers;
     std::uint64_t m_revision = 0;
+    std::uint64_t m_era = 0; ///< of the last list; 0: none, or the store names none
     bool m_isListed = false;
     TimePoint m_upToDateAt;
     std::optional<TimePoint> m_lostAt;
