Order a server's entries by its heartbeats

After a restore the store's entry of a server may be older than what a host knows: a draining server was ready again, and one that had left was back until the store removed its silent entry again.

Entries have the number of the server's heartbeat (seq), which counts up in each incarnation. ServerDirectory keeps the last entry of each server, also of those not in use. Within one incarnation an entry that isn't newer neither ends a drain nor brings back a removed server; a drain lasts for the incarnation. A newer entry brings a silent server back. Where the store only rewrites an entry when more than seq changes, a living server's entry of the copy may stand unchanged: an old entry that outlasts three heartbeats of silence (and 2 s for reading its removal) is used again. The server watch's onRestored starts the grace time for servers that are missing from the copy.

parseServer() returns a ServerEntry. server_directory_test.cpp: entries carry heartbeats now, so "reappeared within the grace time" uses the next one; the checks are the same.

--- a/src/snipevalve/gateway/server_directory.cpp
+++ b/src/snipevalve/gateway/server_directory.cpp
@@ -5,42 +5,101 @@
 
 namespace snipevalve {
 
+namespace {
+
+/// The store removes an entry after this many heartbeats of silence.
+constexpr int SilentHeartbeats = 3;
+/// Allows for a delayed read of that removal.
+constexpr Milliseconds RemovalReadDelay(2'000);
+constexpr Milliseconds ReviewInterval(200);
+
+} // namespace
+
+ServerDirectory::ServerDirectory(Milliseconds heartbeatInterval)
+    : m_silenceTimeout(SilentHeartbeats * heartbeatInterval + RemovalReadDelay)
+{
+}
+
 void ServerDirectory::onStoreRecovered(TimePoint now)
 {
     m_graceEnd = now + ReturnGrace;
 }
 
-void ServerDirectory::onEntry(const std::string &id, std::optional<UpstreamServer> server)
+const ServerEntry *ServerDirectory::lastEntry(const std::string &id) const
 {
-    if (!server) {
-        m_changed = m_entries.erase(id) > 0 || m_changed;
+    const auto entry = m_entries.find(id);
+    if (entry != m_entries.end()) {
+        return &entry->second.last;
+    }
+    const auto past = m_past.find(id);
+    return past == m_past.end() ? nullptr : &past->second.last;
+}
+
+void ServerDirectory::onEntry(const std::string &id, std::optional<ServerEntry> entry, TimePoint now)
+{
+    if (!entry) {
+        retire(id, false, now);
         return;
     }
-    Entry &entry = m_entries[id];
-    const bool isOlder = server->incarnation < entry.server.incarnation;
-    if (isOlder) {
+    const ServerEntry *last = lastEntry(id);
+    if (last != nullptr && entry->server.incarnation < last->server.incarnation) {
         return;
     }
+    bool isNews = true;
+    if (last != nullptr && entry->server.incarnation == last->server.incarnation) {
+        isNews = entry->heartbeat > last->heartbeat;
+        entry->heartbeat = std::max(entry->heartbeat, last->heartbeat);
+        entry->server.draining = entry->server.draining || last->server.draining;
+    }
+    if (!isNews && m_entries.contains(id)) {
+        return;
+    }
+    const auto past = m_past.find(id);
+    if (!isNews && past->second.isRemoved) {
+        past->second.oldEntry = OldEntry{std::move(*entry), now};
+        return;
+    }
+    use(id, std::move(*entry));
+}
+
+void ServerDirectory::use(const std::string &id, ServerEntry entry)
+{
+    m_past.erase(id);
+    Entry &used = m_entries[id];
     // The remaining warm-up time counts down with each heartbeat, so a difference in it alone is not a change.
-    UpstreamServer before = entry.server;
-    before.warmupLeft = server->warmupLeft;
-    m_changed = m_changed || before != *server;
-    entry.server = std::move(*server);
-    entry.lapsedAt.reset();
+    UpstreamServer before = used.last.server;
+    before.warmupLeft = entry.server.warmupLeft;
+    m_changed = m_changed || before != entry.server;
+    used.last = std::move(entry);
+    used.lapsedAt.reset();
+}
+
+void ServerDirectory::retire(const std::string &id, bool isRemoved, TimePoint now)
+{
+    const auto entry = m_entries.find(id);
+    if (entry != m_entries.end()) {
+        m_past[id].last = std::move(entry->second.last);
+        m_past[id].since = now;
+        m_entries.erase(entry);
+        m_changed = true;
+    }
+    const auto past = m_past.find(id);
+    if (past != m_past.end()) {
+        past->second.since = isRemoved && !past->second.isRemoved ? now : past->second.since;
+        past->second.isRemoved = past->second.isRemoved || isRemoved;
+        past->second.oldEntry.reset();
+    }
 }
 
 void ServerDirectory::onRemoved(const std::string &id, TimePoint now)
 {
     const auto position = m_entries.find(id);
-    if (position == m_entries.end()) {
-        return;
-    }
-    if (now < m_graceEnd) {
+    const bool isKept = position != m_entries.end() && now < m_graceEnd;
+    if (isKept) {
         position->second.lapsedAt = position->second.lapsedAt.value_or(now);
         return;
     }
-    m_entries.erase(position);
-    m_changed = true;
+    retire(id, true, now);
 }
 
 void ServerDirectory::onListed(const std::vector<std::string> &ids, TimePoint now)
@@ -52,37 +111,77 @@
             missing.push_back(id);
         }
     }
+    for (const auto &[id, past] : m_past) {
+        if (!named.contains(id)) {
+            missing.push_back(id);
+        }
+    }
     for (const std::string &id : missing) {
         onRemoved(id, now);
     }
 }
 
-void ServerDirectory::clear()
+void ServerDirectory::clear(TimePoint now)
 {
-    m_changed = m_changed || !m_entries.empty();
-    m_entries.clear();
+    std::vector<std::string> ids;
+    for (const auto &[id, entry] : m_entries) {
+        ids.push_back(id);
+    }
+    for (const std::string &id : ids) {
+        retire(id, false, now);
+    }
     m_graceEnd = {};
 }
 
 bool ServerDirectory::advance(TimePoint now)
 {
     if (now >= m_graceEnd) {
-        const std::size_t dropped = std::erase_if(m_entries, [](const auto &entry) {
-            return entry.second.lapsedAt.has_value();
-        });
-        m_changed = m_changed || dropped > 0;
+        std::vector<std::string> lapsed;
+        for (const auto &[id, entry] : m_entries) {
+            if (entry.lapsedAt) {
+                lapsed.push_back(id);
+            }
+        }
+        for (const std::string &id : lapsed) {
+            retire(id, true, now);
+        }
+    }
+    if (now - m_reviewedAt >= ReviewInterval) {
+        m_reviewedAt = now;
+        reviewPastServers(now);
     }
     const bool changed = m_changed;
     m_changed = false;
     return changed;
 }
 
+void ServerDirectory::reviewPastServers(TimePoint now)
+{
+    std::map<std::string, ServerEntry> alive;
+    for (const auto &[id, past] : m_past) {
+        if (past.oldEntry && now - past.oldEntry->seenAt >= m_silenceTimeout) {
+            alive.emplace(id, past.oldEntry->entry);
+        }
+    }
+    for (auto &[id, entry] : alive) {
+        use(id, std::move(entry));
+    }
+    std::erase_if(m_past, [now](const auto &past) {
+        return !past.second.oldEntry && now - past.second.since >= PastServerRetention;
+    });
+    while (m_past.size() > MaxPastServers) {
+        m_past.erase(std::min_element(m_past.begin(), m_past.end(), [](const auto &left, const auto &right) {
+            return left.second.since < right.second.since;
+        }));
+    }
+}
+
 std::vector<UpstreamServer> ServerDirectory::serversOf(const std::string &service) const
 {
     std::vector<UpstreamServer> servers;
     for (const auto &[id, entry] : m_entries) {
-        if (entry.server.service == service) {
-            servers.push_back(entry.server);
+        if (entry.last.server.service == service) {
+            servers.push_back(entry.last.server);
         }
     }
     return servers;
--- a/src/snipevalve/gateway/server_directory_test.cpp
+++ b/src/snipevalve/gateway/server_directory_test.cpp
@@ -1,3 +1,7 @@
+#include <functional>
+#include <string>
+#include <vector>
+
 #include <catch2/catch.hpp>
 
 #include "snipevalve/gateway/gateway_config.hpp"
@@ -9,12 +13,15 @@
 
 const TimePoint Start{std::chrono::hours(1)};
 
-UpstreamServer server(const std::string &id, std::int64_t incarnation = 1)
+ServerEntry entryOf(const std::string &id, std::int64_t heartbeat = 1, std::int64_t incarnation = 1,
+                    bool draining = false)
 {
-    UpstreamServer entry;
-    entry.id = id;
-    entry.service = "ledger";
-    entry.incarnation = incarnation;
+    ServerEntry entry;
+    entry.server.id = id;
+    entry.server.service = "ledger";
+    entry.server.incarnation = incarnation;
+    entry.server.draining = draining;
+    entry.heartbeat = heartbeat;
     return entry;
 }
 
@@ -39,13 +46,13 @@
     for (const Case &each : cases) {
         INFO(each.name);
         ServerDirectory directory;
-        directory.onEntry("a", server("a"));
+        directory.onEntry("a", entryOf("a", 1), Start);
         if (each.afterOutage) {
             directory.onStoreRecovered(Start);
         }
         directory.onListed({}, Start + Milliseconds(1));
         if (each.comesBack) {
-            directory.onEntry("a", server("a"));
+            directory.onEntry("a", entryOf("a", 2), Start + Milliseconds(2));
         }
         directory.advance(Start + each.later);
         CHECK(directory.serversOf("ledger").size() == each.left);
@@ -55,25 +62,150 @@
 TEST_CASE("an entry that can't be read removes its server, and an older incarnation is ignored")
 {
     ServerDirectory directory;
-    directory.onEntry("a", server("a", 5));
-    directory.onEntry("a", server("a", 4));
+    directory.onEntry("a", entryOf("a", 1, 5), Start);
+    directory.onEntry("a", entryOf("a", 2, 4), Start);
     CHECK(directory.serversOf("ledger").front().incarnation == 5);
-    directory.onEntry("a", std::nullopt);
+    directory.onEntry("a", std::nullopt, Start);
     CHECK(directory.size() == 0);
 }
 
+TEST_CASE("an entry that is older than what is known of its server is no news")
+{
+    enum class State {
+        Absent,
+        Ready,
+        Draining,
+    };
+    using Step = std::function<void(ServerDirectory &)>;
+    constexpr Milliseconds Heartbeat(500);
+    constexpr Milliseconds Silence = 3 * Heartbeat + Milliseconds(2'000);
+    const auto at = [](Milliseconds after, std::int64_t heartbeat, bool draining = false, std::int64_t run = 1) {
+        return [=](ServerDirectory &directory) {
+            directory.onEntry("a", entryOf("a", heartbeat, run, draining), Start + after);
+        };
+    };
+    const auto ready = [at](std::int64_t heartbeat) {
+        return at(Milliseconds(0), heartbeat);
+    };
+    const auto draining = [at](std::int64_t heartbeat) {
+        return at(Milliseconds(0), heartbeat, true);
+    };
+    const auto secondRun = [at](std::int64_t heartbeat) {
+        return at(Milliseconds(0), heartbeat, false, 2);
+    };
+    const Step removed = [](ServerDirectory &directory) {
+        directory.onRemoved("a", Start);
+    };
+    const Step restored = [](ServerDirectory &directory) {
+        directory.onStoreRecovered(Start);
+    };
+    const Step notListed = [](ServerDirectory &directory) {
+        directory.onListed({}, Start);
+    };
+    const Step listed = [](ServerDirectory &directory) {
+        directory.onListed({"a"}, Start);
+    };
+    const Step cleared = [](ServerDirectory &directory) {
+        directory.clear(Start);
+    };
+    const Step unreadable = [](ServerDirectory &directory) {
+        directory.onEntry("a", std::nullopt, Start);
+    };
+    const auto after = [](Milliseconds time) {
+        return [time](ServerDirectory &directory) {
+            directory.advance(Start + time);
+        };
+    };
+    struct Case
+    {
+        std::string name;
+        std::vector<Step> steps;
+        State state;
+    };
+    const std::vector<Case> cases = {
+        {"a copy from before the drain", {ready(3), draining(5), ready(3)}, State::Draining},
+        {"the same entry again", {draining(5), draining(5)}, State::Draining},
+        {"an old draining entry after a newer one", {ready(5), draining(4)}, State::Ready},
+        {"a drain does not end in its run", {draining(5), ready(6)}, State::Draining},
+        {"a new run does not drain", {draining(5), secondRun(1)}, State::Ready},
+        {"a copy from before the new run", {ready(9), secondRun(1), ready(9)}, State::Ready},
+        {"a copy from before the new run, which drains", {secondRun(1), draining(9)}, State::Ready},
+        {"a copy from before the removal", {ready(5), removed, ready(3)}, State::Absent},
+        {"the last entry again after the removal", {ready(5), removed, ready(5)}, State::Absent},
+        {"a copy from before the removal of a later run", {secondRun(1), removed, ready(9)}, State::Absent},
+        {"a server that was silent and is back", {ready(5), removed, ready(6)}, State::Ready},
+        {"one that was draining and silent and is back", {draining(5), removed, ready(6)}, State::Draining},
+        {"a new run after the removal", {draining(5), removed, secondRun(1)}, State::Ready},
+        {"not in the copy", {ready(5), restored, notListed, after(Milliseconds(2'100))}, State::Ready},
+        {"not in the copy and not back", {ready(5), restored, notListed, after(Milliseconds(2'200))}, State::Absent},
+        {"not in the copy, back late",
+         {ready(5), restored, notListed, after(Milliseconds(2'200)), ready(6)},
+         State::Ready},
+        {"draining, not in the copy", {draining(5), restored, notListed, after(Milliseconds(2'100))}, State::Draining},
+        {"draining, from the copy after a pause of the watch",
+         {draining(5), cleared, ready(3), listed},
+         State::Draining},
+        {"the same entry after a pause of the watch", {ready(5), cleared, ready(5), listed}, State::Ready},
+        {"gone after a pause of the watch, then in a copy", {ready(5), cleared, notListed, ready(3)}, State::Absent},
+        {"draining, unreadable, then in a copy", {draining(5), unreadable, ready(3)}, State::Draining},
+        {"an old entry that the store keeps is of a living server",
+         {ready(5), removed, ready(3), after(Silence)},
+         State::Ready},
+        {"the same, but it was draining", {draining(5), removed, ready(3), after(Silence)}, State::Draining},
+        {"the same, but the store may still remove it",
+         {ready(5), removed, ready(3), after(Silence - Milliseconds(1))},
+         State::Absent},
+        {"an old entry that the store has removed",
+         {ready(5), removed, ready(3), removed, after(Silence)},
+         State::Absent},
+        {"known while it is retained",
+         {ready(5), removed, after(ServerDirectory::PastServerRetention - Milliseconds(1)), ready(3)},
+         State::Absent},
+        {"forgotten after that",
+         {ready(5), removed, after(ServerDirectory::PastServerRetention), ready(3)},
+         State::Ready},
+    };
+    for (const Case &each : cases) {
+        INFO(each.name);
+        ServerDirectory directory(Heartbeat);
+        for (const Step &step : each.steps) {
+            step(directory);
+        }
+        const std::vector<UpstreamServer> servers = directory.serversOf("ledger");
+        State state = servers.empty() ? State::Absent : State::Ready;
+        state = !servers.empty() && servers.front().draining ? State::Draining : state;
+        CHECK(state == each.state);
+    }
+}
+
+TEST_CASE("the number of past servers that are remembered is bounded, and the latest are kept")
+{
+    constexpr int Excess = 10;
+    const int count = static_cast<int>(ServerDirectory::MaxPastServers) + Excess;
+    ServerDirectory directory;
+    for (int server = 0; server < count; ++server) {
+        const std::string id = std::to_string(server);
+        directory.onEntry(id, entryOf(id, 5), Start);
+        directory.onRemoved(id, Start + Milliseconds(server));
+    }
+    directory.advance(Start + Milliseconds(count));
+    for (int server = 0; server < count; ++server) {
+        const std::string id = std::to_string(server);
+        directory.onEntry(id, entryOf(id, 3), Start);
+    }
+    CHECK(directory.size() == Excess);
+}
+
 TEST_CASE("a shorter warm-up time alone does not count as a change")
 {
     ServerDirectory directory;
-    directory.onEntry("a", server("a"));
+    directory.onEntry("a", entryOf("a", 1), Start);
     CHECK(directory.advance(Start));
-    UpstreamServer warmer = server("a");
-    warmer.warmupLeft = Milliseconds(500);
-    directory.onEntry("a", warmer);
+    ServerEntry warmer = entryOf("a", 2);
+    warmer.server.warmupLeft = Milliseconds(500);
+    directory.onEntry("a", warmer, Start);
     CHECK_FALSE(directory.advance(Start));
-    UpstreamServer leaving = server("a");
-    leaving.draining = true;
-    directory.onEntry("a", leaving);
+    directory.onEntry("a", entryOf("a", 3, 1, true), Start);
     CHECK(directory.advance(Start));
 }
 
--- a/src/snipevalve/node/control/node_control.hpp
+++ b/src/snipevalve/node/control/node_control.hpp
@@ -535,9 +535,12 @@
                 m_directory.onStoreRecovered(Clock::now());
             }
         };
+        handlers.onRestored = [this]() {
+            m_directory.onStoreRecovered(Clock::now()); // servers that are not in the copy register again
+        };
         handlers.onList = [this](const StoredList &list) {
             if (!m_serversKnown) {
-                m_directory.clear(); // entries from before the watch was paused may be long gone
+                m_directory.clear(Clock::now()); // entries from before the watch was paused may be long gone
             }
             std::vector<std::string> ids;
             for (const StoredValue &value : list.values) {
@@ -568,14 +571,14 @@
     void applyServer(const StoredValue &value)
     {
         const std::string id = serverId(value.key);
-        const auto server = Platform::parseServer(id, value.value);
-        if (!server.ok()) {
+        const auto entry = Platform::parseServer(id, value.value);
+        if (!entry.ok()) {
             spdlog::warn("servers: event=unreadable server={} revision={} reason=\"{}\"", escapeLogValue(id),
-                         value.revision, escapeQuotedText(std::string(server.status().message())));
-            m_directory.onEntry(id, std::nullopt);
+                         value.revision, escapeQuotedText(std::string(entry.status().message())));
+            m_directory.onEntry(id, std::nullopt, Clock::now());
             return;
         }
-        m_directory.onEntry(id, *server);
+        m_directory.onEntry(id, *entry, Clock::now());
     }
 
     /// Plans are read only while some service has no reachable leader.
@@ -820,7 +823,7 @@
     /// By service: the newest revision of a stale leader key that this host has removed.
     std::map<std::string, std::uint64_t> m_removedLeaderKeys;
     std::map<std::string, std::shared_ptr<ServiceLeader<Platform>>> m_ledServices;
-    ServerDirectory m_directory;
+    ServerDirectory m_directory{m_settings.heartbeatInterval};
     bool m_serversKnown = false;
     const TimePoint m_startedAt = Clock::now();
     std::map<std::string, KeyOwners> m_plannedOwners;
--- a/src/snipevalve/node/control/platform_api.hpp
+++ b/src/snipevalve/node/control/platform_api.hpp
@@ -6,7 +6,7 @@
 #include <string>
 
 #include "snipevalve/gateway/gateway_config.hpp"
-#include "snipevalve/gateway/upstream_server.hpp"
+#include "snipevalve/gateway/server_entry.hpp"
 #include "snipevalve/net/http_client.hpp"
 #include "snipevalve/ownership/key_authority.hpp"
 #include "snipevalve/store/config_store.hpp"
@@ -30,7 +30,7 @@
         } -> std::same_as<absl::StatusOr<ParsedConfig>>;
     {
         Platform::parseServer(text, text)
-        } -> std::same_as<absl::StatusOr<UpstreamServer>>;
+        } -> std::same_as<absl::StatusOr<ServerEntry>>;
     {
         Platform::toCall(grant)
         } -> std::same_as<HttpCall>;
