Let the stand-in's store come back from an older copy

No test could restore the store. PlatformStandin keeps copies of its store of the last 20 s, one each 100 ms. restoreStore(age, away) answers 503 for `away` and then goes on from the copy: items, revision, and leases with the time that they had left. The era (Store-Era, in all answers; setNamesEra() turns it off) rises by one, revisions are given out again, a watch from a revision that the store doesn't have gets 410, and a later lease 404. Servers write their entries with their next heartbeat, silent ones' entries go after three, and the operators' newest configuration is written 0.5 s after the return. leave() removes a server's entry while it still serves.

--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -6,6 +6,7 @@
 
 namespace {
 
+constexpr const char *ConfigKey = "op/config";
 constexpr std::uint16_t StorePort = 8642;
 constexpr std::uint16_t ServerPort = 8080;
 constexpr Milliseconds EntryRenewalInterval(200);
@@ -14,6 +15,12 @@
 constexpr std::uint32_t SampleStep = 64;
 constexpr std::uint32_t KeyCount = 65536;
 constexpr std::chrono::seconds HistoryRetention(20);
+constexpr Milliseconds CopyInterval(100);
+constexpr std::chrono::seconds CopyRetention(20);
+/// An entry is removed after three heartbeats of silence.
+constexpr Milliseconds SilenceTimeout = 3 * EntryRenewalInterval;
+/// Time from the return of a restored store until the operators have written their configuration again.
+constexpr Milliseconds ConfigRewriteDelay(500);
 constexpr Milliseconds SlowAnswer(240);
 constexpr unsigned Slots = 2;
 constexpr unsigned QueueLength = 8;
@@ -68,7 +75,10 @@
 void PlatformStandin::putConfig(const std::string &text)
 {
     const std::lock_guard lock(m_mutex);
-    put("op/config", absl::Base64Escape(text), 0);
+    m_config = absl::Base64Escape(text);
+    if (!m_isRestoring) { // else it is written after the return
+        put(ConfigKey, m_config, 0);
+    }
 }
 
 void PlatformStandin::putEntry(const std::string &key, const std::string &value)
@@ -136,6 +146,13 @@
     m_servers.at(id)->draining = true;
 }
 
+void PlatformStandin::leave(const std::string &id)
+{
+    const std::lock_guard lock(m_mutex);
+    m_servers.at(id)->left = true;
+    erase("servers/" + id);
+}
+
 void PlatformStandin::setFault(const std::string &service, ServerFault fault)
 {
     const std::lock_guard lock(m_mutex);
@@ -155,6 +172,82 @@
     m_compactedRevision = m_revision;
 }
 
+void PlatformStandin::setNamesEra(bool namesEra)
+{
+    const std::lock_guard lock(m_mutex);
+    m_namesEra = namesEra;
+}
+
+void PlatformStandin::restoreStore(Milliseconds age, Milliseconds away)
+{
+    const std::lock_guard lock(m_mutex);
+    if (m_isRestoring || m_copies.empty()) {
+        return;
+    }
+    const TimePoint wanted = Clock::now() - age;
+    StoreCopy copy = m_copies.front();
+    for (const StoreCopy &each : m_copies) {
+        copy = each.at <= wanted ? each : copy;
+    }
+    m_isRestoring = true;
+    asio::co_spawn(m_context, restoreFrom(std::move(copy), away), asio::detached);
+}
+
+bool PlatformStandin::isStoreAway() const
+{
+    return m_isRestoring || m_storeFault == StoreFault::Unavailable;
+}
+
+void PlatformStandin::copyStore()
+{
+    const TimePoint now = Clock::now();
+    if (m_isRestoring || (!m_copies.empty() && now - m_copies.back().at < CopyInterval)) {
+        return;
+    }
+    m_copies.push_back({now, m_items, m_leases, m_revision});
+    while (now - m_copies.front().at > CopyRetention) {
+        m_copies.pop_front();
+    }
+}
+
+Awaitable<void> PlatformStandin::restoreFrom(StoreCopy copy, Milliseconds away)
+{
+    co_await sleepFor(away);
+    {
+        const std::lock_guard lock(m_mutex);
+        const TimePoint now = Clock::now();
+        m_items = std::move(copy.items);
+        m_leases = std::move(copy.leases);
+        for (auto &[id, lease] : m_leases) {
+            lease.expiry = now + (lease.expiry - copy.at);
+        }
+        m_revision = copy.revision;
+        m_compactedRevision = std::min(m_compactedRevision, m_revision);
+        std::erase_if(m_changes, [this](const Change &change) {
+            return change.revision > m_revision;
+        });
+        m_copies.clear();
+        ++m_era;
+        m_isRestoring = false;
+    }
+    co_await sleepFor(ConfigRewriteDelay);
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto item = m_items.find(ConfigKey);
+        const bool isNewest = item != m_items.end() && item->second.value == m_config;
+        if (!m_isRestoring && !m_config.empty() && !isNewest) {
+            put(ConfigKey, m_config, 0);
+        }
+    }
+    co_await sleepFor(SilenceTimeout - ConfigRewriteDelay);
+    const std::lock_guard lock(m_mutex);
+    for (const auto &[id, server] : m_servers) {
+        if (server->crashed || server->left) {
+            erase("servers/" + id);
+        }
+    }
+}
+
 void PlatformStandin::setLateOrders(bool late)
 {
     const std::lock_guard lock(m_mutex);
@@ -236,8 +329,9 @@
     while (true) {
         co_await sleepFor(PollInterval);
         const std::lock_guard lock(m_mutex);
+        copyStore();
         for (auto lease = m_leases.begin(); lease != m_leases.end();) {
-            if (Clock::now() < lease->second.second) {
+            if (Clock::now() < lease->second.expiry) {
                 ++lease;
                 continue;
             }
@@ -256,6 +350,16 @@
 }
 
 Awaitable<HttpResponse> PlatformStandin::answerStore(const HttpRequest &request)
+{
+    HttpResponse response = co_await answerStoreRequest(request);
+    const std::lock_guard lock(m_mutex);
+    if (m_namesEra) {
+        response.set("Store-Era", std::to_string(m_era));
+    }
+    co_return response;
+}
+
+Awaitable<HttpResponse> PlatformStandin::answerStoreRequest(const HttpRequest &request)
 {
     const RequestTarget target(std::string_view(request.target().data(), request.target().size()));
     StoreFault fault = StoreFault::None;
@@ -275,7 +379,7 @@
 
 HttpResponse PlatformStandin::answerStoreCall(const HttpRequest &request, const RequestTarget &target)
 {
-    if (m_storeFault == StoreFault::Unavailable) {
+    if (isStoreAway()) {
         return reply(http::status::service_unavailable, Json::object());
     }
     if (target.path() == "/kv-key") {
@@ -314,8 +418,8 @@
         if (lease == m_leases.end()) {
             return reply(http::status::not_found, Json::object());
         }
-        lease->second.second = Clock::now() + lease->second.first;
-        return reply(http::status::ok, {{"ttl_ms", lease->second.first.count()}});
+        lease->second.expiry = Clock::now() + lease->second.lifetime;
+        return reply(http::status::ok, {{"ttl_ms", lease->second.lifetime.count()}});
     }
     return reply(http::status::bad_request, Json::object());
 }
@@ -355,10 +459,10 @@
     while (true) {
         {
             const std::lock_guard lock(m_mutex);
-            if (m_storeFault == StoreFault::Unavailable) {
+            if (isStoreAway()) {
                 co_return reply(http::status::service_unavailable, Json::object());
             }
-            if (after < m_compactedRevision) {
+            if (after < m_compactedRevision || after > m_revision) {
                 co_return reply(http::status::gone, {{"current_rev", m_revision}});
             }
             Json events = Json::array();
@@ -384,7 +488,7 @@
     while (true) {
         {
             const std::lock_guard lock(m_mutex);
-            if (server->crashed) {
+            if (server->crashed || server->left) {
                 co_return;
             }
             const Json entry{{"service", server->service},
@@ -396,7 +500,7 @@
                              {"warmup_left_ms", 0},
                              {"seq", ++server->renewals},
                              {"born", server->startedAtMs}};
-            if (m_storeFault != StoreFault::Unavailable) {
+            if (!isStoreAway()) {
                 put("servers/" + server->id, absl::Base64Escape(entry.dump()), 0);
             }
         }
--- a/tests/standins/platform_standin.hpp
+++ b/tests/standins/platform_standin.hpp
@@ -86,6 +86,9 @@
     /// @brief Marks the server's entry as draining; the server continues to serve.
     void drainServer(const std::string &id);
 
+    /// @brief The server leaves without having drained: its entry is removed, and it continues to serve.
+    void leave(const std::string &id);
+
     /// @brief Sets the fault of all servers of a service.
     void setFault(const std::string &service, ServerFault fault);
 
@@ -94,6 +97,17 @@
     /// @brief Drops the store's history of changes; watches then get 410 and have to list anew.
     void compactHistory();
 
+    /// @brief The store is away for a time and comes back from a copy of `age` before: items, leases and revision are
+    /// those of the copy, and its era rises by one.
+    ///
+    /// Leases go on with the time that they had left in the copy; later ones are unknown. Servers write their entries
+    /// again with their next heartbeat, entries of silent ones are removed after three, and the operators write their
+    /// newest configuration again half a second after the return.
+    void restoreStore(Milliseconds age, Milliseconds away);
+
+    /// @brief Whether the store's answers name its era; they do at first.
+    void setNamesEra(bool namesEra);
+
     /// @brief While set, three in ten orders (grants and releases) get no answer and are carried out 2 to 4 s later.
     void setLateOrders(bool late);
 
@@ -128,6 +142,21 @@
         TimePoint at;
     };
 
+    struct Lease
+    {
+        Milliseconds lifetime{0};
+        TimePoint expiry;
+    };
+
+    /// The state of the store that a restore brings back.
+    struct StoreCopy
+    {
+        TimePoint at;
+        std::map<std::string, Item> items;
+        std::map<std::uint64_t, Lease> leases;
+        std::uint64_t revision = 0;
+    };
+
     struct KeyGrant
     {
         std::uint64_t fence = 0;
@@ -143,6 +172,7 @@
         bool keyed = false;
         bool draining = false;
         bool crashed = false;
+        bool left = false;
         Milliseconds serviceTime{0};
         std::int64_t startedAtMs = 0; ///< Unix time; changes with each restart
         std::uint64_t renewals = 0;
@@ -154,6 +184,10 @@
     };
 
     Awaitable<HttpResponse> answerStore(const HttpRequest &request);
+    Awaitable<HttpResponse> answerStoreRequest(const HttpRequest &request);
+    bool isStoreAway() const;
+    void copyStore();
+    Awaitable<void> restoreFrom(StoreCopy copy, Milliseconds away);
     Awaitable<HttpResponse> watch(const RequestTarget &target);
     HttpResponse commitTransaction(const Json &body);
     HttpResponse answerStoreCall(const HttpRequest &request, const RequestTarget &target);
@@ -178,7 +212,12 @@
     std::deque<Change> m_changes;
     std::uint64_t m_revision = 1;
     std::uint64_t m_lastLease = 0;
-    std::map<std::uint64_t, std::pair<Milliseconds, TimePoint>> m_leases; ///< lifetime and expiry
+    std::map<std::uint64_t, Lease> m_leases;
+    std::deque<StoreCopy> m_copies; ///< the newest last
+    std::uint64_t m_era = 1; ///< counts the restores
+    bool m_namesEra = true;
+    bool m_isRestoring = false;
+    std::string m_config; ///< the operators' newest, base64
     StoreFault m_storeFault = StoreFault::None;
     std::uint64_t m_writes = 0;
     std::uint64_t m_compactedRevision = 0; ///< changes up to this revision are no longer in the history
