Take up a service anew in each era of the store

What callers saw: after a restore of the store, two servers held the same keys (OWNER), and some leaders stopped or were found by nobody.

Cause: a leader believed its lease, its leader key and its plan's revision because the store had once confirmed them. The old leader took its own older plan for another leader's and resigned; the next one began with that plan.

Change: leader keys and plans are stored below the number of the era, so a write of a host that does not know of the new era can't touch it. When an answer of the store names a new era, a host drops its lease and suspends the services that it leads: nothing is granted, callers are still served. It takes them over again at once with a new lease, and for keyed services continues with the last plan that the store confirmed (knownPlan); other hosts leave it 1 s for that. A host that does not know the last plan lets every earlier hold expire. Leader tables are ordered by era and revision. A host that hears of a new era from another one asks the store, so that a damaged message can't cut it off. The setting bootstrap tells a first start, which has no earlier leaders to wait for.

The time for which a new leader changes no owner is 2 s: the leader of the earlier era can continue for so long after its lease, and an outage of 2 s together with a lease that was due for renewal takes up to 2.6 s of the 3.75 s.

--- a/include/snipevalve/node/node_settings.hpp
+++ b/include/snipevalve/node/node_settings.hpp
@@ -14,6 +14,7 @@
 struct NodeSettings
 {
     std::string host; ///< name of this host
+    bool isFirstStart = false; ///< the whole system starts for the first time, so nothing has been stored before
     std::string run; ///< identifies this run of the process among all hosts; set at the start, not in the file
     std::string address; ///< local address of outgoing connections
     std::string zone; ///< availability zone of this host
--- a/include/snipevalve/ownership/key_authority.hpp
+++ b/include/snipevalve/ownership/key_authority.hpp
@@ -32,7 +32,7 @@
     Milliseconds coalesceInterval{100}; ///< between two searches for adjacent ranges with the same owner
     Milliseconds askDeputyInterval{100}; ///< between two requests for consent to long holds
     Milliseconds returnDelay{10'000}; ///< keys return to a previous owner after it, unless no other server is usable
-    Milliseconds ownerChangeDelay{1'500}; ///< a new leader leaves all keys with the owners in the plan for this long
+    Milliseconds ownerChangeDelay{2'000}; ///< a new leader leaves all keys with the owners in the plan for this long
     Milliseconds maxArrivalDelay{400}; ///< an unanswered call may still arrive this long after it timed out
     double maxClockDrift = 0.02; ///< a server's clock may run slow by this fraction
 };
--- a/src/snipevalve/dispatch_link/messages.cpp
+++ b/src/snipevalve/dispatch_link/messages.cpp
@@ -313,6 +313,7 @@
 {
     proto::Leaders message;
     message.set_revision(table.revision);
+    message.set_era(table.era);
     for (const auto &[service, leader] : table.leaders) {
         proto::Leader *out = message.add_leaders();
         out->set_service(service);
@@ -327,6 +328,7 @@
 {
     LeaderTable table;
     table.revision = message.revision();
+    table.era = message.era();
     for (const proto::Leader &leader : message.leaders()) {
         table.leaders[leader.service()] = {{leader.address(), static_cast<std::uint16_t>(leader.port())},
                                            leader.revision()};
--- a/src/snipevalve/dispatch_link/messages_test.cpp
+++ b/src/snipevalve/dispatch_link/messages_test.cpp
@@ -48,7 +48,7 @@
     route.services = {{"ledger", 3}};
     config.addRoute(route);
     *frame.mutable_config() = toProto(changeBetween(nullptr, config));
-    *frame.mutable_leaders() = toProto(LeaderTable{5, {{"ledger", {{"10.0.0.2", 81}, 4}}}});
+    *frame.mutable_leaders() = toProto(LeaderTable{2, 5, {{"ledger", {{"10.0.0.2", 81}, 4}}}});
     return frame;
 }
 
--- a/src/snipevalve/node/control/lease_holder.hpp
+++ b/src/snipevalve/node/control/lease_holder.hpp
@@ -84,6 +84,11 @@
         return now - m_answeredAt < m_times.renewInterval + m_times.overdueAfter;
     }
 
+    const LeaseTimes &times() const
+    {
+        return m_times;
+    }
+
     /// @brief When the store last answered a renewal.
     TimePoint answeredAt() const
     {
--- a/src/snipevalve/node/control/node_control.hpp
+++ b/src/snipevalve/node/control/node_control.hpp
@@ -67,6 +67,9 @@
                 leader->second->onDeputyConsent(term, epoch);
             }
         };
+        m_store.setOnRestored([this](std::uint64_t era) {
+            onStoreRestored(era);
+        });
         m_desk.onViewsWanted = m_outputs.readKnownViews;
         m_desk.onKnownView = m_outputs.knownView;
     }
@@ -165,6 +168,10 @@
         // A copy, since the watch events of these removals modify the original.
         const std::map<std::string, std::uint64_t> owned = m_leaderKeyRevisions;
         for (const auto &[service, revision] : owned) {
+            const auto leader = m_ledServices.find(service);
+            if (leader != m_ledServices.end() && !leader->second->mayResign()) {
+                continue; // the lease ends soon after the process
+            }
             StoreWrite write;
             write.key = leaderKey(service);
             write.expectedRevision = revision;
@@ -178,7 +185,6 @@
 
 private:
     static constexpr const char *LeadersPrefix = "snipevalve/leader/";
-    static constexpr const char *PlansPrefix = "snipevalve/plan/";
     static constexpr Milliseconds TickInterval{20};
     static constexpr Milliseconds ElectionInterval{50};
     /// Hosts delay their attempt to take over a leaderless service by different times, so that most of them see the
@@ -187,6 +193,9 @@
     static constexpr Milliseconds WholeCoreDelay{40};
     static constexpr Milliseconds DelayPerLedService{150};
     static constexpr Milliseconds MaxElectionDelay{900};
+    /// After a restore of the store, other hosts leave a service to its previous leader for this long, since it alone
+    /// knows the owners of the keys.
+    static constexpr Milliseconds PreviousLeaderPriority{1'000};
     /// Server entries change with each heartbeat. Reading them more often than this would not be needed to meet the
     /// bound on noticing servers that leave.
     static constexpr Milliseconds ServerWatchPause{600};
@@ -237,9 +246,35 @@
         return times;
     }
 
-    static std::string leaderKey(const std::string &service)
+    std::string leaderKey(const std::string &service) const
+    {
+        return eraKey(LeadersPrefix, m_store.era(), service);
+    }
+
+    /// What this host has read from the store and written to it may be lost: its lease and leader keys are, and leaders
+    /// have to be found again. Services that it leads are suspended until it has taken them over again.
+    void onStoreRestored(std::uint64_t era)
+    {
+        m_isRestored = true;
+        for (auto &[service, leader] : m_ledServices) {
+            leader->suspend();
+        }
+        m_lease.drop();
+        m_leaderKeyRevisions.clear();
+        m_removedLeaderKeys.clear();
+        m_deputyOf.clear();
+        m_deputyProbe = {};
+        m_leaders.beginEra(era);
+        m_leadersKnown = false;
+        m_backoff.onSuccess();
+        m_electionTimer.cancel();
+        announceLeaders();
+    }
+
+    bool isSuspendedHere(const std::string &service) const
     {
-        return LeadersPrefix + service;
+        const auto leader = m_ledServices.find(service);
+        return leader != m_ledServices.end() && leader->second->isSuspended();
     }
 
     /// Whether this host reads configuration and leaders from the store on behalf of all hosts: the leader of the first
@@ -389,24 +424,29 @@
             return m_ledServices.empty();
         };
         handlers.onList = [this](const StoredList &list) {
-            m_leaders.leaders.clear();
+            std::erase_if(m_leaders.leaders, [](const auto &entry) {
+                return entry.second.revision != 0;
+            });
             for (const StoredValue &value : list.values) {
                 applyLeader(value);
             }
             m_leadersKnown = true;
+            m_leaders.era = m_store.era();
             m_leaders.revision = std::max(m_leaders.revision, list.revision);
             announceLeaders();
         };
         handlers.onEvent = [this](const StoreEvent &event) {
-            if (event.removed) {
-                const std::string service = event.value.key.substr(std::string(LeadersPrefix).size());
+            const auto key = parseEraKey(LeadersPrefix, event.value.key);
+            const bool isOfThisEra = key && key->era == m_store.era();
+            if (event.removed && isOfThisEra) {
+                const std::string &service = key->service;
                 m_leaders.leaders.erase(service);
                 spdlog::info("lead: event=leader_gone service={} revision={}", service, event.value.revision);
                 const auto owned = m_leaderKeyRevisions.find(service);
                 if (owned != m_leaderKeyRevisions.end() && event.value.revision > owned->second) {
                     stopLeading(service, "the lease has expired");
                 }
-            } else {
+            } else if (!event.removed) {
                 applyLeader(event.value);
             }
             m_leaders.revision = std::max(m_leaders.revision, event.value.revision);
@@ -415,10 +455,36 @@
         return handlers;
     }
 
+    /// Asks the store for its era, of which another host has told. Only the store's own answers make this host give up
+    /// what it knows.
+    void confirmEra()
+    {
+        m_isRestored = true;
+        if (!m_isConfirmingEra) {
+            m_isConfirmingEra = true;
+            asio::co_spawn(m_executor, readEra(), LogFailure("store"));
+        }
+    }
+
+    Awaitable<void> readEra()
+    {
+        const auto answer = co_await m_store.read(Platform::configKey());
+        m_isConfirmingEra = false;
+        if (!answer.ok() && !absl::IsAborted(answer.status())) {
+            spdlog::warn("store: event=era_not_confirmed era={} reason=\"{}\"", m_store.era(),
+                         escapeQuotedText(std::string(answer.status().message())));
+        }
+    }
+
     /// Applies a leader table that a leader relayed, unless it is older than this host's own.
     void applyLeaders(const LeaderTable &table)
     {
-        if (table.revision <= m_leaders.revision) {
+        const std::uint64_t knownEra = m_store.era() != 0 ? m_store.era() : m_leaders.era;
+        if (knownEra != 0 && table.era > knownEra) {
+            confirmEra();
+            return;
+        }
+        if (!table.isNewerThan(m_leaders)) {
             return;
         }
         const std::map<std::string, std::uint64_t> owned = m_leaderKeyRevisions;
@@ -438,6 +504,7 @@
             }
         }
         m_leaders = table;
+        stopReplacedLeaders();
         for (const auto &[service, revision] : m_leaderKeyRevisions) {
             m_leaders.leaders[service] = {m_settings.control, revision}; // newer than the table
         }
@@ -448,11 +515,16 @@
 
     void applyLeader(const StoredValue &value)
     {
-        const std::string service = value.key.substr(std::string(LeadersPrefix).size());
+        const auto key = parseEraKey(LeadersPrefix, value.key);
         const auto json = nlohmann::json::parse(value.value, nullptr, false);
         const auto endpoint = json.is_object() ? parseEndpoint(json.value("address", std::string())) : std::nullopt;
-        if (!endpoint) {
-            spdlog::error("lead: event=unreadable service={} revision={}", service, value.revision);
+        if (!key || !endpoint) {
+            spdlog::error("lead: event=unreadable key={} revision={}", escapeLogValue(value.key), value.revision);
+            return;
+        }
+        const std::string &service = key->service;
+        if (key->era != m_store.era()) {
+            m_leaders.leaders.try_emplace(service, ServiceLeaderEntry{*endpoint, 0});
             return;
         }
         m_leaders.leaders[service] = {*endpoint, value.revision};
@@ -463,15 +535,33 @@
         if (isReplaced) {
             stopLeading(service, "another host leads the service");
         }
+        stopReplacedLeaders();
         removeStaleLeaderKeys();
     }
 
+    /// Ends the terms that were suspended by a restore of the store and that another host has taken over.
+    void stopReplacedLeaders()
+    {
+        std::vector<std::string> replaced;
+        for (const auto &[service, leader] : m_leaders.leaders) {
+            const bool isOurs = leader.revision == 0 || leader.endpoint == m_settings.control;
+            if (!isOurs && isSuspendedHere(service)) {
+                replaced.push_back(service);
+            }
+        }
+        for (const std::string &service : replaced) {
+            stopLeading(service, "another host has taken the service over after a restore of the store");
+        }
+    }
+
     /// Removes the keys that name this host as leader of services that it does not lead.
     void removeStaleLeaderKeys()
     {
         std::set<std::string> led{m_takeoverService};
         for (const auto &[service, leader] : m_ledServices) {
-            led.insert(service);
+            if (!leader->isSuspended()) {
+                led.insert(service);
+            }
         }
         for (const auto &[service, entry] : staleEntriesOf(m_leaders, m_settings.control, led)) {
             std::uint64_t &removed = m_removedLeaderKeys[service];
@@ -608,18 +698,23 @@
         if (!plan.ok()) {
             return; // the leader logs it; the last valid plan stays in use
         }
+        const auto key = parseEraKey(PlansPrefix, value.key);
+        if (!key || key->era < m_plannedEras[key->service]) {
+            return;
+        }
+        m_plannedEras[key->service] = key->era;
         std::vector<OwnedRange> ranges;
         for (const PlannedRange &range : plan->ranges) {
             ranges.push_back({range.keys, range.owner.id});
         }
-        m_plannedOwners[value.key.substr(std::string(PlansPrefix).size())] = KeyOwners(std::move(ranges));
+        m_plannedOwners[key->service] = KeyOwners(std::move(ranges));
         m_viewsChanged = true;
     }
 
     Awaitable<void> probeStore(std::string service)
     {
         const TimePoint startedAt = m_deputyProbe.startedAt;
-        const auto plan = co_await m_store.read(planKey(service));
+        const auto plan = co_await m_store.read(planKey(service, m_store.era()));
         if (m_deputyProbe.startedAt == startedAt) {
             m_deputyProbe.answers = plan.ok();
         }
@@ -628,18 +723,21 @@
     /// Takes over services that have no leader.
     Awaitable<void> elect()
     {
-        asio::steady_timer timer(m_executor);
         ErrorCode ignored;
         while (true) {
-            timer.expires_after(ElectionInterval);
-            co_await timer.async_wait(awaitInto(ignored));
+            m_electionTimer.expires_after(ElectionInterval);
+            co_await m_electionTimer.async_wait(awaitInto(ignored));
             const std::string service = leaderlessService();
             if (service.empty()) {
                 continue;
             }
-            if (m_deputyOf.erase(service) == 0) {
-                timer.expires_after(electionDelay());
-                co_await timer.async_wait(awaitInto(ignored));
+            const std::uint64_t era = m_store.era();
+            if (m_deputyOf.erase(service) == 0 && !isSuspendedHere(service)) {
+                m_electionTimer.expires_after(electionDelay(service));
+                co_await m_electionTimer.async_wait(awaitInto(ignored));
+            }
+            if (m_store.era() != era) {
+                continue;
             }
             if (isLeaderless(service) && m_backoff.mayCall(Clock::now())) {
                 m_takeoverService = service;
@@ -649,19 +747,24 @@
         }
     }
 
-    Milliseconds electionDelay()
+    Milliseconds electionDelay(const std::string &service)
     {
+        const bool hasPreviousLeader = m_leaders.leaders.contains(service);
+        const Milliseconds priority = hasPreviousLeader ? PreviousLeaderPriority : Milliseconds(0);
         const auto byProcessor =
             static_cast<std::int64_t>(static_cast<double>(WholeCoreDelay.count()) / m_settings.processorShare);
         std::uniform_int_distribution<std::int64_t> spread(0, byProcessor);
         const Milliseconds byLoad = DelayPerLedService * static_cast<std::int64_t>(m_ledServices.size());
-        return std::min(Milliseconds(byProcessor) + byLoad, MaxElectionDelay) + Milliseconds(spread(m_random));
+        return priority + std::min(Milliseconds(byProcessor) + byLoad, MaxElectionDelay)
+            + Milliseconds(spread(m_random));
     }
 
     bool isLeaderless(const std::string &service) const
     {
-        return m_leadersKnown && !m_resigned && !m_leaders.leaders.contains(service)
-            && !m_ledServices.contains(service);
+        const auto leader = m_leaders.leaders.find(service);
+        const bool isLed = leader != m_leaders.leaders.end() && leader->second.revision != 0;
+        const bool isKnown = m_leadersKnown && !m_ledServices.contains(service);
+        return !m_resigned && !isLed && (isKnown || isSuspendedHere(service));
     }
 
     std::string leaderlessService() const
@@ -669,17 +772,23 @@
         if (!m_config) {
             return {};
         }
+        std::string leaderless;
         for (const auto &[name, service] : m_config->services) {
-            if (isLeaderless(name)) {
-                return name;
+            if (!isLeaderless(name)) {
+                continue;
+            }
+            if (isSuspendedHere(name)) {
+                return name; // before other services, since these wait for their own previous leaders
             }
+            leaderless = leaderless.empty() ? name : leaderless;
         }
-        return {};
+        return leaderless;
     }
 
     Awaitable<void> takeOver(std::string service)
     {
         const std::uint64_t lease = co_await m_lease.open();
+        const std::uint64_t era = m_store.era();
         if (lease == 0) {
             m_backoff.onFailure(Clock::now());
             co_return;
@@ -689,11 +798,14 @@
                             {"address", toString(m_settings.control)},
                             {"nonce", std::to_string(m_random())}};
         StoreWrite write;
-        write.key = leaderKey(service);
+        write.key = eraKey(LeadersPrefix, era, service);
         write.value = json.dump();
         write.lease = lease;
         constexpr Milliseconds RetryTime(1'000);
         const auto result = co_await writeWithRetry(m_store, write, Clock::now() + RetryTime);
+        if (m_store.era() != era) {
+            co_return; // the lease and the key are lost
+        }
         if (!result.ok() || !result->committed || !m_config || !m_config->service(service)) {
             if (absl::IsNotFound(result.status()) || m_ledServices.empty()) {
                 m_lease.drop(); // no need to renew a lease that protects nothing
@@ -704,12 +816,15 @@
         m_leaders.leaders[service] = {m_settings.control, result->current.revision};
         spdlog::info("lead: event=taken_over service={} revision={} lease={}", service, result->current.revision,
                      lease);
-        const auto leader =
-            std::make_shared<ServiceLeader<Platform>>(m_executor, m_store, m_client, m_desk, m_lease, m_consents,
-                                                      *m_config->service(service), m_settings.longestGrant);
-        m_ledServices[service] = leader;
+        std::shared_ptr<ServiceLeader<Platform>> &leader = m_ledServices[service];
+        if (!leader) {
+            leader = std::make_shared<ServiceLeader<Platform>>(
+                m_executor, m_store, m_client, m_desk, m_lease, m_consents, *m_config->service(service),
+                m_settings.longestGrant, m_settings.isFirstStart && !m_isRestored);
+        }
         m_viewsChanged = true;
-        if (!co_await leader->start()) {
+        const bool isStarted = co_await std::shared_ptr(leader)->start();
+        if (!isStarted && m_store.era() == era) {
             stopLeading(service, "the ownership plan can't be read");
         }
         announceLeaders();
@@ -793,6 +908,9 @@
     DeputyConsents m_consents;
     Tcp::acceptor m_acceptor;
     StoreBackoff m_backoff;
+    asio::steady_timer m_electionTimer{m_executor};
+    bool m_isConfirmingEra = false;
+    bool m_isRestored = false; ///< whether the store has been restored from a copy since the start of this process
     PrefixWatcher<Store> m_configWatcher{
         m_store, m_backoff, {Platform::configKey(), LeaderWatchTimeout, WatchTimeout, {}, {}}, configHandlers()};
     PrefixWatcher<Store> m_leaderWatcher{
@@ -827,6 +945,7 @@
     bool m_serversKnown = false;
     const TimePoint m_startedAt = Clock::now();
     std::map<std::string, KeyOwners> m_plannedOwners;
+    std::map<std::string, std::uint64_t> m_plannedEras; ///< by service: of the plan in `m_plannedOwners`
     bool m_viewsChanged = false;
     bool m_resigned = false;
     std::string m_takeoverService; ///< the service that is being taken over; empty when none
--- a/src/snipevalve/node/control/prefix_watcher.hpp
+++ b/src/snipevalve/node/control/prefix_watcher.hpp
@@ -79,7 +79,7 @@
     /// @brief When this host last held the latest state of the prefix; the clock's epoch while no snapshot is held.
     TimePoint upToDateAt() const
     {
-        return m_isListed ? m_upToDateAt : TimePoint();
+        return m_isListed && m_store.era() == m_era ? m_upToDateAt : TimePoint();
     }
 
     /// @brief The revision of the store up to which all events have been handled.
--- a/src/snipevalve/node/control/service_leader.hpp
+++ b/src/snipevalve/node/control/service_leader.hpp
@@ -8,6 +8,7 @@
 
 #include "snipevalve/core/log_text.hpp"
 #include "snipevalve/core/suspension.hpp"
+#include "snipevalve/gateway/leader_table.hpp"
 #include "snipevalve/net/http_client.hpp"
 #include "snipevalve/net/spawn.hpp"
 #include "snipevalve/node/control/lease_holder.hpp"
@@ -18,10 +19,12 @@
 
 namespace snipevalve {
 
+inline constexpr const char *PlansPrefix = "snipevalve/plan/";
+
 /// @brief The store's key of the ownership plan of a keyed service.
-inline std::string planKey(const std::string &service)
+inline std::string planKey(const std::string &service, std::uint64_t era)
 {
-    return "snipevalve/plan/" + service;
+    return eraKey(PlansPrefix, era, service);
 }
 
 /// @brief Leads one service: passes its servers to the dispatch desk and, for a keyed service, grants its keys.
@@ -31,9 +34,10 @@
 public:
     using Store = typename Platform::Store;
 
+    /// @param mayBeFirst whether there may have been no leader before: then a store without plans has lost none
     ServiceLeader(asio::any_io_executor executor, Store &store, HttpClient &client, LeaderDispatcher &desk,
                   LeaseHolder<Store> &lease, DeputyConsents &consents, GatewayService service,
-                  Milliseconds longestGrant)
+                  Milliseconds longestGrant, bool mayBeFirst)
         : m_executor(std::move(executor))
         , m_store(store)
         , m_client(client)
@@ -41,6 +45,7 @@
         , m_lease(lease)
         , m_consents(consents)
         , m_service(std::move(service))
+        , m_mayBeFirst(mayBeFirst)
         , m_fastLoads(FastWindow)
         , m_slowLoads(SlowWindow)
     {
@@ -49,37 +54,82 @@
         m_desk.startLeading(m_service.name);
     }
 
-    /// @brief Starts a term: reads the ownership plan of a keyed service. @return false when the plan can't be read
+    /// @brief Starts a term in the present era of the store: reads the ownership plan of a keyed service. Also ends a
+    /// suspension. @return false when the plan can't be read
     Awaitable<bool> start()
     {
+        const std::uint64_t era = m_store.era();
         if (!m_service.keyed) {
+            m_isSuspended = false;
             co_return true;
         }
-        const auto stored = co_await m_store.read(planKey(m_service.name));
+        const auto stored = co_await m_store.read(planKey(m_service.name, era));
         if (!stored.ok()) {
             spdlog::warn("lead: event=no_plan service={} reason=\"{}\"", m_service.name,
                          std::string(stored.status().message()));
             co_return false;
         }
-        KeyPlan plan;
+        PredecessorKnowledge known;
         if (stored->revision != 0) {
-            const auto parsed = parseKeyPlan(stored->value);
+            const auto parsed = parsePlan(*stored);
             if (!parsed.ok()) {
-                spdlog::error("lead: event=bad_plan service={} revision={} reason=\"{}\"", m_service.name,
-                              stored->revision, std::string(parsed.status().message()));
                 co_return false;
             }
-            plan = *parsed;
+            known.plan = *parsed;
+            known.noLongHolds = m_consents.closeTerm(m_service.name, known.plan);
+        } else if (era != 0) {
+            const auto lost = co_await knowledgeOfEarlierEras(era);
+            if (!lost.ok()) {
+                spdlog::warn("lead: event=no_plan service={} reason=\"{}\"", m_service.name,
+                             std::string(lost.status().message()));
+                co_return false;
+            }
+            known = *lost;
+        }
+        if (m_store.era() != era) {
+            co_return false;
         }
+        known.leastTerm = firstTermOfEra(era);
         m_planRevision = stored->revision;
         m_startedAt = Clock::now();
-        const bool noLongHolds = m_consents.closeTerm(m_service.name, plan);
-        m_authority = std::make_unique<KeyAuthority>(plan, m_times, m_startedAt, noLongHolds);
-        spdlog::info("lead: event=term_begins service={} term={} ranges={} no_long_holds={}", m_service.name,
-                     plan.term + 1, plan.ranges.size(), noLongHolds);
+        m_isFirstTerm = known.plan.term == 0 && known.isPlanComplete;
+        m_mayResignFrom = m_startedAt + known.activeFor;
+        ++m_generation;
+        m_isSuspended = false;
+        m_serversChanged = m_hasServers;
+        m_authority = std::make_unique<KeyAuthority>(known, m_times, m_startedAt);
+        spdlog::info("lead: event=term_begins service={} era={} term={} ranges={} no_long_holds={} plan_complete={}",
+                     m_service.name, era, m_authority->plan().term, known.plan.ranges.size(), known.noLongHolds,
+                     known.isPlanComplete);
         co_return true;
     }
 
+    /// @brief Suspends the term, as the store has been restored from a copy: nothing is granted until `start`, which
+    /// continues with what this leader knows. To be called before the lease is dropped.
+    void suspend()
+    {
+        if (m_isSuspended) {
+            return;
+        }
+        m_isSuspended = true;
+        ++m_generation;
+        m_lostLeaseEnd = m_lease.heldUntil();
+        m_suspendedTimeAtLoss = suspendedTime();
+        spdlog::warn("lead: event=suspended service={} era={}", m_service.name, m_store.era());
+    }
+
+    bool isSuspended() const
+    {
+        return m_isSuspended;
+    }
+
+    /// @brief Whether a successor may start now. Its rules take the last moments of earlier leaders into account only
+    /// after the lease of this one.
+    bool mayResign() const
+    {
+        return Clock::now() >= m_mayResignFrom;
+    }
+
     /// @brief Tells that the deputy has consented to long holds.
     void onDeputyConsent(std::uint64_t term, std::uint64_t epoch)
     {
@@ -145,9 +195,54 @@
     /// The very first plan waits until servers have registered, so that they get equal shares.
     static constexpr Milliseconds FirstPlanDelay{1'200};
 
+    absl::StatusOr<KeyPlan> parsePlan(const StoredValue &stored) const
+    {
+        auto plan = parseKeyPlan(stored.value);
+        if (!plan.ok()) {
+            spdlog::error("lead: event=bad_plan service={} key={} revision={} reason=\"{}\"", m_service.name,
+                          escapeLogValue(stored.key), stored.revision, std::string(plan.status().message()));
+        }
+        return plan;
+    }
+
+    /// What is known of the earlier leaders when the present era has no plan yet.
+    Awaitable<absl::StatusOr<PredecessorKnowledge>> knowledgeOfEarlierEras(std::uint64_t era)
+    {
+        PredecessorKnowledge known;
+        known.activeFor = m_lease.times().duration;
+        if (m_authority) {
+            const Duration suspended = suspendedTime() - m_suspendedTimeAtLoss;
+            const auto own = m_authority->knownPlan(m_lostLeaseEnd - suspended, Clock::now());
+            if (own) {
+                spdlog::info("lead: event=plan_kept service={} term={} ranges={} unknown_ranges={}", m_service.name,
+                             own->term, own->ranges.size(), own->unknownOwners.size());
+                known.plan = *own;
+                co_return known;
+            }
+        }
+        const auto plans = co_await m_store.list(PlansPrefix);
+        if (!plans.ok()) {
+            co_return plans.status();
+        }
+        std::uint64_t latestEra = 0;
+        for (const StoredValue &value : plans->values) {
+            const auto key = parseEraKey(PlansPrefix, value.key);
+            const bool isLater = key && key->service == m_service.name && key->era < era && key->era >= latestEra;
+            const auto plan = isLater ? parsePlan(value) : absl::StatusOr<KeyPlan>(KeyPlan());
+            if (isLater && plan.ok()) {
+                latestEra = key->era;
+                known.plan = *plan;
+            }
+        }
+        const bool isFirst = m_mayBeFirst && known.plan.term == 0;
+        known.isPlanComplete = isFirst;
+        known.activeFor = isFirst ? Milliseconds(0) : known.activeFor;
+        co_return known;
+    }
+
     void advanceAuthority(TimePoint now)
     {
-        const bool isFirstPlan = m_planRevision == 0 && now - m_startedAt < FirstPlanDelay;
+        const bool isFirstPlan = m_isFirstTerm && m_planRevision == 0 && now - m_startedAt < FirstPlanDelay;
         if (isFirstPlan) {
             return;
         }
@@ -155,7 +250,7 @@
             m_authority->setServers(m_servers, now);
             m_serversChanged = false;
         }
-        m_authority->setLeaderLease(m_lease.heldUntil(), m_lease.storeAnswers(now));
+        m_authority->setLeaderLease(m_isSuspended ? TimePoint() : m_lease.heldUntil(), m_lease.storeAnswers(now));
         m_authority->setDeputy(m_desk.chooseDeputy(m_authority->plan().deputy.run), now);
         if (now - m_decayedAt >= DecayInterval) {
             const Duration elapsed = std::min<Duration>(now - m_decayedAt, SlowWindow);
@@ -202,20 +297,21 @@
 
     void start(const SaveKeyPlan &save)
     {
-        spawnMember(m_executor, this->shared_from_this(), &ServiceLeader::savePlan, save.plan);
+        spawnMember(m_executor, this->shared_from_this(), &ServiceLeader::savePlan, save.plan, m_generation);
     }
 
     template <typename KeyRequest>
     void start(const KeyRequest &request)
     {
-        spawnMember(m_executor, this->shared_from_this(), &ServiceLeader::template callServer<KeyRequest>, request);
+        spawnMember(m_executor, this->shared_from_this(), &ServiceLeader::template callServer<KeyRequest>, request,
+                    m_generation);
     }
 
     template <typename KeyRequest>
-    Awaitable<void> callServer(KeyRequest request)
+    Awaitable<void> callServer(KeyRequest request, std::uint64_t generation)
     {
         // The process may have been suspended since the decision, and the lease may have expired meanwhile.
-        const bool isLeaseHeld = m_lease.isHeld(Clock::now());
+        const bool isLeaseHeld = m_generation == generation && m_lease.isHeld(Clock::now());
         KeyCallOutcome end = KeyCallOutcome::NotSent;
         std::string handover;
         if (isLeaseHeld) {
@@ -228,7 +324,7 @@
                          m_service.name, request.server.id, request.keys.from, request.keys.to, request.fence,
                          static_cast<int>(end), isLeaseHeld);
         }
-        if (!m_stopped) {
+        if (!m_stopped && m_generation == generation) {
             // Renewals change no owner: going through all ranges after each would saturate a small host's processor.
             if (m_authority->onCallOutcome(request.call, end, handover, Clock::now())) {
                 advanceSoon();
@@ -248,17 +344,20 @@
         } // else the next tick advances
     }
 
-    Awaitable<void> savePlan(KeyPlan plan)
+    Awaitable<void> savePlan(KeyPlan plan, std::uint64_t generation)
     {
+        if (m_generation != generation) {
+            co_return;
+        }
         StoreWrite write;
-        write.key = planKey(m_service.name);
+        write.key = planKey(m_service.name, m_store.era());
         write.value = toText(plan);
         write.expectedRevision = m_planRevision;
         asio::steady_timer timer(m_executor);
         while (!m_stopped) {
             constexpr Milliseconds RetryTime(2'000);
             const auto result = co_await writeWithRetry(m_store, write, Clock::now() + RetryTime);
-            if (m_stopped) {
+            if (m_stopped || m_generation != generation) {
                 co_return;
             }
             if (result.ok() && !result->committed) {
@@ -291,6 +390,7 @@
     LeaseHolder<Store> &m_lease;
     DeputyConsents &m_consents;
     GatewayService m_service;
+    bool m_mayBeFirst;
     KeyAuthorityTimes m_times;
     std::unique_ptr<KeyAuthority> m_authority; ///< null for an unkeyed service and before start()
     KeyLoads m_fastLoads;
@@ -298,6 +398,12 @@
     Seconds m_meanWork{0.1}; ///< of one request; the initial value is replaced within about fifty requests
     TimePoint m_decayedAt;
     TimePoint m_startedAt;
+    bool m_isFirstTerm = false; ///< of the service
+    TimePoint m_mayResignFrom;
+    bool m_isSuspended = false;
+    std::uint64_t m_generation = 0; ///< changes with each term and suspension, to discard results of earlier calls
+    TimePoint m_lostLeaseEnd; ///< of the lease that was lost with the last era
+    Duration m_suspendedTimeAtLoss{}; ///< of the machine, when that lease was lost
     TimePoint m_advancedAt;
     Duration m_advanceDuration{};
     std::uint64_t m_planRevision = 0;
--- a/src/snipevalve/node/leader_dispatcher.cpp
+++ b/src/snipevalve/node/leader_dispatcher.cpp
@@ -433,10 +433,11 @@
     host.pending.set_config_version(configVersion());
     const bool isConfigNew = host.configVersion != configVersion();
     host.configVersion = configVersion();
-    const bool areLeadersNew = host.leadersRevision != m_leaders.revision;
+    const std::pair leadersVersion(m_leaders.era, m_leaders.revision);
+    const bool areLeadersNew = host.leadersVersion != leadersVersion;
     if (areLeadersNew) {
         *host.pending.mutable_leaders() = toProto(m_leaders);
-        host.leadersRevision = m_leaders.revision;
+        host.leadersVersion = leadersVersion;
     }
     return isConfigNew || areLeadersNew;
 }
--- a/src/snipevalve/node/leader_dispatcher.hpp
+++ b/src/snipevalve/node/leader_dispatcher.hpp
@@ -98,7 +98,7 @@
         proto::LeaderFrame pending; ///< content of the next frame
         TimePoint sentAt;
         std::uint64_t configVersion = 0; ///< last version announced to the host
-        std::uint64_t leadersRevision = 0; ///< revision of the leader table last sent
+        std::pair<std::uint64_t, std::uint64_t> leadersVersion; ///< era and revision of the leader table last sent
         std::map<Ticket, Ticket> tickets; ///< from the host's ticket to the leader's
     };
 
--- a/tests/process/hostile_server_test.cpp
+++ b/tests/process/hostile_server_test.cpp
@@ -395,6 +395,11 @@
     deployment.platform.putEntry("snipevalve/leader/debits2", "{\"address\":7,\"host\":{}}");
     deployment.platform.putEntry("snipevalve/leader/ledger2", "[]");
     deployment.platform.putEntry("snipevalve/plan/ledger", "{\"term\":\"x\"}");
+    for (const std::string era : {"0", "1", "99999999999999999999"}) {
+        deployment.platform.putEntry("snipevalve/leader/" + era + "/debits2", "{\"address\":7,\"host\":{}}");
+        deployment.platform.putEntry("snipevalve/leader/" + era + "/ledger2", "[]");
+        deployment.platform.putEntry("snipevalve/plan/" + era + "/ledger", "{\"term\":\"x\"}");
+    }
     std::this_thread::sleep_for(Milliseconds(1'500));
     CHECK(deployment.node(0).isRunning());
     CHECK(deployment.sendRequest(0, "GET", "/v1/x").status == 200);
--- a/tests/standins/node_settings_file.cpp
+++ b/tests/standins/node_settings_file.cpp
@@ -8,7 +8,8 @@
                        const Endpoint &store)
 {
     std::ofstream file(path);
-    file << "node = \"" << node << "\"\nip = \"" << address << "\"\nzone = \"z\"\nseeds = []\nheartbeat_ms = 200\n"
+    file << "node = \"" << node << "\"\nip = \"" << address
+         << "\"\nzone = \"z\"\nseeds = []\nheartbeat_ms = 200\nbootstrap = true\n"
          << "bounds = [\"grace_s=6\",\"retry_budget_slack=60\",\"hold_max_ms=10000\"]\n[listen]\nfront = \"" << address
          << ":" << NodeCallersPort << "\"\nready = \"" << address << ":" << NodeReadinessPort << "\"\ncontrol = \""
          << address << ":" << NodeControlPort << "\"\n"
--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -278,7 +278,7 @@
 std::string PlatformStandin::leaderOf(const std::string &service) const
 {
     const std::lock_guard lock(m_mutex);
-    const auto item = m_items.find("snipevalve/leader/" + service);
+    const auto item = m_items.find("snipevalve/leader/" + std::to_string(m_namesEra ? m_era : 0) + "/" + service);
     std::string value;
     if (item == m_items.end() || !absl::Base64Unescape(item->second.value, &value)) {
         return {};
