Let a new leader know what servers its predecessor used

A host that begins to watch the servers knows nothing of them, and the entries that it lists may come from a copy that the store was restored from.

When a host's watch of the servers begins, the directory learns the views of the last leaders, which every host's traffic thread has. A server that drains there goes on draining, a run that is older than there is not used, and a listed server that is missing there is used only with its next heartbeat, or once its entry has outlasted the store's removal of silent servers. This holds for each takeover, not only after a restore: a server that has registered since the last view is used one heartbeat later.

--- a/include/snipevalve/gateway/server_directory.hpp
+++ b/include/snipevalve/gateway/server_directory.hpp
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,12 @@
     /// @brief Stops using all servers; for a host that has not watched the store for a while.
     void clear(TimePoint now);
 
+    /// @brief Notes which servers of a service its last leader used; call it after clear() and before the next list.
+    ///
+    /// A listed server that the view doesn't have may have left before that list's copy was restored, so it is used
+    /// only with its next heartbeat.
+    void noteView(const std::string &service, const std::vector<UpstreamServer> &servers, TimePoint now);
+
     /// @brief A snapshot was read: entries that are not in `ids` were removed.
     void onListed(const std::vector<std::string> &ids, TimePoint now);
 
@@ -83,6 +90,7 @@
     Milliseconds m_silenceTimeout; ///< the store has removed the entry of a silent server by then
     std::map<std::string, Entry> m_entries;
     std::map<std::string, PastServer> m_past;
+    std::set<std::string> m_viewedServices; ///< those of noteView() since the last list
     TimePoint m_graceEnd;
     TimePoint m_reviewedAt;
     bool m_changed = false;
--- a/src/snipevalve/gateway/server_directory.cpp
+++ b/src/snipevalve/gateway/server_directory.cpp
@@ -1,7 +1,6 @@
 #include "snipevalve/gateway/server_directory.hpp"
 
 #include <algorithm>
-#include <set>
 
 namespace snipevalve {
 
@@ -42,6 +41,11 @@
         return;
     }
     const ServerEntry *last = lastEntry(id);
+    const bool isUnknownToLeader = last == nullptr && m_viewedServices.contains(entry->server.service);
+    if (isUnknownToLeader) {
+        m_past[id] = {*entry, now, true, OldEntry{*entry, now}};
+        return;
+    }
     if (last != nullptr && entry->server.incarnation < last->server.incarnation) {
         return;
     }
@@ -119,6 +123,29 @@
     for (const std::string &id : missing) {
         onRemoved(id, now);
     }
+    m_viewedServices.clear();
+}
+
+void ServerDirectory::noteView(const std::string &service, const std::vector<UpstreamServer> &servers, TimePoint now)
+{
+    m_viewedServices.insert(service);
+    std::set<std::string> named;
+    for (const UpstreamServer &server : servers) {
+        named.insert(server.id);
+        const auto [past, isNew] = m_past.try_emplace(server.id, PastServer{{server, 0}, now, false, {}});
+        const UpstreamServer &known = past->second.last.server;
+        if (server.incarnation > known.incarnation) {
+            past->second = {{server, 0}, now, false, {}};
+        } else if (server.incarnation == known.incarnation) {
+            past->second.last.server.draining = known.draining || server.draining;
+            past->second.isRemoved = false;
+        }
+    }
+    for (auto &[id, past] : m_past) {
+        if (past.last.server.service == service && !named.contains(id)) {
+            past.isRemoved = true;
+        }
+    }
 }
 
 void ServerDirectory::clear(TimePoint now)
--- a/src/snipevalve/gateway/server_directory_test.cpp
+++ b/src/snipevalve/gateway/server_directory_test.cpp
@@ -108,6 +108,18 @@
     const Step cleared = [](ServerDirectory &directory) {
         directory.clear(Start);
     };
+    const auto view = [](std::vector<ServerEntry> entries) {
+        return [entries](ServerDirectory &directory) {
+            std::vector<UpstreamServer> servers;
+            for (const ServerEntry &entry : entries) {
+                servers.push_back(entry.server);
+            }
+            directory.noteView("ledger", servers, Start);
+        };
+    };
+    const Step otherView = [](ServerDirectory &directory) {
+        directory.noteView("debits", {}, Start);
+    };
     const Step unreadable = [](ServerDirectory &directory) {
         directory.onEntry("a", std::nullopt, Start);
     };
@@ -148,6 +160,23 @@
         {"the same entry after a pause of the watch", {ready(5), cleared, ready(5), listed}, State::Ready},
         {"gone after a pause of the watch, then in a copy", {ready(5), cleared, notListed, ready(3)}, State::Absent},
         {"draining, unreadable, then in a copy", {draining(5), unreadable, ready(3)}, State::Draining},
+        {"draining in the last leader's view", {view({entryOf("a", 0, 1, true)}), ready(3), listed}, State::Draining},
+        {"an older run than in the last leader's view", {view({entryOf("a", 0, 2)}), ready(3), listed}, State::Absent},
+        {"ready in the last leader's view", {view({entryOf("a", 0)}), ready(3), listed}, State::Ready},
+        {"not in the last leader's view", {view({}), ready(3), listed}, State::Absent},
+        {"not in that view, then with a newer heartbeat", {view({}), ready(3), listed, ready(4)}, State::Ready},
+        {"not in that view, but the store keeps the entry", {view({}), ready(3), listed, after(Silence)}, State::Ready},
+        {"not in that view, and the store removes the entry",
+         {view({}), ready(3), listed, removed, after(Silence)},
+         State::Absent},
+        {"registered after that view's list", {view({}), notListed, ready(1)}, State::Ready},
+        {"no view of its service", {otherView, ready(3), listed}, State::Ready},
+        {"known here, no longer in the last leader's view",
+         {ready(5), cleared, view({}), ready(3), listed},
+         State::Absent},
+        {"removed here, but in the last leader's view",
+         {ready(5), removed, view({entryOf("a", 0)}), ready(5), listed},
+         State::Ready},
         {"an old entry that the store keeps is of a living server",
          {ready(5), removed, ready(3), after(Silence)},
          State::Ready},
--- a/src/snipevalve/node/control/node_control.hpp
+++ b/src/snipevalve/node/control/node_control.hpp
@@ -525,6 +525,10 @@
         handlers.isNeeded = [this]() {
             const bool isNeeded = !m_ledServices.empty() || needsViews();
             m_serversKnown = m_serversKnown && isNeeded;
+            if (isNeeded && !m_serversWatched) {
+                startServerWatch();
+            }
+            m_serversWatched = isNeeded;
             return isNeeded;
         };
         handlers.isPassive = [this]() {
@@ -539,9 +543,6 @@
             m_directory.onStoreRecovered(Clock::now()); // servers that are not in the copy register again
         };
         handlers.onList = [this](const StoredList &list) {
-            if (!m_serversKnown) {
-                m_directory.clear(Clock::now()); // entries from before the watch was paused may be long gone
-            }
             std::vector<std::string> ids;
             for (const StoredValue &value : list.values) {
                 ids.push_back(serverId(value.key));
@@ -563,6 +564,26 @@
         return handlers;
     }
 
+    /// Entries from before the watch was paused may be long gone. What the last leaders used is passed to the
+    /// directory, since the store's entries may come from a copy that is older.
+    void startServerWatch()
+    {
+        m_directory.clear(Clock::now());
+        std::vector<std::string> services;
+        if (m_config) {
+            for (const auto &[name, service] : m_config->services) {
+                services.push_back(name);
+            }
+        }
+        m_outputs.readKnownViews(services, [this](const std::vector<KnownView> &known) {
+            for (const KnownView &each : known) {
+                if (!m_serversKnown) {
+                    m_directory.noteView(each.view.service, each.view.servers, Clock::now());
+                }
+            }
+        });
+    }
+
     static std::string serverId(const std::string &key)
     {
         return key.substr(Platform::serversPrefix().size());
@@ -824,7 +845,8 @@
     std::map<std::string, std::uint64_t> m_removedLeaderKeys;
     std::map<std::string, std::shared_ptr<ServiceLeader<Platform>>> m_ledServices;
     ServerDirectory m_directory{m_settings.heartbeatInterval};
-    bool m_serversKnown = false;
+    bool m_serversKnown = false; ///< since the watch of the servers began
+    bool m_serversWatched = false;
     const TimePoint m_startedAt = Clock::now();
     std::map<std::string, KeyOwners> m_plannedOwners;
     bool m_viewsChanged = false;
