Decode what a server says of itself in its answers: leaving, and a pause

The users' servers now say in every answer whether they leave (Server-Leaving: 1) and in a 503 how long they want nothing from the host (Retry-After). Nothing read either header.

The adapter decodes both once into a typed notice. A 421 that does not name the server that was meant may come from the next owner of the address; its notice is not read.

The notice has no effect yet.

--- /dev/null
+++ b/include/snipevalve/gateway/server_notice.hpp
@@ -0,0 +1,37 @@
+#ifndef SNIPEVALVE_GATEWAY_SERVER_NOTICE_HPP
+#define SNIPEVALVE_GATEWAY_SERVER_NOTICE_HPP
+
+#include <string>
+#include <vector>
+
+#include "snipevalve/core/time.hpp"
+
+namespace snipevalve {
+
+/// @brief What a server says of itself in the header of an answer.
+struct ServerNotice
+{
+    bool isLeaving = false; ///< it is shutting down and takes no new requests
+    Milliseconds pause{0}; ///< for how long it takes no requests from this host; zero when it asks for no pause
+
+    bool operator==(const ServerNotice &) const = default;
+};
+
+/// @brief A header that was ignored because its value is invalid.
+struct InvalidHeader
+{
+    std::string name;
+    std::string value;
+    std::string reason; ///< names the limit that the value exceeds
+};
+
+/// @brief A notice, and the headers that are not part of it because they are invalid.
+struct ParsedServerNotice
+{
+    ServerNotice notice;
+    std::vector<InvalidHeader> invalid;
+};
+
+} // namespace snipevalve
+
+#endif // SNIPEVALVE_GATEWAY_SERVER_NOTICE_HPP
--- a/src/snipevalve/node/control/node_process.hpp
+++ b/src/snipevalve/node/control/node_process.hpp
@@ -19,7 +19,7 @@
     NodeProcess(const NodeSettings &settings, const HeaderNames &names, std::uint64_t seed,
                 std::function<void()> reload)
         : m_settings(settings)
-        , m_traffic(settings, names, seed)
+        , m_traffic(settings, names, &Platform::parseServerNotice, seed)
         , m_control(m_context.get_executor(), settings, outputs(), seed + 1)
         , m_readinessAcceptor(listenOn(m_context.get_executor(), settings.readiness))
         , m_supervisor(m_context.get_executor(), "node", {},
--- a/src/snipevalve/node/control/platform_api.hpp
+++ b/src/snipevalve/node/control/platform_api.hpp
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "snipevalve/gateway/gateway_config.hpp"
+#include "snipevalve/gateway/server_notice.hpp"
 #include "snipevalve/gateway/upstream_server.hpp"
 #include "snipevalve/net/http_client.hpp"
 #include "snipevalve/ownership/key_authority.hpp"
@@ -16,7 +17,7 @@
 /// @brief Requirements on a platform: its store, the formats of its documents, and its calls to servers.
 template <typename Platform>
 concept PlatformApi = requires(std::string_view text, const GrantKeys &grant, const ReleaseKeys &release,
-                               const absl::StatusOr<HttpReply> &reply)
+                               const absl::StatusOr<HttpReply> &reply, const http::response_header<> &header)
 {
     requires ConfigStore<typename Platform::Store>;
     {
@@ -31,6 +32,9 @@
     {
         Platform::parseServer(text, text)
         } -> std::same_as<absl::StatusOr<UpstreamServer>>;
+    {
+        Platform::parseServerNotice(header)
+        } -> std::same_as<ParsedServerNotice>;
     {
         Platform::toCall(grant)
         } -> std::same_as<HttpCall>;
--- a/src/snipevalve/node/gateway_thread.cpp
+++ b/src/snipevalve/node/gateway_thread.cpp
@@ -28,8 +28,9 @@
 
 } // namespace
 
-GatewayThread::GatewayThread(const NodeSettings &settings, const HeaderNames &names, std::uint64_t seed)
-    : m_traffic(m_context.get_executor(), settings, names, seed)
+GatewayThread::GatewayThread(const NodeSettings &settings, const HeaderNames &names,
+                             ServerNoticeParser parseServerNotice, std::uint64_t seed)
+    : m_traffic(m_context.get_executor(), settings, names, parseServerNotice, seed)
     , m_acceptor(listenOn(m_context.get_executor(), settings.callers))
 {
 }
--- a/src/snipevalve/node/gateway_thread.hpp
+++ b/src/snipevalve/node/gateway_thread.hpp
@@ -15,7 +15,8 @@
 class GatewayThread
 {
 public:
-    GatewayThread(const NodeSettings &settings, const HeaderNames &names, std::uint64_t seed);
+    GatewayThread(const NodeSettings &settings, const HeaderNames &names, ServerNoticeParser parseServerNotice,
+                  std::uint64_t seed);
     ~GatewayThread();
 
     void start();
--- a/src/snipevalve/node/gateway_traffic.hpp
+++ b/src/snipevalve/node/gateway_traffic.hpp
@@ -11,6 +11,7 @@
 #include "snipevalve/node/node_metrics.hpp"
 #include "snipevalve/node/placements.hpp"
 #include "snipevalve/node/retry_age_estimator.hpp"
+#include "snipevalve/node/upstream_exchange.hpp"
 
 namespace snipevalve {
 
@@ -48,10 +49,11 @@
     static constexpr std::size_t IdleConnectionsPerServer = 4;
 
     GatewayTraffic(asio::any_io_executor traffic, const NodeSettings &nodeSettings, const HeaderNames &headerNames,
-                   std::uint64_t seed)
+                   ServerNoticeParser noticeParser, std::uint64_t seed)
         : executor(traffic)
         , settings(nodeSettings)
         , names(headerNames)
+        , parseServerNotice(noticeParser)
         , pool(traffic, nodeSettings.address, IdleConnectionsPerServer)
         , placements(traffic, nodeSettings, seed)
         , random(seed)
@@ -61,6 +63,7 @@
     asio::any_io_executor executor;
     const NodeSettings &settings;
     const HeaderNames &names;
+    ServerNoticeParser parseServerNotice;
     std::shared_ptr<const GatewayConfig> config; ///< null until the first configuration arrives
     UpstreamPool pool;
     Placements placements;
--- a/src/snipevalve/node/request_runner.cpp
+++ b/src/snipevalve/node/request_runner.cpp
@@ -150,8 +150,8 @@
 Awaitable<ExchangeResult> RequestRunner::sendTo(const Placement &placement)
 {
     ++m_sendCount;
-    const auto exchange =
-        std::make_shared<UpstreamExchange>(m_traffic.executor, m_traffic.pool, m_traffic.names, m_request);
+    const auto exchange = std::make_shared<UpstreamExchange>(m_traffic.executor, m_traffic.pool, m_traffic.names,
+                                                             m_traffic.parseServerNotice, m_request);
     m_exchange = exchange;
     const auto timer = std::make_shared<asio::steady_timer>(
         m_traffic.executor,
@@ -172,6 +172,7 @@
         m_traffic.metrics.count("connection_opened");
     }
     logSend(placement, result);
+    logInvalidHeaders(placement.server, result.notice);
     co_return result;
 }
 
@@ -302,6 +303,15 @@
                 toMs(result.took), result.reusedConnection, describe(result.end), escapeQuotedText(result.detail));
 }
 
+void RequestRunner::logInvalidHeaders(const UpstreamServer &server, const ParsedServerNotice &notice) const
+{
+    for (const InvalidHeader &header : notice.invalid) {
+        spdlog::warn("servers: event=invalid_header server={} header={} value={} reason=\"{}\"",
+                     escapeLogValue(server.id), header.name, escapeLogValue(header.value),
+                     escapeQuotedText(header.reason));
+    }
+}
+
 void RequestRunner::logEnd(unsigned status, const std::string &reason) const
 {
     constexpr unsigned FirstFailure = 500;
--- a/src/snipevalve/node/request_runner.hpp
+++ b/src/snipevalve/node/request_runner.hpp
@@ -51,6 +51,7 @@
     UpstreamAnswer failure(Duration retryAfter, const std::string &reason) const;
     void logRejection(const Rejection &rejection) const;
     void logSend(const Placement &placement, const ExchangeResult &result) const;
+    void logInvalidHeaders(const UpstreamServer &server, const ParsedServerNotice &notice) const;
     void logEnd(unsigned status, const std::string &reason) const;
 
     GatewayTraffic &m_traffic;
--- a/src/snipevalve/node/upstream_exchange.cpp
+++ b/src/snipevalve/node/upstream_exchange.cpp
@@ -41,10 +41,11 @@
 }
 
 UpstreamExchange::UpstreamExchange(asio::any_io_executor executor, UpstreamPool &pool, const HeaderNames &names,
-                                   const GatewayRequest &request)
+                                   ServerNoticeParser parseServerNotice, const GatewayRequest &request)
     : m_executor(executor)
     , m_pool(pool)
     , m_names(names)
+    , m_parseServerNotice(parseServerNotice)
     , m_request(request)
     , m_sendEnded(std::move(executor))
 {
@@ -54,6 +55,7 @@
 {
     ExchangeResult result;
     const TimePoint startedAt = Clock::now();
+    m_serverId = server.id;
     m_endpoint = server.endpoint;
     co_await connect(server.endpoint, until, result);
     if (m_cancelled || !m_connection) {
@@ -185,6 +187,9 @@
         co_return;
     }
     const http::response_header<> &header = m_parser->get();
+    if (!isFromOtherServer(header)) {
+        result.notice = m_parseServerNotice(header);
+    }
     const std::string fault = checkAnswer(header);
     const bool isForwardable = !isRefusal(header) && fault.empty() && !promisesNotExecuted(header.result());
     const std::size_t limit = isForwardable ? bufferLimit : MaxDiscardedBodyBytes;
@@ -240,6 +245,12 @@
     return !id.empty() && id != m_request.id;
 }
 
+/// Whether the answer may come from another server, which has taken over the address.
+bool UpstreamExchange::isFromOtherServer(const http::response_header<> &header) const
+{
+    return header.result() == http::status::misdirected_request && header[m_names.serverId] != m_serverId;
+}
+
 bool UpstreamExchange::isRefusal(const http::response_header<> &header) const
 {
     return header.find(m_names.notExecuted) != header.end() || header.result() == http::status::misdirected_request;
--- a/src/snipevalve/node/upstream_exchange.hpp
+++ b/src/snipevalve/node/upstream_exchange.hpp
@@ -6,11 +6,15 @@
 #include <string>
 
 #include "snipevalve/dispatch/work.hpp"
+#include "snipevalve/gateway/server_notice.hpp"
 #include "snipevalve/net/upstream_pool.hpp"
 #include "snipevalve/node/gateway_request.hpp"
 
 namespace snipevalve {
 
+/// @brief Parses what a server says of itself in an answer's header; the platform's adapter provides it.
+using ServerNoticeParser = ParsedServerNotice (*)(const http::response_header<> &header);
+
 /// @brief A server's answer: either complete, or the header and the first part of a long body.
 struct UpstreamAnswer
 {
@@ -28,6 +32,7 @@
     std::string detail; ///< why the send failed; logged, and sent to the caller when there is no retry
     bool reusedConnection = false;
     Duration took{}; ///< until the exchange ended or streaming began
+    ParsedServerNotice notice; ///< of the server that the request was meant for
 };
 
 /// @brief Whether callers read this status as a promise that the request was not executed.
@@ -43,7 +48,7 @@
 {
 public:
     UpstreamExchange(asio::any_io_executor executor, UpstreamPool &pool, const HeaderNames &names,
-                     const GatewayRequest &request);
+                     ServerNoticeParser parseServerNotice, const GatewayRequest &request);
 
     /// @brief Sends the request and reads the answer, or the beginning of a long one.
     /// @param server where to send the request
@@ -70,6 +75,7 @@
     Awaitable<void> receiveHead(ErrorCode &error);
     Awaitable<void> discardAnswer(ErrorCode &error);
     bool answersOtherRequest() const;
+    bool isFromOtherServer(const http::response_header<> &header) const;
     bool isRefusal(const http::response_header<> &header) const;
     std::string checkAnswer(const http::response_header<> &header) const;
     void setOutcome(const ErrorCode &error, ExchangeResult &result);
@@ -78,7 +84,9 @@
     asio::any_io_executor m_executor;
     UpstreamPool &m_pool;
     const HeaderNames &m_names;
+    ServerNoticeParser m_parseServerNotice;
     const GatewayRequest &m_request;
+    std::string m_serverId;
     Endpoint m_endpoint;
     std::unique_ptr<UpstreamConnection> m_connection;
     http::request<http::string_body> m_message;
