Send nothing to a server that has said in an answer that it leaves

A server that leaves says so in all its answers; hosts only looked at its entry, which may say it later, never, or not be readable while the store is away.

LeavingServers is the one record of departures, told by the list or by an answer, for a start of a server; only a later start ends it. The host that reads the answer uses the server no more, with a leader or alone, and returns permits that are under way. It tells the leader of the service at once and whenever it connects to one or the leader changes. The leader places nothing there any more, passes the server on as draining, and so KeyAuthority moves its keys as for a draining entry.

The stand-in's servers say it too (drainServer, and announceLeaving for answers alone); one that restarts is ready again, as it is a new start.

--- a/src/snipevalve/dispatch_link/messages.cpp
+++ b/src/snipevalve/dispatch_link/messages.cpp
@@ -259,6 +259,25 @@
     return change;
 }
 
+proto::LeavingServer toProto(const LeavingServer &leaving, TimePoint now)
+{
+    proto::LeavingServer message;
+    message.set_service(leaving.service);
+    message.set_id(leaving.server.id);
+    message.set_incarnation(leaving.server.incarnation);
+    const std::int64_t age = std::max<std::int64_t>(0, millisecondsBetween(leaving.since, now));
+    message.set_age_ms(static_cast<std::uint32_t>(age));
+    return message;
+}
+
+LeavingServer fromProto(const proto::LeavingServer &message, TimePoint now)
+{
+    return {message.service(),
+            {message.id(), message.incarnation()},
+            LeavingSource::Answer,
+            now - Milliseconds(message.age_ms())};
+}
+
 proto::ConfigChange toProto(const ConfigChange &change)
 {
     proto::ConfigChange message;
--- a/src/snipevalve/dispatch_link/messages.hpp
+++ b/src/snipevalve/dispatch_link/messages.hpp
@@ -5,6 +5,7 @@
 #include "snipevalve/dispatch_link/generated/dispatch.pb.h"
 #include "snipevalve/gateway/config_change.hpp"
 #include "snipevalve/gateway/leader_table.hpp"
+#include "snipevalve/gateway/leaving_servers.hpp"
 #include "snipevalve/node/known_views.hpp"
 #include "snipevalve/node/view_change.hpp"
 
@@ -29,6 +30,9 @@
 proto::ViewChange toProto(const ViewChange &change);
 ViewChange fromProto(const proto::ViewChange &message);
 
+proto::LeavingServer toProto(const LeavingServer &leaving, TimePoint now);
+LeavingServer fromProto(const proto::LeavingServer &message, TimePoint now);
+
 proto::ConfigChange toProto(const ConfigChange &change);
 ConfigChange fromProto(const proto::ConfigChange &message);
 proto::Leaders toProto(const LeaderTable &table);
--- a/src/snipevalve/node/control/node_control.hpp
+++ b/src/snipevalve/node/control/node_control.hpp
@@ -67,6 +67,9 @@
                 leader->second->onDeputyConsent(term, epoch);
             }
         };
+        m_desk.onServerLeaving = [this]() {
+            m_viewsChanged = true;
+        };
         m_desk.onViewsWanted = m_outputs.readKnownViews;
         m_desk.onKnownView = m_outputs.knownView;
     }
@@ -576,6 +579,18 @@
             return;
         }
         m_directory.onEntry(id, *server);
+        if (server->draining) {
+            m_desk.addLeaving({server->service, incarnationOf(*server), LeavingSource::List, Clock::now()},
+                              m_settings.host);
+        }
+    }
+
+    /// The registered servers of the service; those that an answer has shown to be leaving count as draining.
+    std::vector<UpstreamServer> serversOf(const std::string &service) const
+    {
+        std::vector<UpstreamServer> servers = m_directory.serversOf(service);
+        m_desk.leavingServers().markIn(servers);
+        return servers;
     }
 
     /// Plans are read only while some service has no reachable leader.
@@ -748,7 +763,7 @@
         std::vector<std::string> lost;
         for (auto &[service, leader] : m_ledServices) {
             if (serversChanged && m_serversKnown) {
-                leader->setServers(m_directory.serversOf(service));
+                leader->setServers(serversOf(service));
             }
             leader->advance();
             if (leader->isStopped()) {
@@ -770,7 +785,7 @@
     void publishViews()
     {
         for (const auto &[name, service] : m_config->services) {
-            ServiceView view{name, service.keyed, m_directory.serversOf(name), {}};
+            ServiceView view{name, service.keyed, serversOf(name), {}};
             const auto owners = m_plannedOwners.find(name);
             if (owners != m_plannedOwners.end()) {
                 view.owners = owners->second;
--- a/src/snipevalve/node/leader_dispatcher.cpp
+++ b/src/snipevalve/node/leader_dispatcher.cpp
@@ -110,6 +110,9 @@
             onDeputyConsent(consent.service(), consent.term(), consent.epoch());
         }
     }
+    for (const proto::LeavingServer &leaving : frame.leaving()) {
+        addLeaving(fromProto(leaving, now), host->name);
+    }
     for (const proto::Done &done : frame.dones()) {
         onDone(host, done, now);
     }
@@ -119,6 +122,32 @@
     flush();
 }
 
+void LeaderDispatcher::addLeaving(const LeavingServer &leaving, const std::string &toldBy)
+{
+    if (!m_leaving.add(leaving)) {
+        return;
+    }
+    const TimePoint now = Clock::now();
+    spdlog::info("servers: event=leaving server={} service={} incarnation={} leaving_for_ms={} told_by={} host={}",
+                 escapeLogValue(leaving.server.id), escapeLogValue(leaving.service), leaving.server.incarnation,
+                 std::chrono::duration_cast<Milliseconds>(now - leaving.since).count(), describe(leaving.source),
+                 escapeLogValue(toldBy));
+    const auto led = m_ledServices.find(leaving.service);
+    if (led != m_ledServices.end() && m_leaving.markIn(led->second.view.servers)) {
+        led->second.dispatcher->setServers(led->second.view.servers, now);
+        led->second.isViewChanged = true;
+        collectDecisions(led->second);
+    }
+    if (onServerLeaving) {
+        onServerLeaving();
+    }
+}
+
+const LeavingServers &LeaderDispatcher::leavingServers() const
+{
+    return m_leaving;
+}
+
 /// Services that are led here need no reply: the host gets their views as a leader's.
 void LeaderDispatcher::onWantedViews(const std::shared_ptr<Host> &host, const proto::HostFrame &frame)
 {
@@ -355,12 +384,13 @@
     flush();
 }
 
-void LeaderDispatcher::setView(const ServiceView &view)
+void LeaderDispatcher::setView(ServiceView view)
 {
     const auto led = m_ledServices.find(view.service);
     if (led == m_ledServices.end()) {
         return;
     }
+    m_leaving.markIn(view.servers);
     const TimePoint now = Clock::now();
     const bool serversChanged = led->second.view.servers != view.servers;
     const bool ownersChanged = led->second.view.keyed != view.keyed || !(led->second.view.owners == view.owners);
@@ -371,7 +401,7 @@
         led->second.dispatcher->setOwners(view.owners, now);
     }
     led->second.isViewChanged = led->second.isViewChanged || serversChanged || ownersChanged;
-    led->second.view = view;
+    led->second.view = std::move(view);
     collectDecisions(led->second);
     flush();
 }
--- a/src/snipevalve/node/leader_dispatcher.hpp
+++ b/src/snipevalve/node/leader_dispatcher.hpp
@@ -11,6 +11,7 @@
 #include "snipevalve/dispatch/dispatcher.hpp"
 #include "snipevalve/dispatch_link/frame_channel.hpp"
 #include "snipevalve/dispatch_link/messages.hpp"
+#include "snipevalve/gateway/leaving_servers.hpp"
 #include "snipevalve/node/node_settings.hpp"
 #include "snipevalve/ownership/key_authority.hpp"
 
@@ -36,6 +37,16 @@
     /// @brief Called when a host consents, as a leader's deputy, to long holds.
     std::function<void(const std::string &service, std::uint64_t term, std::uint64_t epoch)> onDeputyConsent;
 
+    /// @brief Called when leavingServers() has a new record.
+    std::function<void()> onServerLeaving;
+
+    /// @brief Notes that a server is leaving: it gets no more permits from now on.
+    /// @param toldBy the host that told it, for the log
+    void addLeaving(const LeavingServer &leaving, const std::string &toldBy);
+
+    /// @brief The servers that the list or an answer to any host has shown to be leaving.
+    const LeavingServers &leavingServers() const;
+
     /// @brief The run of the connected host that should be the deputy of a leader on this host.
     /// @param current the run of the present deputy, which stays while it is connected; empty for none
     /// @return the run of the strongest host, preferably in another zone; empty when no host is connected
@@ -61,7 +72,7 @@
     void stopLeading(const std::string &service);
 
     /// @brief Updates the servers and key owners of a led service; ignored for others.
-    void setView(const ServiceView &view);
+    void setView(ServiceView view);
 
     /// @brief Sets the key ranges of a led service that stay unowned for a while, each with the time when that ends.
     void setOrphanedRanges(const std::string &service, std::vector<OrphanedRange> ranges);
@@ -139,6 +150,7 @@
     std::uint64_t m_seed;
     std::set<std::shared_ptr<Host>> m_hosts;
     std::map<std::string, LedService> m_ledServices;
+    LeavingServers m_leaving;
     std::map<Ticket, Origin> m_origins; ///< by the leader's ticket, for waiting and running requests
     Ticket m_lastTicket = 0;
     std::uint32_t m_lastHostNumber = 0;
--- a/src/snipevalve/node/placements.cpp
+++ b/src/snipevalve/node/placements.cpp
@@ -1,6 +1,7 @@
 #include "snipevalve/node/placements.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include <spdlog/spdlog.h>
 
@@ -15,6 +16,9 @@
 constexpr double LocalShareFactor = 2.0;
 /// Share of a server's slots until a leader tells the number of hosts.
 constexpr double InitialSlotShare = 0.34;
+/// A request is rejected after this many permits for servers that this host may not use. A leader that knows which
+/// servers are leaving gives none.
+constexpr int MaxReturnedPermits = 4;
 
 } // namespace
 
@@ -77,7 +81,72 @@
     return leaderLinkOf(service);
 }
 
+/// A permit may have been on its way when its server said that it leaves; it is returned, and the leader is asked
+/// again.
 Awaitable<DispatchDecision> Placements::acquire(std::string service, WorkItem item, Ticket &ticket)
+{
+    for (int returned = 0; returned <= MaxReturnedPermits; ++returned) {
+        DispatchDecision decision = co_await acquireOnce(service, item, ticket);
+        const auto *placement = std::get_if<Placement>(&decision);
+        if (placement == nullptr || m_leaving.find(incarnationOf(placement->server)) == nullptr) {
+            co_return decision;
+        }
+        item.avoid.push_back(placement->server.id);
+        returnPermit(*placement);
+    }
+    co_return Rejection{ticket, RejectReason::NoServer, Duration::zero()};
+}
+
+/// Gives back a permit that can't be used.
+void Placements::returnPermit(const Placement &placement)
+{
+    const auto send = m_sends.find(placement.ticket);
+    if (send == m_sends.end()) {
+        return;
+    }
+    spdlog::info("request: event=permit_returned service={} server={} by_leader={}",
+                 escapeLogValue(send->second.service), escapeLogValue(placement.server.id), placement.byLeader);
+    if (const auto link = send->second.link.lock()) {
+        tellLeaving(*link, send->second.service);
+    }
+    finish(placement.ticket, WorkEnd::Abandoned, Duration::zero());
+}
+
+bool Placements::addLeaving(const std::string &service, const UpstreamServer &server, LeavingSource source)
+{
+    return m_leaving.add({service, incarnationOf(server), source, Clock::now()});
+}
+
+void Placements::onServerNotice(const std::string &service, const UpstreamServer &server, const ServerNotice &notice)
+{
+    if (!notice.isLeaving || !addLeaving(service, server, LeavingSource::Answer)) {
+        return;
+    }
+    spdlog::info("servers: event=leaving server={} service={} incarnation={} leaving_for_ms=0 told_by={} host={}",
+                 escapeLogValue(server.id), escapeLogValue(service), server.incarnation,
+                 describe(LeavingSource::Answer), escapeLogValue(m_settings.host));
+    if (LeaderLink *link = leaderLinkOf(service)) {
+        tellLeaving(*link, service);
+    }
+    if (const ServiceView *view = m_views.find(service)) {
+        useView(*view, Clock::now());
+    }
+}
+
+/// Tells the leader all that this host knows: the leader may be new, and a repetition changes nothing.
+void Placements::tellLeaving(LeaderLink &link, const std::string &service) const
+{
+    const TimePoint now = Clock::now();
+    proto::HostFrame frame;
+    for (const LeavingServer &leaving : m_leaving.serversOf(service)) {
+        *frame.add_leaving() = toProto(leaving, now);
+    }
+    if (frame.leaving_size() > 0) {
+        link.send(frame);
+    }
+}
+
+Awaitable<DispatchDecision> Placements::acquireOnce(std::string service, WorkItem item, Ticket &ticket)
 {
     const Ticket mine = ++m_lastTicket;
     ticket = mine;
@@ -210,11 +279,19 @@
         const auto after = leaders.find(entry.first);
         return before == m_leaders.end() || after == leaders.end() || !(before->second == after->second);
     });
-    m_leaders = leaders;
+    const std::map<std::string, Endpoint> previous = std::exchange(m_leaders, leaders);
     for (const auto &[service, endpoint] : leaders) {
         m_services.insert(service);
     }
     updateLinks();
+    for (const auto &[service, endpoint] : leaders) {
+        const auto before = previous.find(service);
+        const bool isNew = before == previous.end() || !(before->second == endpoint);
+        LeaderLink *link = isNew ? leaderLinkOf(service) : nullptr;
+        if (link != nullptr) {
+            tellLeaving(*link, service);
+        }
+    }
 }
 
 /// Keeps one link to each leader, and to each seed while it may know what this host does not. Closes all others.
@@ -293,6 +370,11 @@
         localDispatcher(send.service).finish(ticket, WorkEnd::Abandoned, Duration::zero(), now);
         send.link = link.weak_from_this();
     }
+    for (const auto &[service, leader] : m_leaders) {
+        if (leader == link.leader()) {
+            tellLeaving(link, service);
+        }
+    }
     if (frame.asks_size() > 0) {
         link.send(frame);
     }
@@ -418,15 +500,22 @@
     m_services.insert(view.service);
     const TimePoint now = Clock::now();
     m_views.set(view, now);
+    for (const UpstreamServer &server : view.servers) {
+        if (server.draining) {
+            addLeaving(view.service, server, LeavingSource::List);
+        }
+    }
     useView(view, now);
 }
 
 /// Makes the local dispatcher work with this view.
 void Placements::useView(const ServiceView &view, TimePoint now)
 {
+    std::vector<UpstreamServer> servers = view.servers;
+    m_leaving.markIn(servers);
     Dispatcher &dispatcher = localDispatcher(view.service);
     dispatcher.setSlotShare(std::min(1.0, LocalShareFactor / m_hostCount));
-    dispatcher.setServers(view.servers, now);
+    dispatcher.setServers(servers, now);
     if (view.keyed) {
         dispatcher.setOwners(view.owners, now);
     }
@@ -454,7 +543,11 @@
 
 std::vector<KnownView> Placements::knownViews(const std::vector<std::string> &services) const
 {
-    return m_views.offer(services, Clock::now());
+    std::vector<KnownView> views = m_views.offer(services, Clock::now());
+    for (KnownView &known : views) {
+        m_leaving.markIn(known.view.servers);
+    }
+    return views;
 }
 
 DeputyAsk Placements::toDeputyAsk(const proto::DeputyConsent &ask, const Endpoint &leader) const
--- a/src/snipevalve/node/placements.hpp
+++ b/src/snipevalve/node/placements.hpp
@@ -8,6 +8,8 @@
 #include <string>
 
 #include "snipevalve/dispatch/dispatcher.hpp"
+#include "snipevalve/gateway/leaving_servers.hpp"
+#include "snipevalve/gateway/server_notice.hpp"
 #include "snipevalve/node/deputy_ask.hpp"
 #include "snipevalve/node/known_views.hpp"
 #include "snipevalve/node/leader_link.hpp"
@@ -38,6 +40,10 @@
     /// @param took duration of the send
     void finish(Ticket ticket, WorkEnd end, Duration took);
 
+    /// @brief Notes what a server has said of itself in an answer, and tells the service's leader if it is leaving.
+    /// @param server as known when the request was sent; the answer itself does not tell the server's start
+    void onServerNotice(const std::string &service, const UpstreamServer &server, const ServerNotice &notice);
+
     /// @brief Ends a waiting acquire() with a rejection, because the caller has disconnected.
     void abandon(Ticket ticket);
 
@@ -102,6 +108,10 @@
         std::unique_ptr<asio::steady_timer> decisionTimer; ///< expires at the deadline; cancelled on a decision
     };
 
+    Awaitable<DispatchDecision> acquireOnce(std::string service, WorkItem item, Ticket &ticket);
+    void returnPermit(const Placement &placement);
+    bool addLeaving(const std::string &service, const UpstreamServer &server, LeavingSource source);
+    void tellLeaving(LeaderLink &link, const std::string &service) const;
     Dispatcher &localDispatcher(const std::string &service);
     LeaderLink *leaderLinkOf(const std::string &service) const;
     LeaderLink *leaderLinkForAsk(const std::string &service, TimePoint now);
@@ -133,6 +143,7 @@
     bool m_isConfigKnown = false;
     std::map<Endpoint, std::shared_ptr<LeaderLink>> m_links;
     KnownViews m_views;
+    LeavingServers m_leaving;
     /// By service: the host that the leader table names does not lead it; the next request is sent there at this time.
     std::map<std::string, TimePoint> m_nextAskOfDenier;
     std::set<std::string> m_services; ///< every service seen in requests, views or the leader table
--- a/src/snipevalve/node/placements_test.cpp
+++ b/src/snipevalve/node/placements_test.cpp
@@ -130,4 +130,57 @@
     context.run_for(Milliseconds(50));
 }
 
+/// The leader has already placed the request when the host reads from another answer that the server leaves.
+TEST_CASE("a permit that is under way when its server says that it leaves is returned", "[promise-6]")
+{
+    asio::io_context context;
+    NodeSettings settings;
+    settings.address = "127.0.0.85";
+    const Endpoint leader{"127.0.0.86", 19'303};
+    Tcp::acceptor acceptor = listenOn(context.get_executor(), leader);
+    LeaderDispatcher desk(context.get_executor(), settings, 1);
+    UpstreamServer leaving;
+    leaving.id = "a";
+    leaving.service = "service";
+    leaving.slots = 2;
+    leaving.incarnation = 1;
+    UpstreamServer other = leaving;
+    other.id = "b";
+    desk.startLeading("service");
+    desk.setView({"service", false, {leaving, other}, {}});
+    asio::co_spawn(context, desk.serve(acceptor), asio::detached);
+    Placements placements(context.get_executor(), settings, 1);
+    placements.setLeaders({{"service", leader}});
+    const auto runBriefly = [&context]() {
+        context.restart();
+        context.run_for(Milliseconds(200));
+    };
+    desk.advance();
+    runBriefly(); // connects
+    std::optional<DispatchDecision> decision;
+    Ticket ticket = 0;
+    WorkItem item;
+    item.targetBy = Clock::now() + Milliseconds(9'000);
+    item.deadline = Clock::now() + Milliseconds(10'000);
+    asio::co_spawn(
+        context,
+        [&]() -> Awaitable<void> {
+            decision = co_await placements.acquire("service", item, ticket);
+        },
+        asio::detached);
+    asio::post(context, [&]() {
+        placements.onServerNotice("service", leaving, {true, Milliseconds(0)});
+    });
+    runBriefly();
+    REQUIRE(decision);
+    REQUIRE(std::holds_alternative<Placement>(*decision));
+    CHECK(std::get<Placement>(*decision).server.id == "b");
+    CHECK(std::get<Placement>(*decision).byLeader);
+    REQUIRE(desk.dispatcher("service") != nullptr);
+    CHECK(desk.dispatcher("service")->running() == 1);
+    CHECK(desk.leavingServers().find({"a", 1}) != nullptr);
+    placements.setLeaders({});
+    runBriefly();
+}
+
 } // namespace snipevalve
--- /dev/null
+++ b/tests/process/server_notice_test.cpp
@@ -0,0 +1,136 @@
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+#include "process/node_deployment.hpp"
+
+namespace snipevalve::standins {
+
+namespace {
+
+constexpr std::uint8_t Network = 90;
+constexpr int FirstHost = 0;
+constexpr int HostCount = 2;
+
+std::size_t arrivalsAt(const PlatformStandin &platform, const std::string &server)
+{
+    const std::vector<RequestArrival> arrivals = platform.arrivals();
+    return static_cast<std::size_t>(std::count_if(arrivals.begin(), arrivals.end(), [&server](const auto &arrival) {
+        return arrival.server == server;
+    }));
+}
+
+/// Sends requests to a host until one has reached the server. @return whether one has
+bool reachServer(NodeDeployment &deployment, int host, const std::string &path, const std::string &server, int key)
+{
+    const std::size_t before = arrivalsAt(deployment.platform, server);
+    return deployment.waitUntil(
+        [&]() {
+            deployment.sendRequest(host, "GET", path, key);
+            return arrivalsAt(deployment.platform, server) > before;
+        },
+        StartTimeout);
+}
+
+} // namespace
+
+TEST_CASE("once a host has passed on that a server leaves, it sends that server no later request", "[promise-6]")
+{
+    struct Case
+    {
+        std::string name;
+        bool isLeaderLost; ///< the leader dies after the answer, so that a host without the answer leads or none does
+        StoreFault store;
+    };
+    const std::vector<Case> cases = {
+        {"in touch", false, StoreFault::None},
+        {"the store is away", false, StoreFault::Unavailable},
+        {"the leader is lost", true, StoreFault::None},
+        {"the leader is lost and the store is away", true, StoreFault::Unavailable},
+    };
+    std::uint8_t network = Network;
+    for (const Case &each : cases) {
+        INFO(each.name);
+        NodeDeployment deployment("leaving-" + std::to_string(network), network, HostCount);
+        ++network;
+        deployment.platform.putConfig(smallConfig(3, 1));
+        deployment.platform.addServer("debit-0", "debits", false, Milliseconds(1));
+        deployment.platform.addServer("debit-1", "debits", false, Milliseconds(20)); // used less often
+        for (int host = 0; host < HostCount; ++host) {
+            REQUIRE(deployment.waitUntil(
+                [&]() {
+                    deployment.sendRequest(host, "GET", "/v1/x");
+                    return deployment.logContains(host, "service=debits key=-1 server=debit-0 decided_by=leader");
+                },
+                StartTimeout));
+        }
+        const std::string leader = deployment.platform.leaderOf("debits");
+        REQUIRE(!leader.empty());
+        const int leaderHost = leader.back() - '0';
+        const int otherHost = (leaderHost + 1) % HostCount;
+        deployment.platform.setStoreFault(each.store);
+        deployment.platform.announceLeaving("debit-0");
+        REQUIRE(reachServer(deployment, otherHost, "/v1/x", "debit-0", -1));
+        if (each.isLeaderLost) {
+            deployment.node(leaderHost).kill();
+        }
+        const std::size_t before = arrivalsAt(deployment.platform, "debit-0");
+        constexpr Milliseconds Observed(4'000); // twice the bound, and longer than a leader's lease
+        const TimePoint end = Clock::now() + Observed;
+        std::size_t answered = 0;
+        while (Clock::now() < end) {
+            answered += deployment.sendRequest(otherHost, "GET", "/v1/x").status == 200 ? 1 : 0;
+            if (!each.isLeaderLost) {
+                answered += deployment.sendRequest(leaderHost, "GET", "/v1/x").status == 200 ? 1 : 0;
+            }
+        }
+        CHECK(arrivalsAt(deployment.platform, "debit-0") == before);
+        CHECK(answered > 100);
+        CHECK(deployment.logContains(otherHost, "event=leaving server=debit-0"));
+    }
+}
+
+TEST_CASE("a server that says that it leaves hands its keys over, and is used again after a new start",
+          "[promise-1][promise-6]")
+{
+    NodeDeployment deployment("leaving-keyed", Network + 6, HostCount);
+    for (const char *id : {"ledger-0", "ledger-1"}) {
+        deployment.platform.addServer(id, "ledger", true, Milliseconds(5));
+    }
+    REQUIRE(deployment.waitUntil(
+        [&]() {
+            return deployment.serves(0, 0) && deployment.serves(1, 64 * 1'000);
+        },
+        StartTimeout));
+    deployment.platform.announceLeaving("ledger-0");
+    const auto sendToAllKeys = [&](int host) {
+        std::size_t answered = 0;
+        for (int key = 0; key < 65'536; key += 64 * 64) {
+            answered += deployment.serves(host, key) ? 1 : 0;
+        }
+        return answered;
+    };
+    constexpr std::size_t SampledKeys = 16;
+    sendToAllKeys(FirstHost); // an answer tells
+    constexpr Milliseconds DrainBound(2'000);
+    std::this_thread::sleep_for(DrainBound);
+    const std::size_t before = arrivalsAt(deployment.platform, "ledger-0");
+    CHECK(sendToAllKeys(0) == SampledKeys);
+    CHECK(sendToAllKeys(1) == SampledKeys);
+    CHECK(arrivalsAt(deployment.platform, "ledger-0") == before);
+    CHECK(deployment.platform.ownershipBreaches() == 0);
+
+    deployment.platform.crashServer("ledger-0");
+    deployment.platform.restartServer("ledger-0");
+    deployment.platform.crashServer("ledger-1"); // its keys can only go to the new life of the other server
+    constexpr Milliseconds LongestHold(12'000);
+    CHECK(deployment.waitUntil(
+        [&]() {
+            return deployment.serves(0, 0) && deployment.serves(1, 64 * 1'000);
+        },
+        LongestHold));
+    CHECK(arrivalsAt(deployment.platform, "ledger-0") > before);
+    CHECK(deployment.platform.ownershipBreaches() == 0);
+}
+
+} // namespace snipevalve::standins
--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -124,6 +124,8 @@
         return;
     }
     server->crashed = false;
+    server->draining = false;
+    server->announcesLeaving = false;
     server->keysInProgress.clear();
     server->startedAtMs = unixMs();
     server->renewals = 0;
@@ -134,6 +136,13 @@
 {
     const std::lock_guard lock(m_mutex);
     m_servers.at(id)->draining = true;
+    m_servers.at(id)->announcesLeaving = true;
+}
+
+void PlatformStandin::announceLeaving(const std::string &id)
+{
+    const std::lock_guard lock(m_mutex);
+    m_servers.at(id)->announcesLeaving = true;
 }
 
 void PlatformStandin::setFault(const std::string &service, ServerFault fault)
@@ -521,7 +530,18 @@
     return response;
 }
 
+/// Adds what the server says of itself to its answer.
 Awaitable<HttpResponse> PlatformStandin::answerServer(std::shared_ptr<Server> server, const HttpRequest &request)
+{
+    HttpResponse response = co_await answerServerCall(server, request);
+    const std::lock_guard lock(m_mutex);
+    if (server->announcesLeaving) {
+        response.set("Server-Leaving", "1");
+    }
+    co_return response;
+}
+
+Awaitable<HttpResponse> PlatformStandin::answerServerCall(std::shared_ptr<Server> server, const HttpRequest &request)
 {
     const std::string id(request["X-Snipevalve-Request-Id"]);
     const std::string keyText(request["X-Snipevalve-Shard-Key"]);
--- a/tests/standins/platform_standin.hpp
+++ b/tests/standins/platform_standin.hpp
@@ -83,7 +83,10 @@
     /// @brief Restarts a crashed server under the same id, without any grants.
     void restartServer(const std::string &id);
 
-    /// @brief Marks the server's entry as draining; the server continues to serve.
+    /// @brief Makes the server say in all its answers that it leaves; its entry stays ready. It continues to serve.
+    void announceLeaving(const std::string &id);
+
+    /// @brief Marks the server's entry as draining, which its answers say too; the server continues to serve.
     void drainServer(const std::string &id);
 
     /// @brief Sets the fault of all servers of a service.
@@ -142,6 +145,7 @@
         Endpoint endpoint;
         bool keyed = false;
         bool draining = false;
+        bool announcesLeaving = false; ///< in its answers
         bool crashed = false;
         Milliseconds serviceTime{0};
         std::int64_t startedAtMs = 0; ///< Unix time; changes with each restart
@@ -161,6 +165,7 @@
     Awaitable<bool> waitForSlot(std::shared_ptr<Server> server);
     HttpResponse refusal(const Server &server, const std::string &requestId, http::status status);
     Awaitable<HttpResponse> answerServer(std::shared_ptr<Server> server, const HttpRequest &request);
+    Awaitable<HttpResponse> answerServerCall(std::shared_ptr<Server> server, const HttpRequest &request);
     HttpResponse grant(Server &server, const Json &body, TimePoint arrival);
     Awaitable<HttpResponse> release(std::shared_ptr<Server> server, Json body);
     Awaitable<void> renewEntry(std::shared_ptr<Server> server);
