Keep the pauses that servers ask for in a 503

A server that turns a request away with 503 and Retry-After wants nothing from that host for so long. Hosts sent on: to the servers of a pool at the next turn, to a key's owner with each request, and told callers to return at once.

ServerPauses holds the pauses of the pairs of this host and a server. They are checked when a host takes up a permit, the last step before a send, so that they hold for first and repeated sends and for permits under way, with and without a leader. A pool's request goes to another server; a request for a key, or when the whole pool pauses, is refused at once with the end of the pause if its time ends before, else waits at the host and comes back spread over a quarter of the pause.

The wait is not used for a request that the leader has queued already when the pause begins: it is stopped when its permit arrives.

--- a/include/snipevalve/dispatch/work.hpp
+++ b/include/snipevalve/dispatch/work.hpp
@@ -54,6 +54,7 @@
     TooLate, ///< the wait would exceed the request's deadline
     RetryBudget, ///< the repeats of the current window are used up
     Stopping, ///< this host is shutting down
+    Paused, ///< the servers ask this host for a pause that outlasts the request's deadline
 };
 
 /// @brief The item is not sent.
--- a/src/snipevalve/dispatch/dispatcher.cpp
+++ b/src/snipevalve/dispatch/dispatcher.cpp
@@ -47,6 +47,8 @@
         return "no repeated send left";
     case RejectReason::Stopping:
         return "the host is about to end";
+    case RejectReason::Paused:
+        return "the server asks for a pause";
     }
     return "";
 }
--- a/src/snipevalve/dispatch_link/messages.cpp
+++ b/src/snipevalve/dispatch_link/messages.cpp
@@ -150,7 +150,7 @@
 {
     Rejection rejection;
     rejection.ticket = refusal.ticket();
-    const auto last = static_cast<std::uint32_t>(RejectReason::Stopping);
+    const auto last = static_cast<std::uint32_t>(RejectReason::Paused);
     rejection.reason = static_cast<RejectReason>(std::min(refusal.reason(), last));
     rejection.retryAfter = Milliseconds(refusal.retry_after_ms());
     rejection.waiting = refusal.waiting();
--- a/src/snipevalve/node/placements.cpp
+++ b/src/snipevalve/node/placements.cpp
@@ -26,6 +26,7 @@
     : m_executor(std::move(executor))
     , m_settings(settings)
     , m_seed(seed)
+    , m_random(seed)
 {
 }
 
@@ -81,22 +82,102 @@
     return leaderLinkOf(service);
 }
 
-/// A permit may have been on its way when its server said that it leaves; it is returned, and the leader is asked
-/// again.
+/// A permit may have been on its way when its server said that it leaves or asked for a pause; it is returned, and the
+/// leader is asked again.
 Awaitable<DispatchDecision> Placements::acquire(std::string service, WorkItem item, Ticket &ticket)
 {
-    for (int returned = 0; returned <= MaxReturnedPermits; ++returned) {
-        DispatchDecision decision = co_await acquireOnce(service, item, ticket);
+    std::optional<TimePoint> ownerPause; // of the key's owner, which the leader may know sooner than this host
+    for (int returned = 0; returned <= MaxReturnedPermits;) {
+        const TimePoint now = Clock::now();
+        const std::optional<TimePoint> pause = ownerPause ? ownerPause : pauseOf(service, item, now);
+        if (pause) {
+            const double draw = std::uniform_real_distribution<double>(0, 1)(m_random);
+            const auto work = std::chrono::duration_cast<Duration>(localDispatcher(service).expectedWork(item));
+            const auto resumeAt = ServerPauses::returnTime(*pause, item.deadline - work, now, draw);
+            if (!resumeAt) {
+                co_return Rejection{ticket, RejectReason::Paused, ServerPauses::retryAfter(*pause, now, draw)};
+            }
+            const std::optional<Rejection> rejection = co_await waitUntil(*resumeAt, service, item, ticket);
+            if (rejection) {
+                co_return *rejection;
+            }
+            ownerPause.reset();
+            item.avoid.clear(); // all other servers have failed the request too
+            continue;
+        }
+        WorkItem asked = item;
+        const std::vector<std::string> paused = m_pauses.pausedServers(service, now);
+        asked.avoid.insert(asked.avoid.end(), paused.begin(), paused.end());
+        DispatchDecision decision = co_await acquireOnce(service, std::move(asked), ticket);
         const auto *placement = std::get_if<Placement>(&decision);
-        if (placement == nullptr || m_leaving.find(incarnationOf(placement->server)) == nullptr) {
+        if (placement == nullptr) {
+            co_return decision;
+        }
+        const bool isLeaving = m_leaving.find(incarnationOf(placement->server)) != nullptr;
+        const auto serverPause = m_pauses.pausedUntil(placement->server.id, Clock::now());
+        if (!isLeaving && !serverPause) {
             co_return decision;
         }
-        item.avoid.push_back(placement->server.id);
+        if (isLeaving) {
+            item.avoid.push_back(placement->server.id);
+        } else if (item.key) {
+            ownerPause = serverPause;
+        }
         returnPermit(*placement);
+        ++returned;
     }
     co_return Rejection{ticket, RejectReason::NoServer, Duration::zero()};
 }
 
+/// @return when the request may be sent, if each server that could take it has asked for a pause
+std::optional<TimePoint> Placements::pauseOf(const std::string &service, const WorkItem &item, TimePoint now) const
+{
+    const ServiceView *view = m_pauses.isAnyPaused(now) ? m_views.find(service) : nullptr;
+    if (view == nullptr) {
+        return std::nullopt;
+    }
+    if (view->keyed && item.key) {
+        const std::string *owner = view->owners.ownerOf(*item.key);
+        return owner == nullptr ? std::nullopt : m_pauses.pausedUntil(*owner, now);
+    }
+    std::optional<TimePoint> first;
+    for (const UpstreamServer &server : view->servers) {
+        if (server.draining || m_leaving.find(incarnationOf(server)) != nullptr) {
+            continue;
+        }
+        const auto until = m_pauses.pausedUntil(server.id, now);
+        const bool hasFailed = std::find(item.avoid.begin(), item.avoid.end(), server.id) != item.avoid.end();
+        if (!until && !hasFailed) {
+            return std::nullopt;
+        }
+        first = until ? std::min(first.value_or(*until), *until) : first;
+    }
+    return first;
+}
+
+/// Waits before a request is placed. @return a rejection when the wait was ended by abandon() or refuseWaiting()
+Awaitable<std::optional<Rejection>> Placements::waitUntil(TimePoint end, std::string service, WorkItem item,
+                                                          Ticket &ticket)
+{
+    const Ticket mine = ++m_lastTicket;
+    ticket = mine;
+    item.ticket = mine;
+    Send &send = m_sends[mine];
+    send.service = std::move(service);
+    send.item = std::move(item);
+    send.decisionTimer = std::make_unique<asio::steady_timer>(m_executor, end);
+    ErrorCode error;
+    co_await send.decisionTimer->async_wait(awaitInto(error));
+    std::optional<Rejection> rejection;
+    if (send.decision) {
+        rejection = std::get<Rejection>(*send.decision);
+    } else if (error) {
+        rejection = Rejection{mine, RejectReason::TooLate, Duration::zero()};
+    }
+    m_sends.erase(mine);
+    co_return rejection;
+}
+
 /// Gives back a permit that can't be used.
 void Placements::returnPermit(const Placement &placement)
 {
@@ -117,8 +198,20 @@
     return m_leaving.add({service, incarnationOf(server), source, Clock::now()});
 }
 
+void Placements::addPause(const std::string &service, const std::string &server, Milliseconds pause)
+{
+    const TimePoint now = Clock::now();
+    if (!m_pauses.add(service, server, pause, now)) {
+        return;
+    }
+    const auto until = m_pauses.pausedUntil(server, now).value_or(now);
+    spdlog::info("servers: event=paused server={} service={} pause_left_ms={} asked_ms={}", escapeLogValue(server),
+                 escapeLogValue(service), std::chrono::duration_cast<Milliseconds>(until - now).count(), pause.count());
+}
+
 void Placements::onServerNotice(const std::string &service, const UpstreamServer &server, const ServerNotice &notice)
 {
+    addPause(service, server.id, notice.pause);
     if (!notice.isLeaving || !addLeaving(service, server, LeavingSource::Answer)) {
         return;
     }
--- a/src/snipevalve/node/placements.hpp
+++ b/src/snipevalve/node/placements.hpp
@@ -4,12 +4,14 @@
 #include <atomic>
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
 
 #include "snipevalve/dispatch/dispatcher.hpp"
 #include "snipevalve/gateway/leaving_servers.hpp"
 #include "snipevalve/gateway/server_notice.hpp"
+#include "snipevalve/gateway/server_pauses.hpp"
 #include "snipevalve/node/deputy_ask.hpp"
 #include "snipevalve/node/known_views.hpp"
 #include "snipevalve/node/leader_link.hpp"
@@ -41,6 +43,8 @@
     void finish(Ticket ticket, WorkEnd end, Duration took);
 
     /// @brief Notes what a server has said of itself in an answer, and tells the service's leader if it is leaving.
+    ///
+    /// From then on acquire() returns no placement on a leaving server, nor on one whose pause has not ended.
     /// @param server as known when the request was sent; the answer itself does not tell the server's start
     void onServerNotice(const std::string &service, const UpstreamServer &server, const ServerNotice &notice);
 
@@ -109,6 +113,9 @@
     };
 
     Awaitable<DispatchDecision> acquireOnce(std::string service, WorkItem item, Ticket &ticket);
+    std::optional<TimePoint> pauseOf(const std::string &service, const WorkItem &item, TimePoint now) const;
+    Awaitable<std::optional<Rejection>> waitUntil(TimePoint end, std::string service, WorkItem item, Ticket &ticket);
+    void addPause(const std::string &service, const std::string &server, Milliseconds pause);
     void returnPermit(const Placement &placement);
     bool addLeaving(const std::string &service, const UpstreamServer &server, LeavingSource source);
     void tellLeaving(LeaderLink &link, const std::string &service) const;
@@ -144,6 +151,8 @@
     std::map<Endpoint, std::shared_ptr<LeaderLink>> m_links;
     KnownViews m_views;
     LeavingServers m_leaving;
+    ServerPauses m_pauses;
+    std::mt19937_64 m_random; ///< spreads the requests that wait for the end of a pause
     /// By service: the host that the leader table names does not lead it; the next request is sent there at this time.
     std::map<std::string, TimePoint> m_nextAskOfDenier;
     std::set<std::string> m_services; ///< every service seen in requests, views or the leader table
--- a/tests/process/server_notice_test.cpp
+++ b/tests/process/server_notice_test.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <array>
 
 #include "process/node_deployment.hpp"
 
@@ -32,6 +33,22 @@
         StartTimeout);
 }
 
+/// Sends requests until the leader has let each host use server debit-0.
+bool hasLeaderOnAllHosts(NodeDeployment &deployment)
+{
+    bool hasLeader = true;
+    for (int host = 0; host < HostCount; ++host) {
+        hasLeader = hasLeader
+            && deployment.waitUntil(
+                [&]() {
+                    deployment.sendRequest(host, "GET", "/v1/x");
+                    return deployment.logContains(host, "service=debits key=-1 server=debit-0 decided_by=leader");
+                },
+                StartTimeout);
+    }
+    return hasLeader;
+}
+
 } // namespace
 
 TEST_CASE("once a host has passed on that a server leaves, it sends that server no later request", "[promise-6]")
@@ -56,14 +73,7 @@
         deployment.platform.putConfig(smallConfig(3, 1));
         deployment.platform.addServer("debit-0", "debits", false, Milliseconds(1));
         deployment.platform.addServer("debit-1", "debits", false, Milliseconds(20)); // used less often
-        for (int host = 0; host < HostCount; ++host) {
-            REQUIRE(deployment.waitUntil(
-                [&]() {
-                    deployment.sendRequest(host, "GET", "/v1/x");
-                    return deployment.logContains(host, "service=debits key=-1 server=debit-0 decided_by=leader");
-                },
-                StartTimeout));
-        }
+        REQUIRE(hasLeaderOnAllHosts(deployment));
         const std::string leader = deployment.platform.leaderOf("debits");
         REQUIRE(!leader.empty());
         const int leaderHost = leader.back() - '0';
@@ -133,4 +143,59 @@
     CHECK(deployment.platform.ownershipBreaches() == 0);
 }
 
+TEST_CASE("a server that asks for a pause gets no request from that host until its end", "[promise-3]")
+{
+    NodeDeployment deployment("pause-pool", Network + 8, HostCount);
+    deployment.platform.putConfig(smallConfig(3, 1));
+    deployment.platform.addServer("debit-0", "debits", false, Milliseconds(1));
+    deployment.platform.addServer("debit-1", "debits", false, Milliseconds(20)); // used less often
+    REQUIRE(hasLeaderOnAllHosts(deployment));
+    constexpr Milliseconds Pause(3'000);
+    deployment.platform.pauseServer("debit-0", Pause);
+    const TimePoint end = Clock::now() + Pause;
+    std::array<std::size_t, HostCount> refused{};
+    std::array<std::size_t, HostCount> sent{};
+    const std::size_t before = arrivalsAt(deployment.platform, "debit-0");
+    while (Clock::now() < end - Milliseconds(100)) {
+        for (int host = 0; host < HostCount; ++host) {
+            const auto index = static_cast<std::size_t>(host);
+            refused.at(index) += deployment.sendRequest(host, "GET", "/v1/x").status == 200 ? 0 : 1;
+            ++sent.at(index);
+        }
+    }
+    CHECK(arrivalsAt(deployment.platform, "debit-0") <= before + HostCount); // one each, which was told of the pause
+    CHECK(arrivalsAt(deployment.platform, "debit-0") > before);
+    CHECK(sent.front() > 20);
+    CHECK(refused == std::array<std::size_t, HostCount>{});
+    std::this_thread::sleep_until(end);
+    deployment.platform.crashServer("debit-1"); // so that the choice between the two does not matter
+    CHECK(reachServer(deployment, 0, "/v1/x", "debit-0", -1));
+}
+
+TEST_CASE("a request for a key whose owner asks for a pause is refused at once or waits", "[promise-3]")
+{
+    NodeDeployment deployment("pause-keyed", Network + 9, 1);
+    deployment.platform.addServer("ledger-0", "ledger", true, Milliseconds(5));
+    REQUIRE(deployment.waitUntil(
+        [&]() {
+            return deployment.serves(0, 0);
+        },
+        StartTimeout));
+    constexpr Milliseconds Pause(2'000);
+    deployment.platform.pauseServer("ledger-0", Pause);
+    const std::size_t before = arrivalsAt(deployment.platform, "ledger-0");
+    constexpr Milliseconds ShortDeadline(900);
+    constexpr Milliseconds AtOnce(300);
+    for (int request = 0; request < 20; ++request) {
+        const Answer answer = deployment.sendRequest(0, "GET", "/k/x", 0, ShortDeadline);
+        CHECK(answer.status == 503);
+        CHECK(answer.duration < AtOnce);
+        CHECK(std::stod("0" + answer.retryAfter) > 0.5);
+    }
+    const Answer patient = deployment.sendRequest(0, "GET", "/k/x", 0, Milliseconds(3'000));
+    CHECK(patient.status == 200);
+    CHECK(patient.duration > Milliseconds(500));
+    CHECK(arrivalsAt(deployment.platform, "ledger-0") == before + 2); // the first, which was refused, and the last
+}
+
 } // namespace snipevalve::standins
--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -145,6 +145,12 @@
     m_servers.at(id)->announcesLeaving = true;
 }
 
+void PlatformStandin::pauseServer(const std::string &id, Milliseconds pause)
+{
+    const std::lock_guard lock(m_mutex);
+    m_servers.at(id)->pausedUntil = Clock::now() + pause;
+}
+
 void PlatformStandin::setFault(const std::string &service, ServerFault fault)
 {
     const std::lock_guard lock(m_mutex);
@@ -530,6 +536,14 @@
     return response;
 }
 
+HttpResponse PlatformStandin::pauseAnswer(const Server &server, const std::string &requestId)
+{
+    HttpResponse response = refusal(server, requestId, http::status::service_unavailable);
+    const std::chrono::duration<double> left = server.pausedUntil - Clock::now();
+    response.set(http::field::retry_after, std::to_string(std::max(left.count(), 0.001)));
+    return response;
+}
+
 /// Adds what the server says of itself to its answer.
 Awaitable<HttpResponse> PlatformStandin::answerServer(std::shared_ptr<Server> server, const HttpRequest &request)
 {
@@ -562,6 +576,9 @@
         if (!isAddressee) {
             co_return refusal(*server, id, http::status::misdirected_request);
         }
+        if (!isOrder && Clock::now() < server->pausedUntil) {
+            co_return pauseAnswer(*server, id);
+        }
         if (!isOrder && fault == ServerFault::Refuses) {
             co_return refusal(*server, id, http::status::service_unavailable);
         }
--- a/tests/standins/platform_standin.hpp
+++ b/tests/standins/platform_standin.hpp
@@ -86,6 +86,9 @@
     /// @brief Makes the server say in all its answers that it leaves; its entry stays ready. It continues to serve.
     void announceLeaving(const std::string &id);
 
+    /// @brief Makes the server refuse all requests for this time, and say so in its answers.
+    void pauseServer(const std::string &id, Milliseconds pause);
+
     /// @brief Marks the server's entry as draining, which its answers say too; the server continues to serve.
     void drainServer(const std::string &id);
 
@@ -146,6 +149,7 @@
         bool keyed = false;
         bool draining = false;
         bool announcesLeaving = false; ///< in its answers
+        TimePoint pausedUntil; ///< refuses requests until then
         bool crashed = false;
         Milliseconds serviceTime{0};
         std::int64_t startedAtMs = 0; ///< Unix time; changes with each restart
@@ -163,6 +167,7 @@
     HttpResponse answerStoreCall(const HttpRequest &request, const RequestTarget &target);
     Awaitable<HttpResponse> answerOrder(std::shared_ptr<Server> server, const HttpRequest &request);
     Awaitable<bool> waitForSlot(std::shared_ptr<Server> server);
+    HttpResponse pauseAnswer(const Server &server, const std::string &requestId);
     HttpResponse refusal(const Server &server, const std::string &requestId, http::status status);
     Awaitable<HttpResponse> answerServer(std::shared_ptr<Server> server, const HttpRequest &request);
     Awaitable<HttpResponse> answerServerCall(std::shared_ptr<Server> server, const HttpRequest &request);
