Stand-in: a full server asks for a pause; test what later leaders and relayed views know

The stand-in's servers answer a request that they can't queue with 503 and Retry-After: 1, so that the soak meets pauses as well as departures.

placements_test: a notice that came while nobody led reaches the next leader and the views that the host passes on, and ends with a later start of the server.

--- a/src/snipevalve/node/placements_test.cpp
+++ b/src/snipevalve/node/placements_test.cpp
@@ -144,9 +144,7 @@
         desk.startLeading("service");
         desk.setView({"service", keyed, {server("a"), server("b")}, KeyOwners({{{0, 65'535}, "a"}})});
         asio::co_spawn(m_context, desk.serve(m_acceptor), asio::detached);
-        placements.setLeaders({{"service", Leader}});
-        desk.advance();
-        runFor(Milliseconds(200)); // connects
+        connect();
     }
 
     ~LedHost()
@@ -171,6 +169,14 @@
         m_context.run_for(time);
     }
 
+    /// Names the leader to the host, which connects to it.
+    void connect()
+    {
+        placements.setLeaders({{"service", Leader}});
+        desk.advance();
+        runFor(Milliseconds(200));
+    }
+
     void request(std::optional<std::uint16_t> key, Milliseconds deadline)
     {
         WorkItem item;
@@ -269,6 +275,49 @@
     }
 }
 
+TEST_CASE("what a host knows of leaving servers reaches later leaders and the hosts that ask it for views",
+          "[promise-6]")
+{
+    struct Case
+    {
+        std::string name;
+        std::int64_t listedStart; ///< of the server in the view that is set after the notice
+        bool isLeaving;
+    };
+    const std::vector<Case> cases = {{"the same start", 1, true}, {"a later start", 2, false}};
+    for (const Case &each : cases) {
+        INFO(each.name);
+        LedHost host(false);
+        host.desk.stopLeading("service");
+        host.runFor(Milliseconds(100));
+        host.placements.onServerNotice("service", LedHost::server("a"), {true, Milliseconds(0)}); // nobody leads
+        UpstreamServer listed = LedHost::server("a");
+        listed.incarnation = each.listedStart;
+        host.placements.setLeaders({});
+        host.placements.setStoreView({"service", false, {listed}, {}}); // the entry still says `ready`
+        const std::vector<KnownView> relayed = host.placements.knownViews({"service"});
+        REQUIRE(relayed.size() == 1);
+        REQUIRE(relayed.front().view.servers.size() == 1);
+        CHECK(relayed.front().view.servers.front().draining == each.isLeaving);
+
+        host.request(std::nullopt, Milliseconds(9'000)); // the host is alone
+        host.runFor(Milliseconds(100));
+        CHECK(host.decision.has_value() != each.isLeaving);
+        host.placements.refuseWaiting();
+
+        host.desk.startLeading("service");
+        host.desk.setView({"service", false, {listed}, {}});
+        host.connect();
+        host.request(std::nullopt, Milliseconds(9'000));
+        host.decision.reset();
+        host.runFor(Milliseconds(100));
+        CHECK(host.desk.leavingServers().find({"a", 1}) != nullptr);
+        CHECK(host.decision.has_value() != each.isLeaving);
+        host.placements.refuseWaiting();
+        host.runFor(Milliseconds(50));
+    }
+}
+
 TEST_CASE("requests that wait for the end of a pause come back spread", "[promise-3]")
 {
     asio::io_context context;
--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -17,6 +17,7 @@
 constexpr Milliseconds SlowAnswer(240);
 constexpr unsigned Slots = 2;
 constexpr unsigned QueueLength = 8;
+constexpr const char *PauseWhenFull = "1"; // seconds
 constexpr std::uint64_t LostAnswerPeriod = 3;
 
 std::string addressOf(std::uint8_t network, int host)
@@ -597,8 +598,12 @@
             if (isGone) {
                 co_return HttpResponse(http::status::unknown, 11);
             }
-            co_return refusal(*server, id,
-                              hasSlot ? http::status::misdirected_request : http::status::service_unavailable);
+            HttpResponse response =
+                refusal(*server, id, hasSlot ? http::status::misdirected_request : http::status::service_unavailable);
+            if (!hasSlot) {
+                response.set(http::field::retry_after, PauseWhenFull);
+            }
+            co_return response;
         }
         m_arrivals.push_back({server->id, id, server->service, Clock::now(), true});
         server->keysInProgress.insert(key);
