--- a/src/snipevalve/node/placements.cpp
+++ b/src/snipevalve/node/placements.cpp
@@ -1,6 +1,7 @@
 #include "snipevalve/node/placements.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include <spdlog/spdlog.h>
 
@@ -15,6 +16,9 @@
 constexpr double LocalShareFactor = 2.0;
 /// Share of a server's slots until a leader tells the number of hosts.
 constexpr double InitialSlotShare = 0.34;
+/// A request is rejected after this many permits for servers that this host may not use. A leader that knows which
+/// servers are leaving gives none.
+constexpr int MaxReturnedPermits = 4;
 
 } // namespace
 
@@ -22,6 +26,7 @@
     : m_executor(std::move(executor))
     , m_settings(settings)
     , m_seed(seed)
+    , m_random(seed)
 {
 }
 
@@ -77,7 +82,164 @@
     return leaderLinkOf(service);
 }
 
+/// A permit may have been on its way when its server said that it leaves or asked for a pause; it is returned, and the
+/// leader is asked again.
 Awaitable<DispatchDecision> Placements::acquire(std::string service, WorkItem item, Ticket &ticket)
+{
+    std::optional<TimePoint> ownerPause; // of the key's owner, which the leader may know sooner than this host
+    for (int returned = 0; returned <= MaxReturnedPermits;) {
+        const TimePoint now = Clock::now();
+        const std::optional<TimePoint> pause = ownerPause ? ownerPause : pauseOf(service, item, now);
+        if (pause) {
+            const double draw = std::uniform_real_distribution<double>(0, 1)(m_random);
+            const auto work = std::chrono::duration_cast<Duration>(localDispatcher(service).expectedWork(item));
+            const auto resumeAt = ServerPauses::returnTime(*pause, item.deadline - work, now, draw);
+            if (!resumeAt) {
+                co_return Rejection{ticket, RejectReason::Paused, ServerPauses::retryAfter(*pause, now, draw)};
+            }
+            const std::optional<Rejection> rejection = co_await waitUntil(*resumeAt, service, item, ticket);
+            if (rejection) {
+                co_return *rejection;
+            }
+            ownerPause.reset();
+            item.avoid.clear(); // all other servers have failed the request too
+            continue;
+        }
+        WorkItem asked = item;
+        const std::vector<std::string> paused = m_pauses.pausedServers(service, now);
+        asked.avoid.insert(asked.avoid.end(), paused.begin(), paused.end());
+        DispatchDecision decision = co_await acquireOnce(service, std::move(asked), ticket);
+        const auto *placement = std::get_if<Placement>(&decision);
+        if (placement == nullptr) {
+            co_return decision;
+        }
+        const bool isLeaving = m_leaving.find(incarnationOf(placement->server)) != nullptr;
+        const auto serverPause = m_pauses.pausedUntil(placement->server.id, Clock::now());
+        if (!isLeaving && !serverPause) {
+            co_return decision;
+        }
+        if (isLeaving) {
+            item.avoid.push_back(placement->server.id);
+        } else if (item.key) {
+            ownerPause = serverPause;
+        }
+        returnPermit(*placement);
+        ++returned;
+    }
+    co_return Rejection{ticket, RejectReason::NoServer, Duration::zero()};
+}
+
+/// @return when the request may be sent, if each server that could take it has asked for a pause
+std::optional<TimePoint> Placements::pauseOf(const std::string &service, const WorkItem &item, TimePoint now) const
+{
+    const ServiceView *view = m_pauses.isAnyPaused(now) ? m_views.find(service) : nullptr;
+    if (view == nullptr) {
+        return std::nullopt;
+    }
+    if (view->keyed && item.key) {
+        const std::string *owner = view->owners.ownerOf(*item.key);
+        return owner == nullptr ? std::nullopt : m_pauses.pausedUntil(*owner, now);
+    }
+    std::optional<TimePoint> first;
+    for (const UpstreamServer &server : view->servers) {
+        if (server.draining || m_leaving.find(incarnationOf(server)) != nullptr) {
+            continue;
+        }
+        const auto until = m_pauses.pausedUntil(server.id, now);
+        const bool hasFailed = std::find(item.avoid.begin(), item.avoid.end(), server.id) != item.avoid.end();
+        if (!until && !hasFailed) {
+            return std::nullopt;
+        }
+        first = until ? std::min(first.value_or(*until), *until) : first;
+    }
+    return first;
+}
+
+/// Waits before a request is placed. @return a rejection when the wait was ended by abandon() or refuseWaiting()
+Awaitable<std::optional<Rejection>> Placements::waitUntil(TimePoint end, std::string service, WorkItem item,
+                                                          Ticket &ticket)
+{
+    const Ticket mine = ++m_lastTicket;
+    ticket = mine;
+    item.ticket = mine;
+    Send &send = m_sends[mine];
+    send.service = std::move(service);
+    send.item = std::move(item);
+    send.decisionTimer = std::make_unique<asio::steady_timer>(m_executor, end);
+    ErrorCode error;
+    co_await send.decisionTimer->async_wait(awaitInto(error));
+    std::optional<Rejection> rejection;
+    if (send.decision) {
+        rejection = std::get<Rejection>(*send.decision);
+    } else if (error) {
+        rejection = Rejection{mine, RejectReason::TooLate, Duration::zero()};
+    }
+    m_sends.erase(mine);
+    co_return rejection;
+}
+
+/// Gives back a permit that can't be used.
+void Placements::returnPermit(const Placement &placement)
+{
+    const auto send = m_sends.find(placement.ticket);
+    if (send == m_sends.end()) {
+        return;
+    }
+    spdlog::info("request: event=permit_returned service={} server={} by_leader={}",
+                 escapeLogValue(send->second.service), escapeLogValue(placement.server.id), placement.byLeader);
+    if (const auto link = send->second.link.lock()) {
+        tellLeaving(*link, send->second.service);
+    }
+    finish(placement.ticket, WorkEnd::Abandoned, Duration::zero());
+}
+
+bool Placements::addLeaving(const std::string &service, const UpstreamServer &server, LeavingSource source)
+{
+    return m_leaving.add({service, incarnationOf(server), source, Clock::now()});
+}
+
+void Placements::addPause(const std::string &service, const std::string &server, Milliseconds pause)
+{
+    const TimePoint now = Clock::now();
+    if (!m_pauses.add(service, server, pause, now)) {
+        return;
+    }
+    const auto until = m_pauses.pausedUntil(server, now).value_or(now);
+    spdlog::info("servers: event=paused server={} service={} pause_left_ms={} asked_ms={}", escapeLogValue(server),
+                 escapeLogValue(service), std::chrono::duration_cast<Milliseconds>(until - now).count(), pause.count());
+}
+
+void Placements::onServerNotice(const std::string &service, const UpstreamServer &server, const ServerNotice &notice)
+{
+    addPause(service, server.id, notice.pause);
+    if (!notice.isLeaving || !addLeaving(service, server, LeavingSource::Answer)) {
+        return;
+    }
+    spdlog::info("servers: event=leaving server={} service={} incarnation={} leaving_for_ms=0 told_by={} host={}",
+                 escapeLogValue(server.id), escapeLogValue(service), server.incarnation,
+                 describe(LeavingSource::Answer), escapeLogValue(m_settings.host));
+    if (LeaderLink *link = leaderLinkOf(service)) {
+        tellLeaving(*link, service);
+    }
+    if (const ServiceView *view = m_views.find(service)) {
+        useView(*view, Clock::now());
+    }
+}
+
+/// Tells the leader all that this host knows: the leader may be new, and a repetition changes nothing.
+void Placements::tellLeaving(LeaderLink &link, const std::string &service) const
+{
+    const TimePoint now = Clock::now();
+    proto::HostFrame frame;
+    for (const LeavingServer &leaving : m_leaving.serversOf(service)) {
+        *frame.add_leaving() = toProto(leaving, now);
+    }
+    if (frame.leaving_size() > 0) {
+        link.send(frame);
+    }
+}
+
+Awaitable<DispatchDecision> Placements::acquireOnce(std::string service, WorkItem item, Ticket &ticket)
 {
     const Ticket mine = ++m_lastTicket;
     ticket = mine;
@@ -210,11 +372,19 @@
         const auto after = leaders.find(entry.first);
         return before == m_leaders.end() || after == leaders.end() || !(before->second == after->second);
     });
-    m_leaders = leaders;
+    const std::map<std::string, Endpoint> previous = std::exchange(m_leaders, leaders);
     for (const auto &[service, endpoint] : leaders) {
         m_services.insert(service);
     }
     updateLinks();
+    for (const auto &[service, endpoint] : leaders) {
+        const auto before = previous.find(service);
+        const bool isNew = before == previous.end() || !(before->second == endpoint);
+        LeaderLink *link = isNew ? leaderLinkOf(service) : nullptr;
+        if (link != nullptr) {
+            tellLeaving(*link, service);
+        }
+    }
 }
 
 /// Keeps one link to each leader, and to each seed while it may know what this host does not. Closes all others.
@@ -293,6 +463,11 @@
         localDispatcher(send.service).finish(ticket, WorkEnd::Abandoned, Duration::zero(), now);
         send.link = link.weak_from_this();
     }
+    for (const auto &[service, leader] : m_leaders) {
+        if (leader == link.leader()) {
+            tellLeaving(link, service);
+        }
+    }
     if (frame.asks_size() > 0) {
         link.send(frame);
     }
@@ -418,15 +593,22 @@
     m_services.insert(view.service);
     const TimePoint now = Clock::now();
     m_views.set(view, now);
+    for (const UpstreamServer &server : view.servers) {
+        if (server.draining) {
+            addLeaving(view.service, server, LeavingSource::List);
+        }
+    }
     useView(view, now);
 }
 
 /// Makes the local dispatcher work with this view.
 void Placements::useView(const ServiceView &view, TimePoint now)
 {
+    std::vector<UpstreamServer> servers = view.servers;
+    m_leaving.markIn(servers);
     Dispatcher &dispatcher = localDispatcher(view.service);
     dispatcher.setSlotShare(std::min(1.0, LocalShareFactor / m_hostCount));
-    dispatcher.setServers(view.servers, now);
+    dispatcher.setServers(servers, now);
     if (view.keyed) {
         dispatcher.setOwners(view.owners, now);
     }
@@ -454,7 +636,11 @@
 
 std::vector<KnownView> Placements::knownViews(const std::vector<std::string> &services) const
 {
-    return m_views.offer(services, Clock::now());
+    std::vector<KnownView> views = m_views.offer(services, Clock::now());
+    for (KnownView &known : views) {
+        m_leaving.markIn(known.view.servers);
+    }
+    return views;
 }
 
 DeputyAsk Placements::toDeputyAsk(const proto::DeputyConsent &ask, const Endpoint &leader) const
--- a/src/snipevalve/node/request_runner.cpp
+++ b/src/snipevalve/node/request_runner.cpp
@@ -150,8 +150,8 @@
 Awaitable<ExchangeResult> RequestRunner::sendTo(const Placement &placement)
 {
     ++m_sendCount;
-    const auto exchange =
-        std::make_shared<UpstreamExchange>(m_traffic.executor, m_traffic.pool, m_traffic.names, m_request);
+    const auto exchange = std::make_shared<UpstreamExchange>(m_traffic.executor, m_traffic.pool, m_traffic.names,
+                                                             m_traffic.parseServerNotice, m_request);
     m_exchange = exchange;
     const auto timer = std::make_shared<asio::steady_timer>(
         m_traffic.executor,
@@ -166,12 +166,14 @@
     m_exchange = isStreamed ? exchange : nullptr;
     m_server = placement.server;
     countBytes(placement.server, m_request.body.size() + (result.answer ? result.answer->body.size() : 0));
+    m_traffic.placements.onServerNotice(m_request.service, placement.server, result.notice.notice);
     m_traffic.placements.finish(placement.ticket, result.end, result.took);
     m_traffic.metrics.count(std::string("send_") + std::string(describe(result.end)));
     if (!result.reusedConnection) {
         m_traffic.metrics.count("connection_opened");
     }
     logSend(placement, result);
+    logInvalidHeaders(placement.server, result.notice);
     co_return result;
 }
 
@@ -302,6 +304,15 @@
                 toMs(result.took), result.reusedConnection, describe(result.end), escapeQuotedText(result.detail));
 }
 
+void RequestRunner::logInvalidHeaders(const UpstreamServer &server, const ParsedServerNotice &notice) const
+{
+    for (const InvalidHeader &header : notice.invalid) {
+        spdlog::warn("servers: event=invalid_header server={} header={} value={} reason=\"{}\"",
+                     escapeLogValue(server.id), header.name, escapeLogValue(header.value),
+                     escapeQuotedText(header.reason));
+    }
+}
+
 void RequestRunner::logEnd(unsigned status, const std::string &reason) const
 {
     constexpr unsigned FirstFailure = 500;
--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -24,6 +24,7 @@
 constexpr Milliseconds SlowAnswer(240);
 constexpr unsigned Slots = 2;
 constexpr unsigned QueueLength = 8;
+constexpr const char *PauseWhenFull = "1"; // seconds
 constexpr std::uint64_t LostAnswerPeriod = 3;
 
 std::string addressOf(std::uint8_t network, int host)
@@ -134,6 +135,8 @@
         return;
     }
     server->crashed = false;
+    server->draining = false;
+    server->announcesLeaving = false;
     server->keysInProgress.clear();
     server->startedAtMs = unixMs();
     server->renewals = 0;
@@ -144,6 +147,19 @@
 {
     const std::lock_guard lock(m_mutex);
     m_servers.at(id)->draining = true;
+    m_servers.at(id)->announcesLeaving = true;
+}
+
+void PlatformStandin::announceLeaving(const std::string &id)
+{
+    const std::lock_guard lock(m_mutex);
+    m_servers.at(id)->announcesLeaving = true;
+}
+
+void PlatformStandin::pauseServer(const std::string &id, Milliseconds pause)
+{
+    const std::lock_guard lock(m_mutex);
+    m_servers.at(id)->pausedUntil = Clock::now() + pause;
 }
 
 void PlatformStandin::leave(const std::string &id)
@@ -625,7 +641,26 @@
     return response;
 }
 
+HttpResponse PlatformStandin::pauseAnswer(const Server &server, const std::string &requestId)
+{
+    HttpResponse response = refusal(server, requestId, http::status::service_unavailable);
+    const std::chrono::duration<double> left = server.pausedUntil - Clock::now();
+    response.set(http::field::retry_after, std::to_string(std::max(left.count(), 0.001)));
+    return response;
+}
+
+/// Adds what the server says of itself to its answer.
 Awaitable<HttpResponse> PlatformStandin::answerServer(std::shared_ptr<Server> server, const HttpRequest &request)
+{
+    HttpResponse response = co_await answerServerCall(server, request);
+    const std::lock_guard lock(m_mutex);
+    if (server->announcesLeaving) {
+        response.set("Server-Leaving", "1");
+    }
+    co_return response;
+}
+
+Awaitable<HttpResponse> PlatformStandin::answerServerCall(std::shared_ptr<Server> server, const HttpRequest &request)
 {
     const std::string id(request["X-Snipevalve-Request-Id"]);
     const std::string keyText(request["X-Snipevalve-Shard-Key"]);
@@ -646,6 +681,9 @@
         if (!isAddressee) {
             co_return refusal(*server, id, http::status::misdirected_request);
         }
+        if (!isOrder && Clock::now() < server->pausedUntil) {
+            co_return pauseAnswer(*server, id);
+        }
         if (!isOrder && fault == ServerFault::Refuses) {
             co_return refusal(*server, id, http::status::service_unavailable);
         }
@@ -664,8 +702,12 @@
             if (isGone) {
                 co_return HttpResponse(http::status::unknown, 11);
             }
-            co_return refusal(*server, id,
-                              hasSlot ? http::status::misdirected_request : http::status::service_unavailable);
+            HttpResponse response =
+                refusal(*server, id, hasSlot ? http::status::misdirected_request : http::status::service_unavailable);
+            if (!hasSlot) {
+                response.set(http::field::retry_after, PauseWhenFull);
+            }
+            co_return response;
         }
         m_arrivals.push_back({server->id, id, server->service, Clock::now(), true});
         server->keysInProgress.insert(key);
--- a/tests/standins/platform_standin.hpp
+++ b/tests/standins/platform_standin.hpp
@@ -83,7 +83,13 @@
     /// @brief Restarts a crashed server under the same id, without any grants.
     void restartServer(const std::string &id);
 
-    /// @brief Marks the server's entry as draining; the server continues to serve.
+    /// @brief Makes the server say in all its answers that it leaves; its entry stays ready. It continues to serve.
+    void announceLeaving(const std::string &id);
+
+    /// @brief Makes the server refuse all requests for this time, and say so in its answers.
+    void pauseServer(const std::string &id, Milliseconds pause);
+
+    /// @brief Marks the server's entry as draining, which its answers say too; the server continues to serve.
     void drainServer(const std::string &id);
 
     /// @brief The server leaves without having drained: its entry is removed, and it continues to serve.
@@ -171,6 +177,8 @@
         Endpoint endpoint;
         bool keyed = false;
         bool draining = false;
+        bool announcesLeaving = false; ///< in its answers
+        TimePoint pausedUntil; ///< refuses requests until then
         bool crashed = false;
         bool left = false;
         Milliseconds serviceTime{0};
@@ -193,8 +201,10 @@
     HttpResponse answerStoreCall(const HttpRequest &request, const RequestTarget &target);
     Awaitable<HttpResponse> answerOrder(std::shared_ptr<Server> server, const HttpRequest &request);
     Awaitable<bool> waitForSlot(std::shared_ptr<Server> server);
+    HttpResponse pauseAnswer(const Server &server, const std::string &requestId);
     HttpResponse refusal(const Server &server, const std::string &requestId, http::status status);
     Awaitable<HttpResponse> answerServer(std::shared_ptr<Server> server, const HttpRequest &request);
+    Awaitable<HttpResponse> answerServerCall(std::shared_ptr<Server> server, const HttpRequest &request);
     HttpResponse grant(Server &server, const Json &body, TimePoint arrival);
     Awaitable<HttpResponse> release(std::shared_ptr<Server> server, Json body);
     Awaitable<void> renewEntry(std::shared_ptr<Server> server);
