Let a host that hears of a new era list the leaders itself

Cause, found by the review: a relayed leader table of a newer era was dropped until the store had confirmed the era, and was never sent again, while the relay counted as fresh; such a host kept the leaders of the earlier era until one changed.

Change: relays don't count as fresh until the host has listed the leaders in the new era. A service that has been led over a restore is never taken for a new one, and a host whose leader table is of another era than the store's takes nothing over before it has listed the leaders. A takeover that finds another leader uses that leader's entry instead of trying again.

--- a/src/snipevalve/node/control/node_control.hpp
+++ b/src/snipevalve/node/control/node_control.hpp
@@ -259,6 +259,7 @@
     void onStoreRestored(std::uint64_t era)
     {
         m_isRestored = true;
+        m_isEraDoubtful = true;
         for (auto &[service, leader] : m_ledServices) {
             leader->suspend();
         }
@@ -291,7 +292,8 @@
     bool hasFreshLeaderUpdates() const
     {
         const Milliseconds trust = m_ledServices.empty() ? HostStaleAfter : LeaderStaleAfter;
-        return !isStoreReader() && m_config != nullptr && Clock::now() - m_leadersUpToDateAt < trust;
+        return !isStoreReader() && !m_isEraDoubtful && m_config != nullptr
+            && Clock::now() - m_leadersUpToDateAt < trust;
     }
 
     /// Whether this host still waits for the seeds instead of reading the store. Otherwise hundreds of hosts that start
@@ -434,6 +436,7 @@
                 applyLeader(value);
             }
             m_leadersKnown = true;
+            m_isEraDoubtful = false;
             m_leaders.era = m_store.era();
             m_leaders.revision = std::max(m_leaders.revision, list.revision);
             announceLeaders();
@@ -458,33 +461,14 @@
         return handlers;
     }
 
-    /// Asks the store for its era, of which another host has told. Only the store's own answers make this host give up
-    /// what it knows.
-    void confirmEra()
-    {
-        m_isRestored = true;
-        if (!m_isConfirmingEra) {
-            m_isConfirmingEra = true;
-            asio::co_spawn(m_executor, readEra(), LogFailure("store"));
-        }
-    }
-
-    Awaitable<void> readEra()
-    {
-        const auto answer = co_await m_store.read(Platform::configKey());
-        m_isConfirmingEra = false;
-        if (!answer.ok() && !absl::IsAborted(answer.status())) {
-            spdlog::warn("store: event=era_not_confirmed era={} reason=\"{}\"", m_store.era(),
-                         escapeQuotedText(std::string(answer.status().message())));
-        }
-    }
-
     /// Applies a leader table that a leader relayed, unless it is older than this host's own.
     void applyLeaders(const LeaderTable &table)
     {
         const std::uint64_t knownEra = m_store.era() != 0 ? m_store.era() : m_leaders.era;
         if (knownEra != 0 && table.era > knownEra) {
-            confirmEra();
+            // Only the store's own answers make this host give up what it knows: it lists the leaders itself.
+            m_isEraDoubtful = true;
+            m_isRestored = true;
             return;
         }
         if (!table.isNewerThan(m_leaders)) {
@@ -830,6 +814,13 @@
             co_return;
         }
         m_backoff.onSuccess();
+        const bool isTableOld = m_leaders.era != 0 && m_leaders.era != era;
+        if (isTableOld) {
+            m_isRestored = true;
+            m_isEraDoubtful = true;
+            m_leadersKnown = false;
+            co_return;
+        }
         nlohmann::json json{{"host", m_settings.host},
                             {"address", toString(m_settings.control)},
                             {"nonce", std::to_string(m_random())}};
@@ -842,6 +833,11 @@
         if (m_store.era() != era) {
             co_return; // the lease and the key are lost
         }
+        const bool isLedElsewhere = result.ok() && !result->committed && result->current.revision != 0;
+        if (isLedElsewhere) {
+            applyLeader(result->current);
+            announceLeaders();
+        }
         if (!result.ok() || !result->committed || !m_config || !m_config->service(service)) {
             if (absl::IsNotFound(result.status()) || m_ledServices.empty()) {
                 m_lease.drop(); // no need to renew a lease that protects nothing
@@ -945,7 +941,7 @@
     Tcp::acceptor m_acceptor;
     StoreBackoff m_backoff;
     asio::steady_timer m_electionTimer{m_executor};
-    bool m_isConfirmingEra = false;
+    bool m_isEraDoubtful = false; ///< the store may have been restored since this host has listed the leaders
     bool m_isRestored = false; ///< whether the store has been restored from a copy since the start of this process
     PrefixWatcher<Store> m_configWatcher{
         m_store, m_backoff, {Platform::configKey(), LeaderWatchTimeout, WatchTimeout, {}, {}}, configHandlers()};
--- a/src/snipevalve/node/control/service_leader.hpp
+++ b/src/snipevalve/node/control/service_leader.hpp
@@ -112,6 +112,7 @@
             return;
         }
         m_isSuspended = true;
+        m_mayBeFirst = false;
         ++m_generation;
         m_lostLeaseEnd = m_lease.heldUntil();
         m_suspendedTimeAtLoss = suspendedTime();
