--- a/tests/soak/schedule.cpp
+++ b/tests/soak/schedule.cpp
@@ -14,7 +14,7 @@
     "blackhole store",     "store unavailable", "store slow",     "store drops responses",
     "store loses history", "delay server",      "reset server",   "blackhole server",
     "crash server",        "drain server",      "late grants",    "wrong server responses",
-    "change config"};
+    "change config",       "restore store"};
 
 /// SplitMix64 (Steele, Lea, Flood, 2014), since the standard library's distributions differ between implementations.
 class SplitMix64
@@ -44,7 +44,7 @@
 {
     constexpr std::uint64_t OneIn = 3;
     std::vector<FaultKind> kinds = {FaultKind::ChangeConfig};
-    for (std::size_t kind = 0; kind < Names.size(); ++kind) {
+    for (std::size_t kind = 0; kind < static_cast<std::size_t>(FaultKind::RestoreStore); ++kind) {
         if (random.below(OneIn) == 0) {
             kinds.push_back(static_cast<FaultKind>(kind));
         }
@@ -52,20 +52,36 @@
     return kinds;
 }
 
-} // namespace
-
-std::string_view describe(FaultKind kind)
+/// Adds the restores of a seed: one or two in one seed of three. They are drawn apart from the other faults, which are
+/// those that the seed had before there were restores.
+void addRestores(std::uint64_t seed, Milliseconds length, std::vector<Fault> &faults)
 {
-    return Names.at(static_cast<std::size_t>(kind));
-}
-
-bool isPlanned(FaultKind kind)
-{
-    return kind == FaultKind::StopNode || kind == FaultKind::ReloadNode || kind == FaultKind::ChangeConfig
-        || kind == FaultKind::DrainServer;
+    constexpr std::uint64_t Stream = 3;
+    constexpr std::uint64_t OneIn = 3;
+    constexpr std::uint64_t MostRestores = 2;
+    constexpr std::uint64_t LongestAwayMs = 4'000;
+    constexpr std::uint64_t ShortestAwayMs = 50;
+    constexpr std::uint64_t OldestMs = 10'000;
+    constexpr std::uint64_t YoungestMs = 500;
+    SplitMix64 random(seed ^ Stream);
+    if (random.below(OneIn) != 0) {
+        return;
+    }
+    const std::uint64_t count = 1 + random.below(MostRestores);
+    for (std::uint64_t restore = 0; restore < count; ++restore) {
+        Fault fault;
+        fault.kind = FaultKind::RestoreStore;
+        fault.at = Milliseconds(random.below(static_cast<std::uint64_t>(length.count())));
+        fault.duration = Milliseconds(ShortestAwayMs + random.below(LongestAwayMs - ShortestAwayMs));
+        fault.copyAge = Milliseconds(YoungestMs + random.below(OldestMs - YoungestMs));
+        faults.push_back(fault);
+    }
+    std::stable_sort(faults.begin(), faults.end(), [](const Fault &left, const Fault &right) {
+        return left.at < right.at;
+    });
 }
 
-std::vector<Fault> makeSchedule(std::uint64_t seed, Milliseconds length)
+std::vector<Fault> drawFaults(std::uint64_t seed, Milliseconds length)
 {
     constexpr std::uint64_t MeanGapMs = 1'200;
     constexpr std::uint64_t LongestMs = 5'000;
@@ -102,12 +118,36 @@
     }
 }
 
+} // namespace
+
+std::string_view describe(FaultKind kind)
+{
+    return Names.at(static_cast<std::size_t>(kind));
+}
+
+bool isPlanned(FaultKind kind)
+{
+    return kind == FaultKind::StopNode || kind == FaultKind::ReloadNode || kind == FaultKind::ChangeConfig
+        || kind == FaultKind::DrainServer;
+}
+
+std::vector<Fault> makeSchedule(std::uint64_t seed, Milliseconds length)
+{
+    std::vector<Fault> faults = drawFaults(seed, length);
+    addRestores(seed, length, faults);
+    return faults;
+}
+
 std::string describe(const std::vector<Fault> &schedule)
 {
     std::ostringstream text;
     for (const Fault &fault : schedule) {
         text << "  " << fault.at.count() << " ms: " << describe(fault.kind) << " " << fault.target << " for "
-             << fault.duration.count() << " ms\n";
+             << fault.duration.count() << " ms";
+        if (fault.kind == FaultKind::RestoreStore) {
+            text << " from a copy of " << fault.copyAge.count() << " ms before";
+        }
+        text << "\n";
     }
     return text.str();
 }
--- a/tests/soak/schedule.hpp
+++ b/tests/soak/schedule.hpp
@@ -32,7 +32,8 @@
     LateGrants, ///< servers execute orders late and do not answer them
     WrongServerResponses, ///< a response of another request, without a stamp, truncated or encoded
     ChangeConfig, ///< adds a route
-    LastKind = ChangeConfig,
+    RestoreStore, ///< the store is away for the duration and comes back from a copy
+    LastKind = RestoreStore,
 };
 
 std::string_view describe(FaultKind kind);
@@ -46,6 +47,7 @@
     Milliseconds at{0}; ///< from the start of traffic
     Milliseconds duration{0};
     unsigned target = 0; ///< number of a node or server; taken modulo their count
+    Milliseconds copyAge{0}; ///< of a restored store, when it goes away
 };
 
 /// @brief Generates the faults of one seed. The same seed and length give the same faults on every machine.
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -145,6 +145,7 @@
     case FaultKind::StoreSlow:
     case FaultKind::StoreDropsResponses:
     case FaultKind::StoreLosesHistory:
+    case FaultKind::RestoreStore:
         injectStoreFault(fault);
         break;
     case FaultKind::ChangeConfig:
@@ -308,6 +309,13 @@
 void SoakRun::injectStoreFault(const Fault &fault)
 {
     using standins::StoreFault;
+    if (fault.kind == FaultKind::RestoreStore) {
+        const Milliseconds untilComplete = fault.duration + standins::PlatformStandin::RewriteTime;
+        recordDisturbance(Disturbance::All, untilComplete, false);
+        m_platform.restoreStore(fault.copyAge, fault.duration);
+        runAfter(untilComplete, []() {}); // the run has not healed before
+        return;
+    }
     recordDisturbance(Disturbance::All, fault.duration, false);
     if (fault.kind == FaultKind::StoreLosesHistory) {
         m_platform.compactHistory();
--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -19,6 +19,7 @@
 constexpr std::chrono::seconds CopyRetention(20);
 /// An entry is removed after three heartbeats of silence.
 constexpr Milliseconds SilenceTimeout = 3 * EntryRenewalInterval;
+static_assert(SilenceTimeout <= PlatformStandin::RewriteTime);
 /// Time from the return of a restored store until the operators have written their configuration again.
 constexpr Milliseconds ConfigRewriteDelay(500);
 constexpr Milliseconds SlowAnswer(240);
--- a/tests/standins/platform_standin.hpp
+++ b/tests/standins/platform_standin.hpp
@@ -56,6 +56,9 @@
 class PlatformStandin
 {
 public:
+    /// Time from the return of a restored store until servers and operators have written again what it had lost.
+    static constexpr Milliseconds RewriteTime{600};
+
     /// @param network second octet of the 127.x addresses
     explicit PlatformStandin(std::uint8_t network);
     ~PlatformStandin();
