Soak: check what servers say in their answers

Two checks that hold in touch with the store or not: a node that has passed on an answer of a leaving server sends that start of the server nothing that a caller sent later than the drain bound; at most two requests reach a server between half a second after its 503 with Retry-After and the end of that time. Only the node's own restart, freeze or cut excuses the first; each unplanned disturbance the other.

--- a/tests/soak/checks.cpp
+++ b/tests/soak/checks.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 
 namespace snipevalve::soak {
 
@@ -92,6 +93,88 @@
     }
 }
 
+/// Whether the node neither started nor was disturbed alone.
+bool isContinuous(const SoakRecords &records, std::size_t node, TimePoint from, TimePoint to)
+{
+    const auto starts = records.starts.find(node);
+    const bool hasStarted = starts != records.starts.end()
+        && std::any_of(starts->second.begin(), starts->second.end(), [from, to](TimePoint start) {
+                                return from <= start && start <= to;
+                            });
+    return !hasStarted
+        && std::none_of(records.disturbances.begin(), records.disturbances.end(), [&](const Disturbance &each) {
+               return each.node == node && each.from <= to && each.to >= from;
+           });
+}
+
+struct PairArrival
+{
+    const CallerRecord *request = nullptr;
+    const ServerRecord *record = nullptr;
+};
+
+/// A node, a server and that server's start.
+using NodeServerPair = std::tuple<std::size_t, std::string, std::int64_t>;
+
+/// The requests that each node has passed on to each run of a server.
+std::map<NodeServerPair, std::vector<PairArrival>> arrivalsByPair(const SoakRecords &records)
+{
+    std::map<std::string, const CallerRecord *> requests;
+    for (const CallerRecord &request : records.requests) {
+        requests[request.id] = &request;
+    }
+    std::map<NodeServerPair, std::vector<PairArrival>> byPair;
+    for (const ServerRecord &record : records.arrivals) {
+        const auto request = requests.find(record.id);
+        if (request != requests.end()) {
+            byPair[{request->second->node, record.server, record.serverStart}].push_back({request->second, &record});
+        }
+    }
+    return byPair;
+}
+
+/// A node that has passed on an answer of a leaving server sends it nothing later, in touch with the store or not.
+void checkAnnouncedDrains(const SoakRecords &records, const SoakBounds &bounds, Violations &violations)
+{
+    for (const auto &[pair, arrivals] : arrivalsByPair(records)) {
+        const std::size_t node = std::get<0>(pair);
+        TimePoint toldAt = TimePoint::max();
+        for (const PairArrival &each : arrivals) {
+            const bool isTold = each.record->announcesLeaving && each.record->ran && each.request->status == Ok;
+            toldAt = isTold ? std::min(toldAt, each.request->endedAt) : toldAt;
+        }
+        for (const PairArrival &each : arrivals) {
+            const bool isLate =
+                toldAt != TimePoint::max() && each.record->ran && each.request->sentAt > toldAt + bounds.drain;
+            if (isLate && isContinuous(records, node, toldAt, each.record->at)) {
+                violations.push_back({"no work for a server that said that it leaves", each.record->id,
+                                      "ran on " + each.record->server});
+            }
+        }
+    }
+}
+
+void checkPauses(const SoakRecords &records, const SoakBounds &bounds, Violations &violations)
+{
+    for (const auto &[pair, arrivals] : arrivalsByPair(records)) {
+        const std::size_t node = std::get<0>(pair);
+        for (const PairArrival &asked : arrivals) {
+            const TimePoint askedAt = asked.record->at;
+            const TimePoint end = askedAt + asked.record->pause;
+            const auto count = std::count_if(arrivals.begin(), arrivals.end(), [&](const PairArrival &each) {
+                return each.record->at > askedAt + bounds.pauseGrace && each.record->at < end;
+            });
+            const bool isExceeded = static_cast<std::size_t>(count) > bounds.requestsInPause;
+            if (isExceeded && isContinuous(records, node, askedAt, end)
+                && isUndisturbed(records, node, askedAt, end, bounds.settleTime, DisturbanceFilter::Unplanned)) {
+                violations.push_back({"servers get the pauses that they ask for", asked.record->server,
+                                      std::to_string(count) + " requests in a pause"});
+                break;
+            }
+        }
+    }
+}
+
 void checkLostRequests(const SoakRecords &records, const SoakBounds &bounds, Violations &violations)
 {
     constexpr Milliseconds LossSlack(200);
@@ -214,6 +297,8 @@
     checkOwners(records, violations);
     checkRuns(records, violations);
     checkDrains(records, bounds, violations);
+    checkAnnouncedDrains(records, bounds, violations);
+    checkPauses(records, bounds, violations);
     checkLostRequests(records, bounds, violations);
     checkConfig(records, bounds, violations);
     checkRetries(records, bounds, violations);
--- a/tests/soak/checks.hpp
+++ b/tests/soak/checks.hpp
@@ -13,6 +13,8 @@
 {
     Milliseconds settleTime{3'000}; ///< the bounds apply to a node only after this time without a disturbance
     Milliseconds drain{2'000};
+    Milliseconds pauseGrace{500}; ///< requests that reach a server within this time of its answer were under way
+    std::size_t requestsInPause = 2;
     Milliseconds config{2'000};
     Milliseconds rollbackSlack{250};
     Milliseconds recovery{15'000};
--- a/tests/soak/checks_test.cpp
+++ b/tests/soak/checks_test.cpp
@@ -86,6 +86,16 @@
          [](SoakRecords &records) {
              records.arrivals.front().server = "s1";
          }},
+        {"work for a server that said that it leaves, while the store is away",
+         "no work for a server that said that it leaves",
+         [](SoakRecords &records) {
+             records.disturbances.push_back({Disturbance::All, at(9'000), at(29'000), false});
+             records.arrivals[0].announcesLeaving = true; // answered at 10,050 ms, the last request is at 19,900 ms
+         }},
+        {"requests in a pause", "servers get the pauses that they ask for",
+         [](SoakRecords &records) {
+             records.arrivals.push_back({"s0", "id0", "debits", at(10'020), false, 0, false, Milliseconds(900)});
+         }},
         {"a request lost during planned work", "planned work loses no request",
          [](SoakRecords &records) {
              records.disturbances.push_back({0, at(10'000), at(16'000), true});
@@ -138,6 +148,29 @@
              records.arrivals.front().server = "s1";
              records.disturbances.push_back({0, at(4'000), at(9'000), false});
          }},
+        {"work for a later start of a server that said that it leaves", "",
+         [](SoakRecords &records) {
+             records.arrivals[0].announcesLeaving = true;
+             records.arrivals[0].serverStart = -1;
+         }},
+        {"work for a leaving server within the bound", "",
+         [](SoakRecords &records) {
+             records.arrivals[85].announcesLeaving = true;
+         }},
+        {"work for a leaving server from a node that has restarted", "",
+         [](SoakRecords &records) {
+             records.arrivals[0].announcesLeaving = true;
+             records.starts[0].push_back(at(11'000));
+         }},
+        {"two requests in a pause", "",
+         [](SoakRecords &records) {
+             records.arrivals.push_back({"s0", "id0", "debits", at(10'020), false, 0, false, Milliseconds(700)});
+         }},
+        {"requests in a pause that a cut node has not learned", "",
+         [](SoakRecords &records) {
+             records.disturbances.push_back({0, at(10'000), at(10'100), false});
+             records.arrivals.push_back({"s0", "id0", "debits", at(10'020), false, 0, false, Milliseconds(900)});
+         }},
         {"a request lost when a node is killed", "",
          [](SoakRecords &records) {
              records.disturbances.push_back({0, at(10'100), at(10'400), false});
--- a/tests/soak/records.hpp
+++ b/tests/soak/records.hpp
@@ -33,6 +33,9 @@
     std::string service;
     TimePoint at;
     bool ran = false; ///< false: the server refused it without running it
+    std::int64_t serverStart = 0; ///< identifies the run of the server
+    bool announcesLeaving = false; ///< its answer says that it leaves
+    Milliseconds pause{0}; ///< that its answer asks for
 };
 
 /// @brief A period in which one node, or all nodes, are exempt from bounds.
