Test: a server that can't give its keys stops all other moves by load

The next least utilised server has no room, so the search ends ("wantedLoad < minMoveLoad"), and no other overloaded server is looked at.

The test fails: without the memory "warm" gives keys to "idle", with it there is no move from "warm". No product code is changed here.

--- a/src/snipevalve/ownership/recent_owners_test.cpp
+++ b/src/snipevalve/ownership/recent_owners_test.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <catch2/catch.hpp>
 
 #include "snipevalve/ownership/key_balance.hpp"
@@ -88,4 +90,28 @@
     CHECK(planKeyMerges(enclosed, noLoad, capacities, recent).empty());
 }
 
+TEST_CASE("a server that has nowhere to give its keys does not keep others from giving theirs")
+{
+    std::vector<float> loads(KeyCount, 0.0F);
+    const std::map<std::string, double> capacities{{"hot", 2}, {"warm", 2}, {"filled", 2}, {"idle", 2}};
+    const std::vector<OwnedRange> ranges{
+        {{0, 999}, "hot"}, {{1'000, 1'999}, "warm"}, {{2'000, 2'999}, "filled"}, {{3'000, 65'535}, "idle"}};
+    for (const std::uint16_t key : {10, 20, 30, 40}) {
+        loads[key] = 0.6F;
+        loads[1'000 + key] = 0.55F;
+        loads[2'000 + key] = 0.475F;
+    }
+    loads[3'000] = 0.2F;
+    const auto isMoveFromWarm = [](const KeyMove &move) {
+        return move.from == "warm" && move.to == "idle";
+    };
+    const auto unrestricted = planKeyMoves(ranges, loads, capacities);
+    CHECK(std::any_of(unrestricted.begin(), unrestricted.end(), isMoveFromWarm));
+
+    RecentOwners recent;
+    recent.add({0, 999}, "idle", Start);
+    const auto moves = planKeyMoves(ranges, loads, capacities, {}, recent);
+    CHECK(std::any_of(moves.begin(), moves.end(), isMoveFromWarm));
+}
+
 } // namespace snipevalve
