Test: a new leader returns keys that its predecessor has just moved

RecentOwners is the memory of one leader, and the plan in the store does not hold it. A new leader returns keys by a merge after a merge interval, which is shorter than returnDelay, after 1 s if there are more than three ranges a server, and by load at its first round.

No product code is changed.

--- a/src/snipevalve/ownership/key_authority_test.cpp
+++ b/src/snipevalve/ownership/key_authority_test.cpp
@@ -432,4 +432,139 @@
     CHECK(*mergedAt - start >= KeyAuthorityTimes().mergeInterval);
 }
 
+namespace {
+
+/// Three servers of two slots that answer all calls at once.
+class CalmService
+{
+public:
+    explicit CalmService(KeyPlan plan)
+        : m_plan(std::move(plan))
+    {
+        for (const char *id : {"a", "b", "c"}) {
+            UpstreamServer server;
+            server.id = id;
+            server.slots = 2;
+            server.incarnation = 1;
+            m_servers.push_back(server);
+            demand.capacities[id] = 2;
+        }
+        demand.slowAverage.assign(KeyCount, 0.0F);
+        demand.fastAverage = demand.slowAverage;
+        demand.fastWindow = Milliseconds(700);
+        demand.slowWindow = Milliseconds(6'000);
+        demand.meanWork = Seconds(0.1);
+        beginTerm();
+    }
+
+    void beginTerm()
+    {
+        m_authority.emplace(m_plan, KeyAuthorityTimes(), now);
+        m_authority->setServers(m_servers, now);
+    }
+
+    void setLoads(const std::map<std::uint16_t, float> &loads)
+    {
+        demand.slowAverage.assign(KeyCount, 0.0F);
+        for (const auto &[key, load] : loads) {
+            demand.slowAverage[key] = load;
+        }
+        demand.fastAverage = demand.slowAverage;
+    }
+
+    void advance()
+    {
+        now += Milliseconds(20);
+        m_authority->setLeaderLease(now + Milliseconds(1'000), true);
+        m_authority->balance(demand, now);
+        for (const KeyAction &action : m_authority->advance(now)) {
+            if (const auto *save = std::get_if<SaveKeyPlan>(&action)) {
+                m_plan = save->plan;
+                m_authority->onPlanSaved(now);
+            } else if (const auto *grant = std::get_if<GrantKeys>(&action)) {
+                m_authority->onCallOutcome(grant->call, KeyCallOutcome::Accepted, {}, now);
+            } else if (const auto *release = std::get_if<ReleaseKeys>(&action)) {
+                m_authority->onCallOutcome(release->call, KeyCallOutcome::Accepted, "handover", now);
+            }
+        }
+    }
+
+    void runFor(Milliseconds length)
+    {
+        for (const TimePoint end = now + length; now < end;) {
+            advance();
+        }
+    }
+
+    /// Empty when the key has no owner.
+    std::string ownerOf(std::uint16_t key) const
+    {
+        const KeyOwners owners = m_authority->owners(now);
+        const std::string *owner = owners.ownerOf(key);
+        return owner == nullptr ? std::string() : *owner;
+    }
+
+    TimePoint now = Clock::now();
+    KeyAuthority::Demand demand;
+
+private:
+    KeyPlan m_plan; ///< the plan in the store
+    std::vector<UpstreamServer> m_servers;
+    std::optional<KeyAuthority> m_authority;
+};
+
+} // namespace
+
+TEST_CASE("a new leader does not return keys to their previous owner within the life of a request")
+{
+    struct Example
+    {
+        std::string name;
+        std::vector<PlannedRange> ranges;
+        std::map<std::uint16_t, float> loads; ///< by key: busy slots
+        std::map<std::uint16_t, float> laterLoads; ///< as the new leader measures them
+    };
+    const ServerIncarnation a{"a", 1};
+    const ServerIncarnation b{"b", 1};
+    const ServerIncarnation c{"c", 1};
+    std::vector<PlannedRange> fragments{{{0, 19'999}, a}, {{20'000, 29'999}, b}};
+    for (std::uint16_t from = 30'000; from < 30'200; from += 10) {
+        fragments.push_back({{from, static_cast<std::uint16_t>(from + 9)}, from % 20 == 0 ? c : b});
+    }
+    fragments.push_back({{30'200, 65'535}, c});
+    const std::map<std::uint16_t, float> hot{{10'000, 1.2F}, {10'001, 1.2F}, {25'000, 0.2F}, {60'000, 0.2F}};
+    const std::map<std::uint16_t, float> calm{{1'000, 0.2F}, {25'000, 0.2F}, {60'000, 0.2F}};
+    const auto example = GENERATE_COPY(values<Example>({
+        {"by a merge", {{{0, 19'999}, a}, {{20'000, 39'999}, b}, {{40'000, 65'535}, c}}, hot, calm},
+        {"by a merge of fragments", fragments, hot, calm},
+        {"by load",
+         {{{0, 19'999}, a}, {{20'000, 39'999}, b}, {{40'000, 65'535}, c}},
+         hot,
+         {{10'000, 0.6F}, {10'001, 0.6F}, {35'000, 1.0F}, {35'001, 1.0F}, {60'000, 1.0F}, {60'001, 1.0F}}},
+    }));
+    INFO(example.name);
+    CalmService service({1, 1, example.ranges, {}});
+    service.setLoads(example.loads);
+    const std::vector<std::uint16_t> keys{10'000, 10'001};
+    const auto movedKey = [&service, &keys] {
+        return std::find_if(keys.begin(), keys.end(), [&service](std::uint16_t key) {
+            return !service.ownerOf(key).empty() && service.ownerOf(key) != "a";
+        });
+    };
+    for (const TimePoint end = service.now + Milliseconds(3'000); movedKey() == keys.end() && service.now < end;) {
+        service.advance();
+    }
+    REQUIRE(movedKey() != keys.end());
+    const std::uint16_t key = *movedKey();
+    const TimePoint movedAt = service.now;
+    service.beginTerm();
+    service.setLoads(example.laterLoads);
+    while (service.ownerOf(key) != "a" && service.now - movedAt < KeyAuthorityTimes().returnDelay) {
+        service.advance();
+    }
+    INFO("key " << key << " is back after " << std::chrono::duration_cast<Milliseconds>(service.now - movedAt).count()
+                << " ms");
+    CHECK(service.ownerOf(key) != "a");
+}
+
 } // namespace snipevalve
