Test: unowned keys return early although another server is usable

When each usable server has lost some part of it, all rank alike and the range goes to the one with the fewest keys, with the keys that this one has just lost. Splitting the range at what was lost would avoid it.

The test fails: two servers drain and stop draining, the third one drains 0.4 s later, and key 50 returns to "a" although "c" is usable. No product code is changed.

--- a/src/snipevalve/ownership/key_authority_test.cpp
+++ b/src/snipevalve/ownership/key_authority_test.cpp
@@ -472,6 +472,14 @@
         demand.fastAverage = demand.slowAverage;
     }
 
+    void setDraining(const std::set<std::string> &ids)
+    {
+        for (UpstreamServer &server : m_servers) {
+            server.draining = ids.contains(server.id);
+        }
+        m_authority->setServers(m_servers, now);
+    }
+
     void advance()
     {
         now += Milliseconds(20);
@@ -567,4 +575,18 @@
     CHECK(service.ownerOf(key) != "a");
 }
 
+TEST_CASE("unowned keys avoid each server that has recently lost some of them")
+{
+    CalmService service({1, 1, {{{0, 99}, {"a", 1}}, {{100, 199}, {"c", 1}}, {{200, 65'535}, {"b", 1}}}, {}});
+    service.runFor(Milliseconds(400));
+    service.setDraining({"a", "c"});
+    service.runFor(Milliseconds(400));
+    REQUIRE(service.ownerOf(50) == "b");
+    REQUIRE(service.ownerOf(150) == "b");
+    service.setDraining({"b"});
+    service.runFor(Milliseconds(400));
+    CHECK(service.ownerOf(50) == "c");
+    CHECK(service.ownerOf(150) == "a");
+}
+
 } // namespace snipevalve
