Test: moves by load ignore the keys that are on their way to a server

A round of balance() counts the load of settled ranges only. Keys of an earlier round that are still being released, planned or granted count nowhere, so their next owner looks as empty as before and gets the same room filled once more.

No product code is changed here.

--- a/src/snipevalve/ownership/key_authority_test.cpp
+++ b/src/snipevalve/ownership/key_authority_test.cpp
@@ -434,7 +434,7 @@
 
 namespace {
 
-/// Three servers of two slots that answer all calls at once.
+/// Three servers of two slots that answer all calls at once, unless releases have to wait.
 class CalmService
 {
 public:
@@ -492,9 +492,27 @@
             } else if (const auto *grant = std::get_if<GrantKeys>(&action)) {
                 m_authority->onCallOutcome(grant->call, KeyCallOutcome::Accepted, {}, now);
             } else if (const auto *release = std::get_if<ReleaseKeys>(&action)) {
-                m_authority->onCallOutcome(release->call, KeyCallOutcome::Accepted, "handover", now);
+                m_releases.push_back(release->call);
             }
         }
+        if (now >= releasesAnsweredFrom) {
+            for (const std::uint64_t call : m_releases) {
+                m_authority->onCallOutcome(call, KeyCallOutcome::Accepted, "handover", now);
+            }
+            m_releases.clear();
+        }
+    }
+
+    /// The load of the keys that the server owns, in busy slots.
+    double loadOf(const std::string &server) const
+    {
+        const KeyOwners owners = m_authority->owners(now);
+        double load = 0;
+        for (std::size_t key = 0; key < KeyCount; ++key) {
+            const std::string *owner = owners.ownerOf(static_cast<std::uint16_t>(key));
+            load += owner != nullptr && *owner == server ? demand.fastAverage[key] : 0.0F;
+        }
+        return load;
     }
 
     void runFor(Milliseconds length)
@@ -514,9 +532,11 @@
 
     TimePoint now = Clock::now();
     KeyAuthority::Demand demand;
+    TimePoint releasesAnsweredFrom; ///< releases wait until then for the running work
 
 private:
     KeyPlan m_plan; ///< the plan in the store
+    std::vector<std::uint64_t> m_releases; ///< unanswered calls
     std::vector<UpstreamServer> m_servers;
     std::optional<KeyAuthority> m_authority;
 };
@@ -589,4 +609,22 @@
     CHECK(service.ownerOf(150) == "a");
 }
 
+TEST_CASE("moves by load count the keys that are on their way to a server")
+{
+    CalmService service(
+        {1, 1, {{{0, 19'999}, {"a", 1}}, {{20'000, 39'999}, {"b", 1}}, {{40'000, 65'535}, {"c", 1}}}, {}});
+    std::map<std::uint16_t, float> loads{{10'000, 0.5F}, {10'100, 0.5F}, {10'200, 0.5F}, {10'300, 0.5F},
+                                         {25'000, 0.5F}, {25'100, 0.5F}, {60'000, 0.1F}};
+    service.setLoads(loads);
+    service.releasesAnsweredFrom = service.now + Milliseconds(700);
+    service.runFor(Milliseconds(300));
+    // Two more keys become hot while the first keys are on their way to "c".
+    loads[25'200] = loads[25'300] = 0.5F;
+    service.setLoads(loads);
+    service.runFor(Milliseconds(460));
+    const double highest = std::max({service.loadOf("a"), service.loadOf("b"), service.loadOf("c")});
+    INFO("a " << service.loadOf("a") << ", b " << service.loadOf("b") << ", c " << service.loadOf("c"));
+    CHECK(highest <= 1.6); // the mean of 1.37 with the usual headroom
+}
+
 } // namespace snipevalve
