Go on with other servers when one can give its keys to none

Likewise when all other servers had recently lost the keys, or a server without keys had. findFasterServer gave up when the roomiest server had lost the key.

Change: only this server is left out for the round. findFasterServer takes the roomiest of the servers to which the key may move.

--- a/src/snipevalve/ownership/key_balance.cpp
+++ b/src/snipevalve/ownership/key_balance.cpp
@@ -204,16 +204,21 @@
     return heaviest && heaviest->load >= FillingShare * server.capacity ? heaviest : std::nullopt;
 }
 
-/// The server with the most free capacity, if the key gains enough there and may move there.
+/// Of the servers on which the key gains enough and to which it may move, the one with the most free capacity; null for
+/// none.
 ServerLoad *findFasterServer(std::vector<ServerLoad> &servers, const ServerLoad &from, const KeyWindow &key,
                              const RecentOwners &recent)
 {
-    const auto hasLessRoom = [](const ServerLoad &left, const ServerLoad &right) {
-        return left.capacity - left.load < right.capacity - right.load;
-    };
-    const auto roomiest = std::max_element(servers.begin(), servers.end(), hasLessRoom);
-    const bool isGain = roomiest->capacity - roomiest->load >= MinCapacityGain * from.capacity;
-    return isGain && !recent.contains(key.keys, roomiest->id) ? &*roomiest : nullptr;
+    ServerLoad *roomiest = nullptr;
+    for (ServerLoad &server : servers) {
+        const double room = server.capacity - server.load;
+        const bool isRoomier = roomiest == nullptr || room > roomiest->capacity - roomiest->load;
+        const bool isGain = room >= MinCapacityGain * from.capacity;
+        if (isGain && isRoomier && !recent.contains(key.keys, server.id)) {
+            roomiest = &server;
+        }
+    }
+    return roomiest;
 }
 
 /// Limits the load of each key to the largest capacity of a server: a key has one owner, so no server could serve more.
@@ -243,6 +248,20 @@
     }
 }
 
+bool isAnyServerPassedOver(const std::vector<ServerLoad> &servers)
+{
+    return std::any_of(servers.begin(), servers.end(), [](const ServerLoad &server) {
+        return server.isPassedOver;
+    });
+}
+
+/// Goes on without a server that can't give its keys to any other.
+void removeDonor(std::vector<ServerLoad> &servers, std::vector<ServerLoad>::iterator donor)
+{
+    servers.erase(donor);
+    allowAll(servers);
+}
+
 /// The standard deviation of an exponentially averaged Poisson load.
 double loadDeviation(double load, const KeyBalanceOptions &options)
 {
@@ -294,9 +313,14 @@
         const double overloadThreshold = std::min(noise, std::max(excessAtCapacity, options.minMoveLoad));
         mostUtilised->isOverloaded = mostUtilised->isOverloaded || excess > overloadThreshold;
         const bool isOverloaded = mostUtilised->isOverloaded && excess > options.minMoveLoad;
-        if (mostUtilised->load <= 0 || (!isOverloaded && !hasNoKeys)) {
+        const bool isAnyPassedOver = isAnyServerPassedOver(servers);
+        if (mostUtilised->load <= 0 || (!isOverloaded && !hasNoKeys && !isAnyPassedOver)) {
             break;
         }
+        if (leastUtilised == mostUtilised || (!isOverloaded && !hasNoKeys)) {
+            removeDonor(servers, mostUtilised);
+            continue;
+        }
         const std::optional<KeyWindow> filling = findFillingKey(*mostUtilised, loads);
         if (ServerLoad *faster = filling ? findFasterServer(servers, *mostUtilised, *filling, recent) : nullptr) {
             moves.push_back({filling->keys, mostUtilised->id, faster->id});
@@ -310,7 +334,11 @@
         const double room = targetLevel * leastUtilised->capacity - leastUtilised->load;
         double wantedLoad = hasNoKeys ? std::min(mostUtilised->load * FirstLoadShare, room) : std::min(excess, room);
         if (wantedLoad < options.minMoveLoad && !hasNoKeys) {
-            break;
+            if (!isAnyPassedOver) {
+                break; // no server has room
+            }
+            removeDonor(servers, mostUtilised);
+            continue;
         }
         if (filling) {
             // The filling key stays, and the others leave its server.
@@ -329,8 +357,7 @@
         }
         if (!window) {
             // A single key makes up the load, and it stays.
-            servers.erase(mostUtilised);
-            allowAll(servers);
+            removeDonor(servers, mostUtilised);
             continue;
         }
         moves.push_back({window->keys, mostUtilised->id, leastUtilised->id});
--- a/src/snipevalve/ownership/recent_owners_test.cpp
+++ b/src/snipevalve/ownership/recent_owners_test.cpp
@@ -114,4 +114,69 @@
     CHECK(std::any_of(moves.begin(), moves.end(), isMoveFromWarm));
 }
 
+TEST_CASE("a server that can give its keys to no other is left out, and the others go on")
+{
+    struct Example
+    {
+        std::string name;
+        std::map<std::uint16_t, float> loads; ///< by key; a thousand keys belong to each of "a", "b", "c" and "d"
+        std::map<std::string, double> capacities;
+        std::vector<std::pair<KeyRange, std::string>> lost;
+        KeyRange movedKeys; ///< a move of some of them
+        std::string from;
+        std::string to;
+    };
+    const std::map<std::string, double> equal{{"a", 2}, {"b", 2}, {"c", 2}, {"d", 2}};
+    const auto example = GENERATE_COPY(values<Example>({
+        {"all others have lost the keys of the most utilised server",
+         {{10, 1.0F},
+          {20, 1.0F},
+          {30, 1.0F},
+          {1'010, 0.9F},
+          {1'020, 0.9F},
+          {1'030, 0.9F},
+          {2'010, 0.4F},
+          {3'010, 0.2F}},
+         equal,
+         {{{0, 999}, "b"}, {{0, 999}, "c"}, {{0, 999}, "d"}},
+         {1'000, 1'999},
+         "b",
+         "d"},
+        {"a server without keys has lost those of the most utilised server, and none is overloaded",
+         {{10, 0.2F}, {20, 0.2F}, {1'010, 0.1F}, {1'020, 0.1F}, {2'010, 0.1F}, {3'010, 0.1F}},
+         {{"a", 2}, {"b", 2}, {"c", 2}, {"d", 2}, {"new", 2}},
+         {{{0, 999}, "new"}},
+         {1'000, 1'999},
+         "b",
+         "new"},
+        {"the roomiest server has lost the key that fills its server",
+         {{10, 1.0F}, {20, 0.3F}, {1'010, 0.3F}, {2'010, 0.3F}, {3'010, 0.3F}},
+         {{"a", 1}, {"b", 2}, {"c", 4}, {"d", 3}},
+         {{{10, 10}, "c"}},
+         {10, 10},
+         "a",
+         "d"},
+    }));
+    INFO(example.name);
+    const std::vector<OwnedRange> ranges{
+        {{0, 999}, "a"}, {{1'000, 1'999}, "b"}, {{2'000, 2'999}, "c"}, {{3'000, 3'999}, "d"}};
+    std::vector<float> loads(KeyCount, 0.0F);
+    for (const auto &[key, load] : example.loads) {
+        loads[key] = load;
+    }
+    RecentOwners recent;
+    for (const auto &[keys, server] : example.lost) {
+        recent.add(keys, server, Start);
+    }
+    const auto moves = planKeyMoves(ranges, loads, example.capacities, {}, recent);
+    CHECK(std::any_of(moves.begin(), moves.end(), [&example](const KeyMove &move) {
+        return example.movedKeys.contains(move.keys.from) && example.movedKeys.contains(move.keys.to)
+            && move.from == example.from && move.to == example.to;
+    }));
+    for (const KeyMove &move : moves) {
+        INFO(move.keys.from << "-" << move.keys.to << " from " << move.from << " to " << move.to);
+        CHECK_FALSE(recent.contains(move.keys, move.to));
+    }
+}
+
 } // namespace snipevalve
