Give unowned keys to a server that has not just lost them, by parts if need be

Cause: leastLoaded asked whether a server had lost any key of the range. A move's next owner was not asked at all.

Change: such a range is split where the servers that have lost its keys change, and each part goes to a server that has not lost it, if one is usable. The next owner of a move gets the keys only if it has not lost them. Expired losses are forgotten before keys are given, also while no balancing takes place.

--- a/include/snipevalve/ownership/detail/key_authority_impl.hpp
+++ b/include/snipevalve/ownership/detail/key_authority_impl.hpp
@@ -365,6 +365,16 @@
     return best;
 }
 
+/// The next owner if it is usable and has not lost the keys recently, or else the least loaded server.
+template <typename Rules>
+std::string BasicKeyAuthority<Rules>::chooseOwner(const Segment &segment) const
+{
+    const auto preferred = m_servers.find(segment.nextOwner);
+    const bool isPreferredUsable = preferred != m_servers.end() && !preferred->second.draining
+        && !m_recentOwners.contains(segment.keys, segment.nextOwner);
+    return isPreferredUsable ? segment.nextOwner : leastLoaded(segment.keys);
+}
+
 template <typename Rules>
 void BasicKeyAuthority<Rules>::split(std::uint32_t from)
 {
@@ -391,6 +401,7 @@
     if (!isAnyUnowned) {
         return;
     }
+    m_recentOwners.expire(now);
     m_keyCounts.clear();
     std::size_t usableServers = 0;
     for (const auto &[id, server] : m_servers) {
@@ -413,10 +424,13 @@
         if (m_segments[at].keys.size() > maxWidth) {
             split(m_segments[at].keys.from + maxWidth);
         }
+        std::string target = chooseOwner(m_segments[at]);
+        if (m_recentOwners.contains(m_segments[at].keys, target)) {
+            // Each usable server has lost some of the keys; another one may take a part of them.
+            split(m_recentOwners.uniformStart(m_segments[at].keys).to + 1U);
+            target = chooseOwner(m_segments[at]);
+        }
         Segment &segment = m_segments[at];
-        const auto preferred = m_servers.find(segment.nextOwner);
-        const bool isPreferredUsable = preferred != m_servers.end() && !preferred->second.draining;
-        const std::string target = isPreferredUsable ? segment.nextOwner : leastLoaded(segment.keys);
         const ServerIncarnation life = incarnationOf(m_servers.at(target));
         if (m_recentOwners.contains(segment.keys, target)) {
             m_decisions.push_back("keys " + detail::describe(segment.keys) + " return early to " + target);
--- a/include/snipevalve/ownership/key_authority.hpp
+++ b/include/snipevalve/ownership/key_authority.hpp
@@ -267,6 +267,7 @@
     void updateOwnerState(Segment &segment, TimePoint now);
     void assignUnowned(TimePoint now);
     std::string leastLoaded(const KeyRange &keys) const;
+    std::string chooseOwner(const Segment &segment) const;
     void coalesceNeighbours(TimePoint now);
     void savePlan(TimePoint now, Actions &actions);
     bool isPlanned(const Segment &segment) const;
--- a/include/snipevalve/ownership/recent_owners.hpp
+++ b/include/snipevalve/ownership/recent_owners.hpp
@@ -37,6 +37,9 @@
     /// @brief Whether the server has recently lost one of the keys.
     bool contains(const KeyRange &keys, const std::string &server) const;
 
+    /// @brief The first of the keys, and those after it that the same servers have recently lost.
+    KeyRange uniformStart(const KeyRange &keys) const;
+
     /// @brief Removes the keys that the server has recently lost.
     /// @return what is left of the ranges, in their order
     std::vector<KeyRange> without(const std::vector<KeyRange> &ranges, const std::string &server) const;
--- a/src/snipevalve/ownership/key_authority_test.cpp
+++ b/src/snipevalve/ownership/key_authority_test.cpp
@@ -855,6 +855,74 @@
     CHECK(service.ownerOf(150) == "a");
 }
 
+TEST_CASE("unowned keys go to a server that has not lost them recently, if one is usable")
+{
+    struct Example
+    {
+        std::string name;
+        std::vector<KeyLoss> losses;
+        std::map<std::uint16_t, std::string> owners; ///< by key
+    };
+    // The keys 0-99 belong to a server that has restarted.
+    const auto example = GENERATE(values<Example>({
+        {"each server has lost another part",
+         {{"a", {0, 29}, {}}, {"b", {30, 59}, {}}, {"c", {50, 99}, {}}},
+         {{0, "c"}, {29, "c"}, {40, "a"}, {55, "a"}, {60, "a"}, {99, "a"}}},
+        {"all servers have lost one part",
+         {{"a", {0, 49}, {}}, {"b", {0, 59}, {}}, {"c", {0, 99}, {}}},
+         {{50, "a"}, {99, "a"}}},
+        {"all servers have lost all keys", {{"a", {0, 99}, {}}, {"b", {0, 99}, {}}, {"c", {0, 99}, {}}}, {}},
+    }));
+    INFO(example.name);
+    CalmService service(
+        {1,
+         1,
+         {{{0, 99}, {"a", 0}}, {{100, 199}, {"a", 1}}, {{200, 299}, {"c", 1}}, {{300, 65'535}, {"b", 1}}},
+         {},
+         {},
+         example.losses});
+    service.runFor(Milliseconds(200));
+    for (const std::uint16_t key : {0, 29, 40, 55, 60, 99}) {
+        INFO("key " << key << ", owner " << service.ownerOf(key));
+        CHECK_FALSE(service.ownerOf(key).empty());
+        const auto expected = example.owners.find(key);
+        CHECK((expected == example.owners.end() || service.ownerOf(key) == expected->second));
+    }
+}
+
+TEST_CASE("a move's new owner that has lost the keys meanwhile does not get them")
+{
+    // The plan of an earlier era names "a" as the next owner; its hold outlasts most losses.
+    UpstreamServer a;
+    a.id = "a";
+    a.slots = 2;
+    a.incarnation = 1;
+    UpstreamServer b = a;
+    b.id = "b";
+    KeyAuthorityTimes times;
+    times.returnDelay = Milliseconds(20'000);
+    TimePoint now = Clock::now();
+    PredecessorKnowledge known;
+    known.plan = KeyPlan{1, 1, {{{0, 9}, {"a", 1}}, {{10, 65'535}, {"b", 1}}}, {}, {}, {{"a", {0, 9}, {}}}};
+    known.isPlanComplete = false;
+    KeyAuthority authority(known, times, now);
+    authority.setServers({a, b}, now);
+    std::string owner;
+    for (int step = 0; step < 700; ++step) { // 14 s
+        now += Milliseconds(20);
+        authority.setLeaderLease(now + Milliseconds(1'000), true);
+        for (const KeyAction &action : authority.advance(now)) {
+            if (std::holds_alternative<SaveKeyPlan>(action)) {
+                authority.onPlanSaved(now);
+            } else if (const auto *grant = std::get_if<GrantKeys>(&action)) {
+                authority.onCallOutcome(grant->call, KeyCallOutcome::Accepted, {}, now);
+                owner = grant->keys.contains(5) ? grant->server.id : owner;
+            }
+        }
+    }
+    CHECK(owner == "b");
+}
+
 TEST_CASE("moves by load count the keys that are on their way to a server")
 {
     CalmService service(
--- a/src/snipevalve/ownership/recent_owners.cpp
+++ b/src/snipevalve/ownership/recent_owners.cpp
@@ -43,6 +43,21 @@
            });
 }
 
+KeyRange RecentOwners::uniformStart(const KeyRange &keys) const
+{
+    KeyRange start = keys;
+    for (const auto &[server, losses] : m_losses) {
+        for (const Loss &loss : losses) {
+            if (keys.from < loss.keys.from && loss.keys.from <= start.to) {
+                start.to = static_cast<std::uint16_t>(loss.keys.from - 1);
+            } else if (loss.keys.contains(keys.from)) {
+                start.to = std::min(start.to, loss.keys.to);
+            }
+        }
+    }
+    return start;
+}
+
 std::vector<KeyRange> RecentOwners::without(const std::vector<KeyRange> &ranges, const std::string &server) const
 {
     std::vector<KeyRange> left = ranges;
--- a/src/snipevalve/ownership/recent_owners_test.cpp
+++ b/src/snipevalve/ownership/recent_owners_test.cpp
@@ -65,6 +65,31 @@
     CHECK(recent.without(example.ranges, "b") == example.ranges);
 }
 
+TEST_CASE("the start of a range ends where other servers have lost the keys")
+{
+    struct Example
+    {
+        KeyRange keys;
+        KeyRange start;
+    };
+    const auto example = GENERATE(values<Example>({
+        {{0, 65'535}, {0, 99}},
+        {{0, 50}, {0, 50}},
+        {{100, 65'535}, {100, 149}},
+        {{120, 130}, {120, 130}},
+        {{150, 65'535}, {150, 199}},
+        {{200, 65'535}, {200, 299}},
+        {{300, 65'535}, {300, 65'534}},
+        {{65'535, 65'535}, {65'535, 65'535}},
+    }));
+    RecentOwners recent;
+    recent.add({100, 199}, "a", Start);
+    recent.add({150, 299}, "b", Start);
+    recent.add({65'535, 65'535}, "b", Start);
+    INFO(example.keys.from << "-" << example.keys.to);
+    CHECK(recent.uniformStart(example.keys) == example.start);
+}
+
 TEST_CASE("moves and merges pass over a server that has recently lost the keys")
 {
     std::vector<float> loads(KeyCount, 0.0F);
