Count the load of keys that are on their way to a server

Cause: a round of balance() counted the load of settled ranges only.

Change: ranges that can't be moved count for the server that has or gets them, and for none when a release names no next owner; for moves and for merges. A server to which keys are on their way counts as one with keys.

--- a/include/snipevalve/ownership/detail/key_authority_impl.hpp
+++ b/include/snipevalve/ownership/detail/key_authority_impl.hpp
@@ -451,11 +451,8 @@
 {
     std::vector<Segment> merged;
     for (Segment &segment : m_segments) {
-        const auto isSettled = [now](const Segment &candidate) {
-            return candidate.state == State::Held && candidate.call == 0 && candidate.lateHoldEnd < now;
-        };
-        const bool canJoin =
-            !merged.empty() && isSettled(segment) && isSettled(merged.back()) && merged.back().owner == segment.owner;
+        const bool canJoin = !merged.empty() && isSettled(segment, now) && isSettled(merged.back(), now)
+            && merged.back().owner == segment.owner;
         if (!canJoin) {
             merged.push_back(std::move(segment));
             continue;
@@ -683,19 +680,40 @@
     setUnowned(segment);
 }
 
+template <typename Rules>
+bool BasicKeyAuthority<Rules>::isSettled(const Segment &segment, TimePoint now) const
+{
+    return segment.state == State::Held && segment.call == 0 && segment.lateHoldEnd < now;
+}
+
 template <typename Rules>
 std::vector<OwnedRange> BasicKeyAuthority<Rules>::movableRanges(TimePoint now) const
 {
     std::vector<OwnedRange> movable;
     for (const Segment &segment : m_segments) {
-        const bool isSettled = segment.state == State::Held && segment.call == 0 && segment.lateHoldEnd < now;
-        if (isSettled) {
+        if (isSettled(segment, now)) {
             movable.push_back({segment.keys, segment.owner.id});
         }
     }
     return movable;
 }
 
+/// The other ranges with the servers that have or get them; without those that have none or none yet.
+template <typename Rules>
+std::vector<OwnedRange> BasicKeyAuthority<Rules>::unmovableRanges(TimePoint now) const
+{
+    std::vector<OwnedRange> unmovable;
+    for (const Segment &segment : m_segments) {
+        const bool isReleasing = segment.state == State::Releasing;
+        const bool hasOwner = segment.state == State::Planned || segment.state == State::Granting
+            || (segment.state == State::Held && !isSettled(segment, now));
+        if (hasOwner || (isReleasing && !segment.nextOwner.empty())) {
+            unmovable.push_back({segment.keys, isReleasing ? segment.nextOwner : segment.owner.id});
+        }
+    }
+    return unmovable;
+}
+
 template <typename Rules>
 void BasicKeyAuthority<Rules>::move(const KeyMove &move, const std::string &reason, TimePoint now)
 {
@@ -729,15 +747,17 @@
         }
     }
     const std::vector<OwnedRange> movable = movableRanges(now);
+    const std::vector<OwnedRange> unmovable = unmovableRanges(now);
     KeyBalanceOptions options;
     options.maxMoves = maxMovesPerRound(usableCapacities.size());
     options.meanWork = demand.meanWork;
     // The slow average is more precise; the fast one shows recent changes that the slow one does not show yet.
     options.window = demand.slowWindow;
-    std::vector<KeyMove> moves = planKeyMoves(movable, demand.slowAverage, usableCapacities, options, m_recentOwners);
+    std::vector<KeyMove> moves =
+        planKeyMoves(movable, demand.slowAverage, usableCapacities, options, m_recentOwners, unmovable);
     if (moves.empty()) {
         options.window = demand.fastWindow;
-        moves = planKeyMoves(movable, demand.fastAverage, usableCapacities, options, m_recentOwners);
+        moves = planKeyMoves(movable, demand.fastAverage, usableCapacities, options, m_recentOwners, unmovable);
     }
     for (const KeyMove &keyMove : moves) {
         move(keyMove, "to balance the load", now);
@@ -752,7 +772,8 @@
     for (std::size_t key = 0; key < highest.size(); ++key) {
         highest[key] = std::max(highest[key], demand.fastAverage[key]);
     }
-    for (const KeyMove &keyMove : planKeyMerges(movableRanges(now), highest, usableCapacities, m_recentOwners)) {
+    for (const KeyMove &keyMove :
+         planKeyMerges(movableRanges(now), highest, usableCapacities, m_recentOwners, unmovableRanges(now))) {
         move(keyMove, "to merge with an adjacent range", now);
     }
 }
--- a/include/snipevalve/ownership/key_authority.hpp
+++ b/include/snipevalve/ownership/key_authority.hpp
@@ -285,7 +285,9 @@
     void noteLoss(const Segment &segment, TimePoint now);
     void inheritLosses(std::vector<KeyLoss> losses, TimePoint now);
     std::vector<KeyLoss> recentLosses(TimePoint now) const;
+    bool isSettled(const Segment &segment, TimePoint now) const;
     std::vector<OwnedRange> movableRanges(TimePoint now) const;
+    std::vector<OwnedRange> unmovableRanges(TimePoint now) const;
     void move(const KeyMove &move, const std::string &reason, TimePoint now);
 
     KeyAuthorityTimes m_times;
--- a/include/snipevalve/ownership/key_balance.hpp
+++ b/include/snipevalve/ownership/key_balance.hpp
@@ -48,9 +48,11 @@
 /// @param capacities by server: slots, weighted by speed; only servers that may receive keys
 /// @param options limits and thresholds
 /// @param recent servers to which keys may not return yet
+/// @param unmovable ranges that may not be moved now, each with the server that its load counts for
 std::vector<KeyMove> planKeyMoves(const std::vector<OwnedRange> &movable, const std::vector<float> &loads,
                                   const std::map<std::string, double> &capacities,
-                                  const KeyBalanceOptions &options = {}, const RecentOwners &recent = {});
+                                  const KeyBalanceOptions &options = {}, const RecentOwners &recent = {},
+                                  const std::vector<OwnedRange> &unmovable = {});
 
 /// @brief Chooses narrow ranges to merge with an adjacent range. A range between two ranges of one other server moves
 /// to that server when it has the capacity. While there are many ranges, a narrow one may also merge with either
@@ -62,8 +64,10 @@
 /// @param loads by key: busy slots, the highest of the averages
 /// @param capacities by server: slots, weighted by speed; only servers that may receive keys
 /// @param recent servers to which keys may not return yet
+/// @param unmovable ranges that may not be moved now, each with the server that its load counts for
 std::vector<KeyMove> planKeyMerges(const std::vector<OwnedRange> &movable, const std::vector<float> &loads,
-                                   const std::map<std::string, double> &capacities, const RecentOwners &recent = {});
+                                   const std::map<std::string, double> &capacities, const RecentOwners &recent = {},
+                                   const std::vector<OwnedRange> &unmovable = {});
 
 } // namespace snipevalve
 
--- a/src/snipevalve/ownership/key_balance.cpp
+++ b/src/snipevalve/ownership/key_balance.cpp
@@ -67,8 +67,8 @@
     return sum;
 }
 
-std::vector<ServerLoad> loadsByServer(const std::vector<OwnedRange> &movable, const std::vector<float> &loads,
-                                      const std::map<std::string, double> &capacities)
+std::vector<ServerLoad> loadsByServer(const std::vector<OwnedRange> &movable, const std::vector<OwnedRange> &unmovable,
+                                      const std::vector<float> &loads, const std::map<std::string, double> &capacities)
 {
     std::map<std::string, ServerLoad> servers;
     for (const auto &[id, capacity] : capacities) {
@@ -83,6 +83,13 @@
             position->second.load += loadOf(range.keys, loads);
         }
     }
+    for (const OwnedRange &range : unmovable) {
+        const auto position = servers.find(range.owner);
+        if (position != servers.end()) {
+            position->second.hasKeys = true;
+            position->second.load += loadOf(range.keys, loads);
+        }
+    }
     std::vector<ServerLoad> result;
     for (auto &[id, server] : servers) {
         result.push_back(std::move(server));
@@ -291,10 +298,10 @@
 
 std::vector<KeyMove> planKeyMoves(const std::vector<OwnedRange> &movable, const std::vector<float> &requestedLoads,
                                   const std::map<std::string, double> &capacities, const KeyBalanceOptions &options,
-                                  const RecentOwners &recent)
+                                  const RecentOwners &recent, const std::vector<OwnedRange> &unmovable)
 {
     const std::vector<float> loads = capLoads(requestedLoads, capacities);
-    std::vector<ServerLoad> servers = loadsByServer(movable, loads, capacities);
+    std::vector<ServerLoad> servers = loadsByServer(movable, unmovable, loads, capacities);
     const double targetLevel = targetUtilisation(servers, options);
     std::vector<KeyMove> moves;
     const auto isLessUtilised = [](const ServerLoad &left, const ServerLoad &right) {
@@ -371,7 +378,8 @@
 }
 
 std::vector<KeyMove> planKeyMerges(const std::vector<OwnedRange> &movable, const std::vector<float> &loads,
-                                   const std::map<std::string, double> &capacities, const RecentOwners &recent)
+                                   const std::map<std::string, double> &capacities, const RecentOwners &recent,
+                                   const std::vector<OwnedRange> &unmovable)
 {
     constexpr std::size_t MaxCalmMerges = 4; ///< in one round
     constexpr std::size_t MinFastMerges = 32; ///< in one round, while there are many ranges
@@ -381,7 +389,7 @@
     std::map<std::string, double> loadByServer;
     double load = 0;
     double capacity = 0;
-    for (const ServerLoad &server : loadsByServer(movable, loads, capacities)) {
+    for (const ServerLoad &server : loadsByServer(movable, unmovable, loads, capacities)) {
         loadByServer[server.id] = server.load;
         load += server.load;
         capacity += server.capacity;
--- a/src/snipevalve/ownership/key_balance_test.cpp
+++ b/src/snipevalve/ownership/key_balance_test.cpp
@@ -333,4 +333,34 @@
     }
 }
 
+TEST_CASE("the load of ranges that can't be moved counts for the servers that have or get them")
+{
+    std::vector<float> loads(KeyCount, 0.0F);
+    const std::map<std::string, double> capacities{{"full", 2}, {"other", 2}, {"next", 2}};
+    const std::vector<OwnedRange> movable{{{0, 999}, "full"}, {{2'000, 65'535}, "other"}};
+    for (const std::uint16_t key : {10, 20, 30, 40, 50, 60}) {
+        loads[key] = 0.45F;
+    }
+    loads[3'000] = 1.0F;
+    loads[1'500] = 1.6F;
+    const auto loadMovedToNext = [&loads](const std::vector<KeyMove> &moves) {
+        double load = 0;
+        for (const KeyMove &move : moves) {
+            for (std::uint32_t key = move.keys.from; key <= move.keys.to && move.to == "next"; ++key) {
+                load += loads[key];
+            }
+        }
+        return load;
+    };
+    CHECK(loadMovedToNext(planKeyMoves(movable, loads, capacities)) > 0.4);
+    const std::vector<OwnedRange> unmovable{{{1'000, 1'999}, "next"}};
+    CHECK(loadMovedToNext(planKeyMoves(movable, loads, capacities, {}, {}, unmovable)) < 0.4);
+
+    const std::vector<OwnedRange> enclosed{{{0, 999}, "next"}, {{1'000, 1'009}, "other"}, {{1'010, 1'499}, "next"}};
+    const std::vector<OwnedRange> onTheWay{{{1'500, 65'535}, "next"}};
+    loads[1'005] = 0.1F;
+    CHECK(planKeyMerges(enclosed, std::vector<float>(KeyCount, 0.0F), capacities).size() == 1);
+    CHECK(planKeyMerges(enclosed, loads, capacities, {}, onTheWay).empty());
+}
+
 } // namespace snipevalve
