--- a/include/snipevalve/ownership/detail/key_authority_impl.hpp
+++ b/include/snipevalve/ownership/detail/key_authority_impl.hpp
@@ -49,6 +49,7 @@
     m_longHoldEnd = known.noLongHolds || isFirstTerm ? TimePoint() : predecessorHoldEnd;
     m_ownerChangesFrom = isFirstTerm || !Rules::DelayOwnerChanges ? TimePoint() : now + m_times.ownerChangeDelay;
     inherit(known, predecessorHoldEnd);
+    inheritLosses(known.plan.recentLosses, now);
     fillGaps();
     m_plan = std::move(known.plan);
     m_plan.term = std::max(m_plan.term + 1, Rules::RaiseTermWithEra ? known.leastTerm : 1);
@@ -265,6 +266,35 @@
     }
 }
 
+/// The ages count from the start of this term, which is later than the plan, so keys stay away for long enough.
+template <typename Rules>
+void BasicKeyAuthority<Rules>::inheritLosses(std::vector<KeyLoss> losses, TimePoint now)
+{
+    std::stable_sort(losses.begin(), losses.end(), [](const KeyLoss &left, const KeyLoss &right) {
+        return left.age > right.age;
+    });
+    for (const KeyLoss &loss : losses) {
+        if (loss.age < m_times.returnDelay) {
+            m_recentOwners.add(loss.keys, loss.server, now + (m_times.returnDelay - loss.age));
+        }
+    }
+}
+
+template <typename Rules>
+std::vector<KeyLoss> BasicKeyAuthority<Rules>::recentLosses(TimePoint now) const
+{
+    std::vector<KeyLoss> recent;
+    for (const auto &[server, losses] : m_recentOwners.losses()) {
+        for (const RecentOwners::Loss &loss : losses) {
+            if (now < loss.until) {
+                const auto age = std::chrono::floor<Milliseconds>(now + m_times.returnDelay - loss.until);
+                recent.push_back({server, loss.keys, age});
+            }
+        }
+    }
+    return plannedLosses(std::move(recent));
+}
+
 template <typename Rules>
 void BasicKeyAuthority<Rules>::release(Segment &segment, const std::string &nextOwner, TimePoint now)
 {
@@ -335,6 +365,16 @@
     return best;
 }
 
+/// The next owner if it is usable and has not lost the keys recently, or else the least loaded server.
+template <typename Rules>
+std::string BasicKeyAuthority<Rules>::chooseOwner(const Segment &segment) const
+{
+    const auto preferred = m_servers.find(segment.nextOwner);
+    const bool isPreferredUsable = preferred != m_servers.end() && !preferred->second.draining
+        && !m_recentOwners.contains(segment.keys, segment.nextOwner);
+    return isPreferredUsable ? segment.nextOwner : leastLoaded(segment.keys);
+}
+
 template <typename Rules>
 void BasicKeyAuthority<Rules>::split(std::uint32_t from)
 {
@@ -361,6 +401,7 @@
     if (!isAnyUnowned) {
         return;
     }
+    m_recentOwners.expire(now);
     m_keyCounts.clear();
     std::size_t usableServers = 0;
     for (const auto &[id, server] : m_servers) {
@@ -383,10 +424,13 @@
         if (m_segments[at].keys.size() > maxWidth) {
             split(m_segments[at].keys.from + maxWidth);
         }
+        std::string target = chooseOwner(m_segments[at]);
+        if (m_recentOwners.contains(m_segments[at].keys, target)) {
+            // Each usable server has lost some of the keys; another one may take a part of them.
+            split(m_recentOwners.uniformStart(m_segments[at].keys).to + 1U);
+            target = chooseOwner(m_segments[at]);
+        }
         Segment &segment = m_segments[at];
-        const auto preferred = m_servers.find(segment.nextOwner);
-        const bool isPreferredUsable = preferred != m_servers.end() && !preferred->second.draining;
-        const std::string target = isPreferredUsable ? segment.nextOwner : leastLoaded(segment.keys);
         const ServerIncarnation life = incarnationOf(m_servers.at(target));
         if (m_recentOwners.contains(segment.keys, target)) {
             m_decisions.push_back("keys " + detail::describe(segment.keys) + " return early to " + target);
@@ -407,11 +451,8 @@
 {
     std::vector<Segment> merged;
     for (Segment &segment : m_segments) {
-        const auto isSettled = [now](const Segment &candidate) {
-            return candidate.state == State::Held && candidate.call == 0 && candidate.lateHoldEnd < now;
-        };
-        const bool canJoin =
-            !merged.empty() && isSettled(segment) && isSettled(merged.back()) && merged.back().owner == segment.owner;
+        const bool canJoin = !merged.empty() && isSettled(segment, now) && isSettled(merged.back(), now)
+            && merged.back().owner == segment.owner;
         if (!canJoin) {
             merged.push_back(std::move(segment));
             continue;
@@ -461,6 +502,7 @@
     m_plan.ranges = std::move(ranges);
     m_plan.unknownOwners = std::move(unknownOwners);
     m_plan.deputy = m_deputy;
+    m_plan.recentLosses = recentLosses(now); // these alone are no reason for a write
     ++m_plan.version;
     m_planInFlight = true;
     actions.push_back(SaveKeyPlan{m_plan});
@@ -638,19 +680,40 @@
     setUnowned(segment);
 }
 
+template <typename Rules>
+bool BasicKeyAuthority<Rules>::isSettled(const Segment &segment, TimePoint now) const
+{
+    return segment.state == State::Held && segment.call == 0 && segment.lateHoldEnd < now;
+}
+
 template <typename Rules>
 std::vector<OwnedRange> BasicKeyAuthority<Rules>::movableRanges(TimePoint now) const
 {
     std::vector<OwnedRange> movable;
     for (const Segment &segment : m_segments) {
-        const bool isSettled = segment.state == State::Held && segment.call == 0 && segment.lateHoldEnd < now;
-        if (isSettled) {
+        if (isSettled(segment, now)) {
             movable.push_back({segment.keys, segment.owner.id});
         }
     }
     return movable;
 }
 
+/// The other ranges with the servers that have or get them; without those that have none or none yet.
+template <typename Rules>
+std::vector<OwnedRange> BasicKeyAuthority<Rules>::unmovableRanges(TimePoint now) const
+{
+    std::vector<OwnedRange> unmovable;
+    for (const Segment &segment : m_segments) {
+        const bool isReleasing = segment.state == State::Releasing;
+        const bool hasOwner = segment.state == State::Planned || segment.state == State::Granting
+            || (segment.state == State::Held && !isSettled(segment, now));
+        if (hasOwner || (isReleasing && !segment.nextOwner.empty())) {
+            unmovable.push_back({segment.keys, isReleasing ? segment.nextOwner : segment.owner.id});
+        }
+    }
+    return unmovable;
+}
+
 template <typename Rules>
 void BasicKeyAuthority<Rules>::move(const KeyMove &move, const std::string &reason, TimePoint now)
 {
@@ -684,15 +747,17 @@
         }
     }
     const std::vector<OwnedRange> movable = movableRanges(now);
+    const std::vector<OwnedRange> unmovable = unmovableRanges(now);
     KeyBalanceOptions options;
     options.maxMoves = maxMovesPerRound(usableCapacities.size());
     options.meanWork = demand.meanWork;
     // The slow average is more precise; the fast one shows recent changes that the slow one does not show yet.
     options.window = demand.slowWindow;
-    std::vector<KeyMove> moves = planKeyMoves(movable, demand.slowAverage, usableCapacities, options, m_recentOwners);
+    std::vector<KeyMove> moves =
+        planKeyMoves(movable, demand.slowAverage, usableCapacities, options, m_recentOwners, unmovable);
     if (moves.empty()) {
         options.window = demand.fastWindow;
-        moves = planKeyMoves(movable, demand.fastAverage, usableCapacities, options, m_recentOwners);
+        moves = planKeyMoves(movable, demand.fastAverage, usableCapacities, options, m_recentOwners, unmovable);
     }
     for (const KeyMove &keyMove : moves) {
         move(keyMove, "to balance the load", now);
@@ -707,7 +772,8 @@
     for (std::size_t key = 0; key < highest.size(); ++key) {
         highest[key] = std::max(highest[key], demand.fastAverage[key]);
     }
-    for (const KeyMove &keyMove : planKeyMerges(movableRanges(now), highest, usableCapacities, m_recentOwners)) {
+    for (const KeyMove &keyMove :
+         planKeyMerges(movableRanges(now), highest, usableCapacities, m_recentOwners, unmovableRanges(now))) {
         move(keyMove, "to merge with an adjacent range", now);
     }
 }
@@ -797,7 +863,9 @@
     if (!m_planSaved || !isKnown) {
         return std::nullopt;
     }
-    return m_planInFlight ? commonPlan(m_savedPlan, m_plan) : m_savedPlan;
+    KeyPlan known = m_planInFlight ? commonPlan(m_savedPlan, m_plan) : m_savedPlan;
+    known.recentLosses = recentLosses(now);
+    return known;
 }
 
 } // namespace snipevalve
--- a/include/snipevalve/ownership/key_authority.hpp
+++ b/include/snipevalve/ownership/key_authority.hpp
@@ -267,6 +267,7 @@
     void updateOwnerState(Segment &segment, TimePoint now);
     void assignUnowned(TimePoint now);
     std::string leastLoaded(const KeyRange &keys) const;
+    std::string chooseOwner(const Segment &segment) const;
     void coalesceNeighbours(TimePoint now);
     void savePlan(TimePoint now, Actions &actions);
     bool isPlanned(const Segment &segment) const;
@@ -282,7 +283,11 @@
     void onReleaseEnd(Segment &segment, KeyCallOutcome end, const std::string &handover, TimePoint now);
     void setUnowned(Segment &segment);
     void noteLoss(const Segment &segment, TimePoint now);
+    void inheritLosses(std::vector<KeyLoss> losses, TimePoint now);
+    std::vector<KeyLoss> recentLosses(TimePoint now) const;
+    bool isSettled(const Segment &segment, TimePoint now) const;
     std::vector<OwnedRange> movableRanges(TimePoint now) const;
+    std::vector<OwnedRange> unmovableRanges(TimePoint now) const;
     void move(const KeyMove &move, const std::string &reason, TimePoint now);
 
     KeyAuthorityTimes m_times;
--- a/include/snipevalve/ownership/recent_owners.hpp
+++ b/include/snipevalve/ownership/recent_owners.hpp
@@ -24,20 +24,27 @@
     /// @brief Forgets the entries that end by `now`.
     void expire(TimePoint now);
 
+    /// A loss of keys, which counts before `until`.
+    struct Loss
+    {
+        KeyRange keys;
+        TimePoint until;
+    };
+
+    /// @brief By server, the oldest first.
+    const std::map<std::string, std::deque<Loss>> &losses() const;
+
     /// @brief Whether the server has recently lost one of the keys.
     bool contains(const KeyRange &keys, const std::string &server) const;
 
+    /// @brief The first of the keys, and those after it that the same servers have recently lost.
+    KeyRange uniformStart(const KeyRange &keys) const;
+
     /// @brief Removes the keys that the server has recently lost.
     /// @return what is left of the ranges, in their order
     std::vector<KeyRange> without(const std::vector<KeyRange> &ranges, const std::string &server) const;
 
 private:
-    struct Loss
-    {
-        KeyRange keys;
-        TimePoint until;
-    };
-
     std::map<std::string, std::deque<Loss>> m_losses; ///< by server, the oldest first
 };
 
--- a/src/snipevalve/ownership/key_authority_test.cpp
+++ b/src/snipevalve/ownership/key_authority_test.cpp
@@ -1,4 +1,5 @@
 #include <functional>
+#include <limits>
 #include <mutex>
 #include <thread>
 
@@ -25,6 +26,8 @@
 constexpr test::FaultRates UsualAndRestoreFaults{0.004, 0.0025};
 /// Restores so frequent that some follow a change of leader within a second.
 constexpr test::FaultRates FrequentRestoreFaults{0.002, 0.005};
+/// As frequent, among few other faults.
+constexpr test::FaultRates MostlyRestoreFaults{0.001, 0.005};
 
 /// Runs the simulations of the seeds 1 to `count` on several threads. `use` gets each seed and its result, one at a
 /// time and in no fixed order. @param isDone ends the run early; seeds that have begun are finished
@@ -210,7 +213,7 @@
     std::size_t samples = 0;
     std::size_t continuedTerms = 0;
     std::size_t uncertainTerms = 0;
-    const auto rates = GENERATE(RestoreFaults, UsualAndRestoreFaults, FrequentRestoreFaults);
+    const auto rates = GENERATE(RestoreFaults, UsualAndRestoreFaults, FrequentRestoreFaults, MostlyRestoreFaults);
     runSimulations<StandardKeyRules>(1000, rates, LongSimulationLength, [&](unsigned seed, const auto &result) {
         INFO("seed " << seed << ", faults " << rates.each);
         CHECK(result.doubleOwnedMs == 0);
@@ -671,4 +674,337 @@
     CHECK(*mergedAt - start >= KeyAuthorityTimes().mergeInterval);
 }
 
+namespace {
+
+/// Three servers of two slots that answer all calls at once, unless releases have to wait.
+class CalmService
+{
+public:
+    explicit CalmService(KeyPlan plan)
+        : m_plan(std::move(plan))
+    {
+        for (const char *id : {"a", "b", "c"}) {
+            UpstreamServer server;
+            server.id = id;
+            server.slots = 2;
+            server.incarnation = 1;
+            m_servers.push_back(server);
+            demand.capacities[id] = 2;
+        }
+        demand.slowAverage.assign(KeyCount, 0.0F);
+        demand.fastAverage = demand.slowAverage;
+        demand.fastWindow = Milliseconds(700);
+        demand.slowWindow = Milliseconds(6'000);
+        demand.meanWork = Seconds(0.1);
+        beginTerm();
+        // A new leader first leaves all keys with their owners.
+        runFor(KeyAuthorityTimes().ownerChangeDelay - Step);
+    }
+
+    void beginTerm()
+    {
+        m_authority.emplace(m_plan, KeyAuthorityTimes(), now);
+        m_authority->setServers(m_servers, now);
+    }
+
+    void setLoads(const std::map<std::uint16_t, float> &loads)
+    {
+        demand.slowAverage.assign(KeyCount, 0.0F);
+        for (const auto &[key, load] : loads) {
+            demand.slowAverage[key] = load;
+        }
+        demand.fastAverage = demand.slowAverage;
+    }
+
+    void setDraining(const std::set<std::string> &ids)
+    {
+        for (UpstreamServer &server : m_servers) {
+            server.draining = ids.contains(server.id);
+        }
+        m_authority->setServers(m_servers, now);
+    }
+
+    void advance()
+    {
+        now += Step;
+        m_authority->setLeaderLease(now + Milliseconds(1'000), true);
+        m_authority->balance(demand, now);
+        for (const KeyAction &action : m_authority->advance(now)) {
+            if (const auto *save = std::get_if<SaveKeyPlan>(&action)) {
+                m_plan = save->plan;
+                m_authority->onPlanSaved(now);
+            } else if (const auto *grant = std::get_if<GrantKeys>(&action)) {
+                m_authority->onCallOutcome(grant->call, KeyCallOutcome::Accepted, {}, now);
+            } else if (const auto *release = std::get_if<ReleaseKeys>(&action)) {
+                m_releases.push_back(release->call);
+            }
+        }
+        if (now >= releasesAnsweredFrom) {
+            for (const std::uint64_t call : m_releases) {
+                m_authority->onCallOutcome(call, KeyCallOutcome::Accepted, "handover", now);
+            }
+            m_releases.clear();
+        }
+    }
+
+    /// The load of the keys that the server owns, in busy slots.
+    double loadOf(const std::string &server) const
+    {
+        const KeyOwners owners = m_authority->owners(now);
+        double load = 0;
+        for (std::size_t key = 0; key < KeyCount; ++key) {
+            const std::string *owner = owners.ownerOf(static_cast<std::uint16_t>(key));
+            load += owner != nullptr && *owner == server ? demand.fastAverage[key] : 0.0F;
+        }
+        return load;
+    }
+
+    void runFor(Milliseconds length)
+    {
+        for (const TimePoint end = now + length; now < end;) {
+            advance();
+        }
+    }
+
+    /// Empty when the key has no owner.
+    std::string ownerOf(std::uint16_t key) const
+    {
+        const KeyOwners owners = m_authority->owners(now);
+        const std::string *owner = owners.ownerOf(key);
+        return owner == nullptr ? std::string() : *owner;
+    }
+
+    TimePoint now = Clock::now();
+    KeyAuthority::Demand demand;
+    TimePoint releasesAnsweredFrom; ///< releases wait until then for the running work
+
+private:
+    static constexpr Milliseconds Step{20};
+
+    KeyPlan m_plan; ///< the plan in the store
+    std::vector<std::uint64_t> m_releases; ///< unanswered calls
+    std::vector<UpstreamServer> m_servers;
+    std::optional<KeyAuthority> m_authority;
+};
+
+} // namespace
+
+TEST_CASE("a new leader does not return keys to their previous owner within the life of a request")
+{
+    struct Example
+    {
+        std::string name;
+        std::vector<PlannedRange> ranges;
+        std::map<std::uint16_t, float> loads; ///< by key: busy slots
+        std::map<std::uint16_t, float> laterLoads; ///< as the new leader measures them
+    };
+    const ServerIncarnation a{"a", 1};
+    const ServerIncarnation b{"b", 1};
+    const ServerIncarnation c{"c", 1};
+    std::vector<PlannedRange> fragments{{{0, 19'999}, a}, {{20'000, 29'999}, b}};
+    for (std::uint16_t from = 30'000; from < 30'200; from += 10) {
+        fragments.push_back({{from, static_cast<std::uint16_t>(from + 9)}, from % 20 == 0 ? c : b});
+    }
+    fragments.push_back({{30'200, 65'535}, c});
+    const std::map<std::uint16_t, float> hot{{10'000, 1.2F}, {10'001, 1.2F}, {25'000, 0.2F}, {60'000, 0.2F}};
+    const std::map<std::uint16_t, float> calm{{1'000, 0.2F}, {25'000, 0.2F}, {60'000, 0.2F}};
+    const auto example = GENERATE_COPY(values<Example>({
+        {"by a merge", {{{0, 19'999}, a}, {{20'000, 39'999}, b}, {{40'000, 65'535}, c}}, hot, calm},
+        {"by a merge of fragments", fragments, hot, calm},
+        {"by load",
+         {{{0, 19'999}, a}, {{20'000, 39'999}, b}, {{40'000, 65'535}, c}},
+         hot,
+         {{10'000, 0.6F}, {10'001, 0.6F}, {35'000, 1.0F}, {35'001, 1.0F}, {60'000, 1.0F}, {60'001, 1.0F}}},
+    }));
+    INFO(example.name);
+    CalmService service({1, 1, example.ranges, {}});
+    service.setLoads(example.loads);
+    const std::vector<std::uint16_t> keys{10'000, 10'001};
+    const auto movedKey = [&service, &keys] {
+        return std::find_if(keys.begin(), keys.end(), [&service](std::uint16_t key) {
+            return !service.ownerOf(key).empty() && service.ownerOf(key) != "a";
+        });
+    };
+    for (const TimePoint end = service.now + Milliseconds(3'000); movedKey() == keys.end() && service.now < end;) {
+        service.advance();
+    }
+    REQUIRE(movedKey() != keys.end());
+    const std::uint16_t key = *movedKey();
+    const TimePoint movedAt = service.now;
+    service.beginTerm();
+    service.setLoads(example.laterLoads);
+    while (service.ownerOf(key) != "a" && service.now - movedAt < KeyAuthorityTimes().returnDelay) {
+        service.advance();
+    }
+    INFO("key " << key << " is back after " << std::chrono::duration_cast<Milliseconds>(service.now - movedAt).count()
+                << " ms");
+    CHECK(service.ownerOf(key) != "a");
+}
+
+TEST_CASE("unowned keys avoid each server that has recently lost some of them")
+{
+    CalmService service({1, 1, {{{0, 99}, {"a", 1}}, {{100, 199}, {"c", 1}}, {{200, 65'535}, {"b", 1}}}, {}});
+    service.runFor(Milliseconds(400));
+    service.setDraining({"a", "c"});
+    service.runFor(Milliseconds(400));
+    REQUIRE(service.ownerOf(50) == "b");
+    REQUIRE(service.ownerOf(150) == "b");
+    service.setDraining({"b"});
+    service.runFor(Milliseconds(400));
+    CHECK(service.ownerOf(50) == "c");
+    CHECK(service.ownerOf(150) == "a");
+}
+
+TEST_CASE("unowned keys go to a server that has not lost them recently, if one is usable")
+{
+    struct Example
+    {
+        std::string name;
+        std::vector<KeyLoss> losses;
+        std::map<std::uint16_t, std::string> owners; ///< by key
+    };
+    // The keys 0-99 belong to a server that has restarted.
+    const auto example = GENERATE(values<Example>({
+        {"each server has lost another part",
+         {{"a", {0, 29}, {}}, {"b", {30, 59}, {}}, {"c", {50, 99}, {}}},
+         {{0, "c"}, {29, "c"}, {40, "a"}, {55, "a"}, {60, "a"}, {99, "a"}}},
+        {"all servers have lost one part",
+         {{"a", {0, 49}, {}}, {"b", {0, 59}, {}}, {"c", {0, 99}, {}}},
+         {{50, "a"}, {99, "a"}}},
+        {"all servers have lost all keys", {{"a", {0, 99}, {}}, {"b", {0, 99}, {}}, {"c", {0, 99}, {}}}, {}},
+    }));
+    INFO(example.name);
+    CalmService service(
+        {1,
+         1,
+         {{{0, 99}, {"a", 0}}, {{100, 199}, {"a", 1}}, {{200, 299}, {"c", 1}}, {{300, 65'535}, {"b", 1}}},
+         {},
+         {},
+         example.losses});
+    service.runFor(Milliseconds(200));
+    for (const std::uint16_t key : {0, 29, 40, 55, 60, 99}) {
+        INFO("key " << key << ", owner " << service.ownerOf(key));
+        CHECK_FALSE(service.ownerOf(key).empty());
+        const auto expected = example.owners.find(key);
+        CHECK((expected == example.owners.end() || service.ownerOf(key) == expected->second));
+    }
+}
+
+TEST_CASE("a move's new owner that has lost the keys meanwhile does not get them")
+{
+    // The plan of an earlier era names "a" as the next owner; its hold outlasts most losses.
+    UpstreamServer a;
+    a.id = "a";
+    a.slots = 2;
+    a.incarnation = 1;
+    UpstreamServer b = a;
+    b.id = "b";
+    KeyAuthorityTimes times;
+    times.returnDelay = Milliseconds(20'000);
+    TimePoint now = Clock::now();
+    PredecessorKnowledge known;
+    known.plan = KeyPlan{1, 1, {{{0, 9}, {"a", 1}}, {{10, 65'535}, {"b", 1}}}, {}, {}, {{"a", {0, 9}, {}}}};
+    known.isPlanComplete = false;
+    KeyAuthority authority(known, times, now);
+    authority.setServers({a, b}, now);
+    std::string owner;
+    for (int step = 0; step < 700; ++step) { // 14 s
+        now += Milliseconds(20);
+        authority.setLeaderLease(now + Milliseconds(1'000), true);
+        for (const KeyAction &action : authority.advance(now)) {
+            if (std::holds_alternative<SaveKeyPlan>(action)) {
+                authority.onPlanSaved(now);
+            } else if (const auto *grant = std::get_if<GrantKeys>(&action)) {
+                authority.onCallOutcome(grant->call, KeyCallOutcome::Accepted, {}, now);
+                owner = grant->keys.contains(5) ? grant->server.id : owner;
+            }
+        }
+    }
+    CHECK(owner == "b");
+}
+
+TEST_CASE("moves by load count the keys that are on their way to a server")
+{
+    CalmService service(
+        {1, 1, {{{0, 19'999}, {"a", 1}}, {{20'000, 39'999}, {"b", 1}}, {{40'000, 65'535}, {"c", 1}}}, {}});
+    std::map<std::uint16_t, float> loads{{10'000, 0.5F}, {10'100, 0.5F}, {10'200, 0.5F}, {10'300, 0.5F},
+                                         {25'000, 0.5F}, {25'100, 0.5F}, {60'000, 0.1F}};
+    service.setLoads(loads);
+    service.releasesAnsweredFrom = service.now + Milliseconds(700);
+    service.runFor(Milliseconds(300));
+    // Two more keys become hot while the first keys are on their way to "c".
+    loads[25'200] = loads[25'300] = 0.5F;
+    service.setLoads(loads);
+    service.runFor(Milliseconds(460));
+    const double highest = std::max({service.loadOf("a"), service.loadOf("b"), service.loadOf("c")});
+    INFO("a " << service.loadOf("a") << ", b " << service.loadOf("b") << ", c " << service.loadOf("c"));
+    CHECK(highest <= 1.6); // the mean of 1.37 with the usual headroom
+}
+
+TEST_CASE("the recent losses go from one leader to the next, with ages that count from the start of the term")
+{
+    struct Example
+    {
+        std::string name;
+        bool isPlanComplete;
+        std::vector<KeyLoss> known;
+        std::vector<KeyLoss> planned; ///< by the new leader, when its plan is made 1 s after the start
+        std::vector<KeyLoss> knownPlan; ///< by the new leader, 2 s after the start
+    };
+    const auto example = GENERATE(values<Example>({
+        {"none", true, {}, {}, {}},
+        {"by several servers, one of them gone",
+         true,
+         {{"a", {0, 9}, Milliseconds(3'000)}, {"b", {0, 9}, Milliseconds(0)}, {"gone", {5, 5}, Milliseconds(20)}},
+         {{"a", {0, 9}, Milliseconds(4'000)},
+          {"b", {0, 9}, Milliseconds(1'000)},
+          {"gone", {5, 5}, Milliseconds(1'020)}},
+         {{"a", {0, 9}, Milliseconds(5'000)},
+          {"b", {0, 9}, Milliseconds(2'000)},
+          {"gone", {5, 5}, Milliseconds(2'020)}}},
+        {"old ones",
+         true,
+         {{"a", {0, 9}, Milliseconds(10'000)},
+          {"a", {10, 19}, Milliseconds(9'000)},
+          {"a", {20, 29}, Milliseconds(8'999)},
+          {"b", {0, 9}, Milliseconds(std::numeric_limits<std::int64_t>::max())}},
+         {{"a", {20, 29}, Milliseconds(9'999)}},
+         {}},
+        {"in the plan of an earlier era",
+         false,
+         {{"a", {0, 9}, Milliseconds(3'000)}},
+         {{"a", {0, 9}, Milliseconds(4'000)}},
+         {{"a", {0, 9}, Milliseconds(5'000)}}},
+    }));
+    INFO(example.name);
+    UpstreamServer server;
+    server.id = "a";
+    server.slots = 2;
+    server.incarnation = 1;
+    TimePoint now = Clock::now();
+    const TimePoint leaseEnd = now + Milliseconds(5'000);
+    PredecessorKnowledge known;
+    known.plan = KeyPlan{1, 1, {{{0, 65'535}, {"a", 1}}}, {}, {}, example.known};
+    known.isPlanComplete = example.isPlanComplete;
+    KeyAuthority authority(known, {}, now);
+    authority.setServers({server}, now);
+    authority.setLeaderLease(leaseEnd, true);
+    now += Milliseconds(1'000);
+    std::size_t plans = 0;
+    for (const KeyAction &action : authority.advance(now)) {
+        if (const auto *save = std::get_if<SaveKeyPlan>(&action)) {
+            ++plans;
+            CHECK(save->plan.recentLosses == example.planned);
+            authority.onPlanSaved(now);
+        }
+    }
+    CHECK(plans == 1);
+    now += Milliseconds(1'000);
+    for (const KeyAction &action : authority.advance(now)) {
+        CHECK_FALSE(std::holds_alternative<SaveKeyPlan>(action));
+    }
+    REQUIRE(authority.knownPlan(leaseEnd, now));
+    CHECK(authority.knownPlan(leaseEnd, now)->recentLosses == example.knownPlan);
+}
+
 } // namespace snipevalve
--- a/src/snipevalve/ownership/key_balance.cpp
+++ b/src/snipevalve/ownership/key_balance.cpp
@@ -67,8 +67,8 @@
     return sum;
 }
 
-std::vector<ServerLoad> loadsByServer(const std::vector<OwnedRange> &movable, const std::vector<float> &loads,
-                                      const std::map<std::string, double> &capacities)
+std::vector<ServerLoad> loadsByServer(const std::vector<OwnedRange> &movable, const std::vector<OwnedRange> &unmovable,
+                                      const std::vector<float> &loads, const std::map<std::string, double> &capacities)
 {
     std::map<std::string, ServerLoad> servers;
     for (const auto &[id, capacity] : capacities) {
@@ -83,6 +83,13 @@
             position->second.load += loadOf(range.keys, loads);
         }
     }
+    for (const OwnedRange &range : unmovable) {
+        const auto position = servers.find(range.owner);
+        if (position != servers.end()) {
+            position->second.hasKeys = true;
+            position->second.load += loadOf(range.keys, loads);
+        }
+    }
     std::vector<ServerLoad> result;
     for (auto &[id, server] : servers) {
         result.push_back(std::move(server));
@@ -204,16 +211,21 @@
     return heaviest && heaviest->load >= FillingShare * server.capacity ? heaviest : std::nullopt;
 }
 
-/// The server with the most free capacity, if the key gains enough there and may move there.
+/// Of the servers on which the key gains enough and to which it may move, the one with the most free capacity; null for
+/// none.
 ServerLoad *findFasterServer(std::vector<ServerLoad> &servers, const ServerLoad &from, const KeyWindow &key,
                              const RecentOwners &recent)
 {
-    const auto hasLessRoom = [](const ServerLoad &left, const ServerLoad &right) {
-        return left.capacity - left.load < right.capacity - right.load;
-    };
-    const auto roomiest = std::max_element(servers.begin(), servers.end(), hasLessRoom);
-    const bool isGain = roomiest->capacity - roomiest->load >= MinCapacityGain * from.capacity;
-    return isGain && !recent.contains(key.keys, roomiest->id) ? &*roomiest : nullptr;
+    ServerLoad *roomiest = nullptr;
+    for (ServerLoad &server : servers) {
+        const double room = server.capacity - server.load;
+        const bool isRoomier = roomiest == nullptr || room > roomiest->capacity - roomiest->load;
+        const bool isGain = room >= MinCapacityGain * from.capacity;
+        if (isGain && isRoomier && !recent.contains(key.keys, server.id)) {
+            roomiest = &server;
+        }
+    }
+    return roomiest;
 }
 
 /// Limits the load of each key to the largest capacity of a server: a key has one owner, so no server could serve more.
@@ -243,6 +255,20 @@
     }
 }
 
+bool isAnyServerPassedOver(const std::vector<ServerLoad> &servers)
+{
+    return std::any_of(servers.begin(), servers.end(), [](const ServerLoad &server) {
+        return server.isPassedOver;
+    });
+}
+
+/// Goes on without a server that can't give its keys to any other.
+void removeDonor(std::vector<ServerLoad> &servers, std::vector<ServerLoad>::iterator donor)
+{
+    servers.erase(donor);
+    allowAll(servers);
+}
+
 /// The standard deviation of an exponentially averaged Poisson load.
 double loadDeviation(double load, const KeyBalanceOptions &options)
 {
@@ -272,10 +298,10 @@
 
 std::vector<KeyMove> planKeyMoves(const std::vector<OwnedRange> &movable, const std::vector<float> &requestedLoads,
                                   const std::map<std::string, double> &capacities, const KeyBalanceOptions &options,
-                                  const RecentOwners &recent)
+                                  const RecentOwners &recent, const std::vector<OwnedRange> &unmovable)
 {
     const std::vector<float> loads = capLoads(requestedLoads, capacities);
-    std::vector<ServerLoad> servers = loadsByServer(movable, loads, capacities);
+    std::vector<ServerLoad> servers = loadsByServer(movable, unmovable, loads, capacities);
     const double targetLevel = targetUtilisation(servers, options);
     std::vector<KeyMove> moves;
     const auto isLessUtilised = [](const ServerLoad &left, const ServerLoad &right) {
@@ -294,9 +320,14 @@
         const double overloadThreshold = std::min(noise, std::max(excessAtCapacity, options.minMoveLoad));
         mostUtilised->isOverloaded = mostUtilised->isOverloaded || excess > overloadThreshold;
         const bool isOverloaded = mostUtilised->isOverloaded && excess > options.minMoveLoad;
-        if (mostUtilised->load <= 0 || (!isOverloaded && !hasNoKeys)) {
+        const bool isAnyPassedOver = isAnyServerPassedOver(servers);
+        if (mostUtilised->load <= 0 || (!isOverloaded && !hasNoKeys && !isAnyPassedOver)) {
             break;
         }
+        if (leastUtilised == mostUtilised || (!isOverloaded && !hasNoKeys)) {
+            removeDonor(servers, mostUtilised);
+            continue;
+        }
         const std::optional<KeyWindow> filling = findFillingKey(*mostUtilised, loads);
         if (ServerLoad *faster = filling ? findFasterServer(servers, *mostUtilised, *filling, recent) : nullptr) {
             moves.push_back({filling->keys, mostUtilised->id, faster->id});
@@ -310,7 +341,11 @@
         const double room = targetLevel * leastUtilised->capacity - leastUtilised->load;
         double wantedLoad = hasNoKeys ? std::min(mostUtilised->load * FirstLoadShare, room) : std::min(excess, room);
         if (wantedLoad < options.minMoveLoad && !hasNoKeys) {
-            break;
+            if (!isAnyPassedOver) {
+                break; // no server has room
+            }
+            removeDonor(servers, mostUtilised);
+            continue;
         }
         if (filling) {
             // The filling key stays, and the others leave its server.
@@ -329,8 +364,7 @@
         }
         if (!window) {
             // A single key makes up the load, and it stays.
-            servers.erase(mostUtilised);
-            allowAll(servers);
+            removeDonor(servers, mostUtilised);
             continue;
         }
         moves.push_back({window->keys, mostUtilised->id, leastUtilised->id});
@@ -344,7 +378,8 @@
 }
 
 std::vector<KeyMove> planKeyMerges(const std::vector<OwnedRange> &movable, const std::vector<float> &loads,
-                                   const std::map<std::string, double> &capacities, const RecentOwners &recent)
+                                   const std::map<std::string, double> &capacities, const RecentOwners &recent,
+                                   const std::vector<OwnedRange> &unmovable)
 {
     constexpr std::size_t MaxCalmMerges = 4; ///< in one round
     constexpr std::size_t MinFastMerges = 32; ///< in one round, while there are many ranges
@@ -354,7 +389,7 @@
     std::map<std::string, double> loadByServer;
     double load = 0;
     double capacity = 0;
-    for (const ServerLoad &server : loadsByServer(movable, loads, capacities)) {
+    for (const ServerLoad &server : loadsByServer(movable, unmovable, loads, capacities)) {
         loadByServer[server.id] = server.load;
         load += server.load;
         capacity += server.capacity;
