Test a host that hears once of a new era, and a first start that is none

A relayed table of leaders is dropped while its era is unconfirmed and never comes again; a suspended leader whose service another host has taken over repeats its takeover; a leader of a process of the first start takes a restored store without plans for a first start.

--- /dev/null
+++ b/src/snipevalve/node/control/node_control_test.cpp
@@ -0,0 +1,372 @@
+#include <map>
+#include <memory>
+#include <string>
+
+#include <catch2/catch.hpp>
+
+#include "snipevalve/node/control/node_control.hpp"
+#include "snipevalve/store/store_era.hpp"
+
+namespace snipevalve {
+
+namespace {
+
+constexpr std::uint16_t FirstPort = 18651; ///< each test listens on another one
+constexpr const char *Other = "127.0.0.1:9";
+
+/// The store's content and era, as the test sets them.
+struct StoreContent
+{
+    std::uint64_t era = 1;
+    std::uint64_t revision = 100;
+    bool isAway = false;
+    bool refusesPlans = false;
+    std::map<std::string, StoredValue> values;
+    int leaderWrites = 0;
+
+    void put(const std::string &key, const std::string &value)
+    {
+        values[key] = {key, value, ++revision};
+    }
+};
+
+StoreContent *content = nullptr;
+
+/// A client of the content; its rules for eras are those of the platform's store client.
+class FakeStore
+{
+public:
+    FakeStore(asio::any_io_executor, std::string, Endpoint)
+    {
+    }
+
+    std::uint64_t era() const
+    {
+        return m_era.known();
+    }
+
+    void observeEra(std::uint64_t)
+    {
+    }
+
+    void setOnRestored(std::function<void(std::uint64_t)> onRestored)
+    {
+        m_onRestored = std::move(onRestored);
+    }
+
+    Awaitable<absl::StatusOr<StoredValue>> read(std::string key)
+    {
+        const absl::Status status = co_await answer(Delay);
+        if (!status.ok()) {
+            co_return status;
+        }
+        const auto value = content->values.find(key);
+        co_return value == content->values.end() ? StoredValue{key, {}, 0} : value->second;
+    }
+
+    Awaitable<absl::StatusOr<StoredList>> list(std::string prefix)
+    {
+        const absl::Status status = co_await answer(Delay);
+        if (!status.ok()) {
+            co_return status;
+        }
+        StoredList list;
+        list.revision = content->revision;
+        for (const auto &[key, value] : content->values) {
+            if (key.starts_with(prefix)) {
+                list.values.push_back(value);
+            }
+        }
+        co_return list;
+    }
+
+    Awaitable<absl::StatusOr<StoreEvents>> watch(std::string, std::uint64_t revision, Milliseconds wait)
+    {
+        const absl::Status status = co_await answer(wait);
+        if (!status.ok()) {
+            co_return status;
+        }
+        co_return StoreEvents{revision, {}};
+    }
+
+    Awaitable<absl::StatusOr<WriteResult>> write(StoreWrite write)
+    {
+        content->leaderWrites += write.key.starts_with("snipevalve/leader/") ? 1 : 0;
+        const absl::Status status = co_await answer(Delay);
+        if (!status.ok()) {
+            co_return status;
+        }
+        if (content->refusesPlans && write.key.starts_with(PlansPrefix)) {
+            co_return absl::FailedPreconditionError("refused");
+        }
+        const auto value = content->values.find(write.key);
+        const std::uint64_t revision = value == content->values.end() ? 0 : value->second.revision;
+        if (revision != write.expectedRevision) {
+            co_return WriteResult{false, value == content->values.end() ? StoredValue() : value->second};
+        }
+        if (write.remove) {
+            content->values.erase(write.key);
+            co_return WriteResult{true, {}};
+        }
+        content->put(write.key, write.value);
+        co_return WriteResult{true, content->values[write.key]};
+    }
+
+    Awaitable<absl::StatusOr<std::uint64_t>> createLease(Milliseconds)
+    {
+        const absl::Status status = co_await answer(Delay);
+        if (!status.ok()) {
+            co_return status;
+        }
+        co_return std::uint64_t(7);
+    }
+
+    Awaitable<absl::Status> renewLease(std::uint64_t)
+    {
+        co_return co_await answer(Delay);
+    }
+
+private:
+    static constexpr Milliseconds Delay{5};
+
+    Awaitable<absl::Status> answer(Milliseconds wait)
+    {
+        const std::uint64_t begunIn = m_era.known();
+        asio::steady_timer timer(co_await asio::this_coro::executor);
+        const TimePoint end = Clock::now() + wait;
+        // A waiting call is cut when the store goes away or is restored.
+        const std::uint64_t actualEra = content->era;
+        do {
+            timer.expires_after(Delay);
+            co_await timer.async_wait(asio::use_awaitable);
+            if (content->isAway || content->era != actualEra) {
+                co_return absl::UnavailableError("away");
+            }
+        } while (Clock::now() < end);
+        if (m_era.observe(content->era)) {
+            m_onRestored(content->era);
+        }
+        co_return m_era.check(begunIn, content->era);
+    }
+
+    StoreEra m_era;
+    std::function<void(std::uint64_t)> m_onRestored;
+};
+
+struct FakePlatform
+{
+    using Store = FakeStore;
+
+    static std::string configKey()
+    {
+        return "config";
+    }
+
+    static std::string serversPrefix()
+    {
+        return "servers/";
+    }
+
+    /// The text names the services, each followed by a comma; those that begin with k are keyed.
+    static absl::StatusOr<ParsedConfig> parseConfig(std::string_view text)
+    {
+        auto config = std::make_shared<GatewayConfig>();
+        config->version = 1;
+        for (std::string_view rest = text; !rest.empty();) {
+            const std::string name(rest.substr(0, rest.find(',')));
+            rest.remove_prefix(name.size() + 1);
+            config->services[name].name = name;
+            config->services[name].keyed = name.starts_with("k");
+        }
+        ParsedConfig parsed;
+        parsed.config = config;
+        return parsed;
+    }
+
+    static absl::StatusOr<ServerEntry> parseServer(std::string_view id, std::string_view text)
+    {
+        ServerEntry entry;
+        entry.server.id = std::string(id);
+        entry.server.service = std::string(text);
+        entry.server.incarnation = 1;
+        entry.server.slots = 2;
+        entry.heartbeat = 1;
+        return entry;
+    }
+
+    template <typename KeyCall>
+    static HttpCall toCall(const KeyCall &)
+    {
+        HttpCall call;
+        call.endpoint = *parseEndpoint(Other);
+        call.timeout = Milliseconds(100);
+        return call;
+    }
+
+    static KeyCallOutcome toCallOutcome(const absl::StatusOr<HttpReply> &)
+    {
+        return KeyCallOutcome::NoAnswer;
+    }
+
+    static std::string handoverOf(const HttpReply &)
+    {
+        return {};
+    }
+};
+
+/// One host's control state beside a store that the test controls.
+class Fixture
+{
+public:
+    Fixture()
+    {
+        content = &store;
+        settings.host = "self";
+        settings.run = "self#1";
+        static std::uint16_t port = FirstPort;
+        settings.control = *parseEndpoint("127.0.0.1:" + std::to_string(port++));
+        settings.isFirstStart = true;
+    }
+
+    void start()
+    {
+        typename NodeControl<FakePlatform>::Outputs outputs;
+        outputs.config = [](auto) {};
+        outputs.leaders = [this](std::map<std::string, Endpoint> announced) {
+            leaders = std::move(announced);
+        };
+        outputs.view = [](auto) {};
+        outputs.requestConfig = [](auto) {};
+        outputs.deputyConsent = [](auto) {};
+        outputs.knownView = [](auto) {};
+        outputs.readKnownViews = [](auto, auto) {};
+        outputs.needsViews = []() {
+            return false;
+        };
+        control = std::make_unique<NodeControl<FakePlatform>>(context.get_executor(), settings, outputs, 1);
+        control->addTo(supervisor);
+        supervisor.start();
+    }
+
+    void runFor(Milliseconds time)
+    {
+        context.run_for(time);
+    }
+
+    /// Another leader's heartbeats, with no change of the leaders.
+    void runWithHeartbeats(Milliseconds time)
+    {
+        const TimePoint end = Clock::now() + time;
+        while (Clock::now() < end) {
+            StoreUpdate update;
+            update.storeReadTime = Clock::now();
+            update.configVersion = 1;
+            control->onLeaderUpdate(update);
+            runFor(Milliseconds(100));
+        }
+    }
+
+    void relay(LeaderTable table)
+    {
+        StoreUpdate update;
+        update.storeReadTime = Clock::now();
+        update.configVersion = 1;
+        update.leaders = std::move(table);
+        control->onLeaderUpdate(update);
+    }
+
+    StoreContent store;
+    NodeSettings settings;
+    asio::io_context context{1};
+    Supervisor supervisor{context.get_executor(), "test", {}, []() {}};
+    std::unique_ptr<NodeControl<FakePlatform>> control;
+    std::map<std::string, Endpoint> leaders;
+};
+
+std::string leaderText(const char *address)
+{
+    return std::string(R"({"host":"other","address":")") + address + "\"}";
+}
+
+} // namespace
+
+TEST_CASE("A host that is told once of the new era's leaders knows them after it has confirmed the era")
+{
+    Fixture &host = *new Fixture; // never destroyed, as suspended coroutines refer to each other
+    const Endpoint before = *parseEndpoint("127.0.0.1:8");
+    const Endpoint after = *parseEndpoint(Other);
+    host.store.put("config", "a,");
+    host.store.put("snipevalve/leader/1/a", leaderText("127.0.0.1:8"));
+    host.start();
+    host.runFor(Milliseconds(300));
+    REQUIRE(host.leaders["a"] == before);
+    host.runWithHeartbeats(Milliseconds(3'000)); // the host's own watches end
+
+    host.store.era = 2;
+    host.store.revision = 50;
+    host.store.values.erase("snipevalve/leader/1/a");
+    host.store.put("snipevalve/leader/2/a", leaderText(Other));
+    host.relay({2, 51, {{"a", {after, 51}}}});
+    host.runWithHeartbeats(Milliseconds(5'000));
+    CHECK(host.leaders["a"] == after);
+}
+
+TEST_CASE("A suspended leader whose service another host has taken over stops, though only heartbeats come")
+{
+    Fixture &host = *new Fixture; // never destroyed, as suspended coroutines refer to each other
+    host.store.put("config", "a,b,");
+    host.store.put("snipevalve/leader/1/a", leaderText("127.0.0.1:8"));
+    host.start();
+    host.runFor(Milliseconds(2'000));
+    REQUIRE(host.leaders["b"] == host.settings.control);
+    host.runWithHeartbeats(Milliseconds(2'500)); // the leader of the first service reads the store for all
+
+    host.store.isAway = true;
+    host.runWithHeartbeats(Milliseconds(500));
+    host.store.era = 2;
+    host.store.revision = 50;
+    std::erase_if(host.store.values, [](const auto &entry) {
+        return entry.first.starts_with("snipevalve/leader/1/");
+    });
+    host.store.put("snipevalve/leader/2/a", leaderText("127.0.0.1:8"));
+    host.store.put("snipevalve/leader/2/b", leaderText(Other));
+    host.relay({2, 52, {{"a", {*parseEndpoint("127.0.0.1:8"), 51}}, {"b", {*parseEndpoint(Other), 52}}}});
+    host.runWithHeartbeats(Milliseconds(1'500)); // this host's path to the store is still cut
+    host.store.isAway = false;
+    host.runWithHeartbeats(Milliseconds(3'000));
+    host.store.leaderWrites = 0;
+    host.runWithHeartbeats(Milliseconds(2'000));
+    CHECK(host.leaders["b"] == *parseEndpoint(Other));
+    CHECK(host.store.leaderWrites <= 2);
+}
+
+TEST_CASE("A leader that knew of earlier leaders takes no restored store without plans for a first start")
+{
+    Fixture &host = *new Fixture; // never destroyed, as suspended coroutines refer to each other
+    host.store.put("config", "k,");
+    host.store.put("servers/s1", "k");
+    KeyPlan earlier;
+    earlier.term = 65'537;
+    earlier.version = 1;
+    earlier.ranges = {{{0, 65'535}, {"s2", 1}}};
+    host.store.put("snipevalve/plan/1/k", toText(earlier));
+    host.store.refusesPlans = true;
+    host.start();
+    host.runFor(Milliseconds(1'500));
+    REQUIRE(host.leaders["k"] == host.settings.control);
+
+    host.store.era = 2;
+    host.store.revision = 50;
+    host.store.refusesPlans = false;
+    std::erase_if(host.store.values, [](const auto &entry) {
+        return entry.first.starts_with("snipevalve/leader/") || entry.first.starts_with("snipevalve/plan/");
+    });
+    host.runFor(Milliseconds(4'000));
+    const auto stored = host.store.values.find("snipevalve/plan/2/k");
+    REQUIRE(stored != host.store.values.end());
+    const KeyPlan plan = *parseKeyPlan(stored->second.value);
+    CHECK(plan.ranges.empty()); // s2 may own the keys for 10 s more
+    CHECK_FALSE(plan.unknownOwners.empty());
+}
+
+} // namespace snipevalve
