--- a/src/snipevalve/node/control/node_control_test.cpp
+++ b/src/snipevalve/node/control/node_control_test.cpp
@@ -212,6 +212,11 @@
     {
         return {};
     }
+
+    static ParsedServerNotice parseServerNotice(const http::response_header<> &)
+    {
+        return {};
+    }
 };
 
 /// One host's control state beside a store that the test controls.
