Keep a restarted server as the owner of its keys until it has the leader's fence

Callers would see: two servers hold the same keys (OWNER).

The leader took keys of a restarted server as unowned at once, since a new run holds nothing. But grants for the previous run reach the new one by address and ID until its entry is read, which takes seconds when it is cut off from the store: the new run holds the keys, and another server was given them.

Change: the new run is planned as the owner, and is granted the keys with a higher fence.

"keys whose grants have reached a restarted server" fails without the rule.

--- a/include/snipevalve/ownership/detail/key_authority_impl.hpp
+++ b/include/snipevalve/ownership/detail/key_authority_impl.hpp
@@ -258,6 +258,19 @@
     segment.sendAt = {};
 }
 
+/// The owner gets the keys once a plan that names it has been saved.
+template <typename Rules>
+void BasicKeyAuthority<Rules>::planGrant(Segment &segment, TimePoint now)
+{
+    segment.state = State::Planned;
+    segment.released = false;
+    segment.inherited = false;
+    segment.nextOwner.clear();
+    segment.fence = 0;
+    segment.sendAt = now;
+    m_ownersChanged = true;
+}
+
 template <typename Rules>
 void BasicKeyAuthority<Rules>::noteLoss(const Segment &segment, TimePoint now)
 {
@@ -305,6 +318,8 @@
 }
 
 /// Updates a segment's state after its owner has restarted, left, returned or begun to drain, or its hold has expired.
+/// Grants for its previous run may reach a restarted server, so it stays the owner until it refuses them by the fence
+/// of a new grant.
 template <typename Rules>
 void BasicKeyAuthority<Rules>::updateOwnerState(Segment &segment, TimePoint now)
 {
@@ -315,9 +330,14 @@
     }
     const auto position = m_servers.find(segment.owner.id);
     const bool hasRestarted = position != m_servers.end() && position->second.incarnation > segment.owner.incarnation;
-    if (hasRestarted) {
-        m_decisions.push_back("keys " + detail::describe(segment.keys) + " are unowned: " + segment.owner.id
+    if (hasRestarted && Rules::KeepRestartedOwner) {
+        m_decisions.push_back("keys " + detail::describe(segment.keys) + " are granted anew: " + segment.owner.id
                               + " has restarted");
+        segment.owner = incarnationOf(position->second);
+        planGrant(segment, now);
+        return;
+    }
+    if (hasRestarted) {
         setUnowned(segment);
         return;
     }
@@ -435,12 +455,8 @@
         if (m_recentOwners.contains(segment.keys, target)) {
             m_decisions.push_back("keys " + detail::describe(segment.keys) + " return early to " + target);
         }
-        segment.state = State::Planned;
         segment.owner = life;
-        m_ownersChanged = true;
-        segment.nextOwner.clear();
-        segment.fence = 0;
-        segment.sendAt = now;
+        planGrant(segment, now);
         m_keyCounts[target] += segment.keys.size();
     }
 }
--- a/include/snipevalve/ownership/key_authority.hpp
+++ b/include/snipevalve/ownership/key_authority.hpp
@@ -118,6 +118,7 @@
     static constexpr bool DelayOwnerChanges = true; ///< a new leader first leaves all keys with the owners in the plan
     static constexpr bool LimitKnownPlan = true; ///< a leader's own plan is known for a limited time after its lease
     static constexpr bool CountActivePredecessor = true; ///< holds count from the last moment of an earlier leader
+    static constexpr bool KeepRestartedOwner = true; ///< a restarted server may hold keys granted to its previous run
     static constexpr bool RaiseTermWithEra = true; ///< terms of a new era are above those of earlier ones
 };
 
@@ -282,6 +283,7 @@
     void onGrantEnd(Segment &segment, KeyCallOutcome end, TimePoint now);
     void onReleaseEnd(Segment &segment, KeyCallOutcome end, const std::string &handover, TimePoint now);
     void setUnowned(Segment &segment);
+    void planGrant(Segment &segment, TimePoint now);
     void noteLoss(const Segment &segment, TimePoint now);
     void inheritLosses(std::vector<KeyLoss> losses, TimePoint now);
     std::vector<KeyLoss> recentLosses(TimePoint now) const;
