Let the owners of running grants confirm them after a long outage and a restore

Cause: a leader may go on by its own plan for 3.75 s after its last renewal, since a later leader could have changed owners after that. After a longer outage it believed none of its grants, although they still ran (10 s, with the deputy's consent) and nobody had led in between.

Change: the leader asks these owners, with a fence of its last term and 0.9 s before the grant may expire at the latest. A later leader gives keys away only after their owner has expired or has accepted that leader's fence, so an owner that accepts the old fence is the only one. Until then the plan records its keys as unknown. A refusal, a restart, a missing entry or a late answer leaves the keys waiting as before.

The simulation counts a low fence of such a question when it is accepted, since an owner refuses it otherwise.

--- a/include/snipevalve/ownership/detail/key_authority_impl.hpp
+++ b/include/snipevalve/ownership/detail/key_authority_impl.hpp
@@ -87,9 +87,53 @@
             segment.released = true;
             segment.holdEnd = holdEnd;
         }
+        confirmOwners(known.ownGrants);
     }
 }
 
+/// The owners of grants that still run are asked whether a later leader has reached them.
+template <typename Rules>
+void BasicKeyAuthority<Rules>::confirmOwners(const RunningGrants &own)
+{
+    for (const RunningGrant &grant : own.grants) {
+        split(grant.keys.from);
+        split(grant.keys.to + 1U);
+        for (Segment &segment : m_segments) {
+            if (grant.keys.contains(segment.keys.from)) {
+                segment.state = State::Confirming;
+                segment.owner = grant.owner;
+                segment.fence = Rules::ConfirmWithOldFence ? own.fence : 0;
+                segment.grantedUntil = grant.until;
+                segment.released = false;
+                segment.inherited = true;
+            }
+        }
+    }
+}
+
+template <typename Rules>
+void BasicKeyAuthority<Rules>::updateConfirmation(Segment &segment, TimePoint now)
+{
+    const bool isTooLate = Rules::ConfirmInTime && now + m_times.confirmTime >= segment.grantedUntil;
+    if (isTooLate || liveServer(segment.owner) == nullptr) {
+        m_decisions.push_back("keys " + detail::describe(segment.keys) + " wait: " + segment.owner.id
+                              + " has not confirmed its grant");
+        forgetOwner(segment);
+    }
+}
+
+/// Any server may own the keys until `holdEnd`.
+template <typename Rules>
+void BasicKeyAuthority<Rules>::forgetOwner(Segment &segment)
+{
+    segment.state = State::Orphaned;
+    segment.nextOwner = segment.owner.id;
+    segment.owner = {};
+    segment.fence = 0;
+    segment.released = true;
+    segment.inherited = false;
+}
+
 /// Adds keys that any server may own until `holdEnd`.
 /// @param nextOwner the server that gets them then, if it is usable; empty for any
 template <typename Rules>
@@ -325,6 +369,9 @@
 {
     const bool hasOwner = segment.state == State::Granting || segment.state == State::Held
         || segment.state == State::Releasing || segment.state == State::Orphaned;
+    if (segment.state == State::Confirming && segment.call == 0) {
+        updateConfirmation(segment, now);
+    }
     if (!hasOwner || segment.call != 0) {
         return;
     }
@@ -477,6 +524,7 @@
         left.keys.to = segment.keys.to;
         left.holdEnd = std::max(left.holdEnd, segment.holdEnd);
         left.sendAt = std::min(left.sendAt, segment.sendAt);
+        left.grantedUntil = std::min(left.grantedUntil, segment.grantedUntil);
         left.fence = 0; // the joined segment gets a new fencing token with its next renewal
     }
     m_segments = std::move(merged);
@@ -499,7 +547,7 @@
         if (segment.isOwnerUnknown() && Rules::RecordUnknownOwners) {
             appendKeys(unknownOwners, segment.keys);
         }
-        if (segment.owner.id.empty()) {
+        if (segment.owner.id.empty() || segment.state == State::Confirming) {
             continue;
         }
         const bool extendsLast = !ranges.empty() && ranges.back().owner == segment.owner
@@ -566,7 +614,7 @@
 void BasicKeyAuthority<Rules>::send(Segment &segment, TimePoint now, Actions &actions)
 {
     const bool isGrant = segment.state == State::Granting || segment.state == State::Held
-        || (segment.state == State::Planned && !Rules::SavePlanFirst);
+        || segment.state == State::Confirming || (segment.state == State::Planned && !Rules::SavePlanFirst);
     const bool isDue = segment.call == 0 && now >= segment.sendAt && (isGrant || segment.state == State::Releasing);
     const UpstreamServer *server = isDue ? liveServer(segment.owner) : nullptr;
     if (server == nullptr) {
@@ -588,8 +636,12 @@
         return;
     }
     segment.callHold = m_storeAnswers || !mayGrantLongHolds() ? m_times.hold : m_times.longHold;
-    actions.push_back(
-        GrantKeys{segment.call, *server, segment.keys, segment.fence, segment.callHold, segment.handover});
+    segment.sentAt = now;
+    GrantKeys grant{segment.call, *server, segment.keys, segment.fence, segment.callHold, segment.handover};
+    if (segment.state == State::Confirming) {
+        grant.sendBefore = segment.grantedUntil - m_times.confirmTime;
+    }
+    actions.push_back(std::move(grant));
 }
 
 template <typename Rules>
@@ -645,6 +697,13 @@
     }
     switch (end) {
     case KeyCallOutcome::Accepted:
+        segment.grantedUntil = segment.sentAt + segment.callHold;
+        if (segment.state == State::Confirming) {
+            segment.holdEnd = std::max(segment.holdEnd, now + withClockDrift(segment.callHold));
+            planGrant(segment, now);
+            segment.inherited = true;
+            break;
+        }
         segment.state = State::Held;
         segment.inherited = false;
         segment.handover.clear();
@@ -655,6 +714,10 @@
         m_decisions.push_back("the grant of keys " + detail::describe(segment.keys) + " was refused by "
                               + segment.owner.id + ", which has seen a higher fence than "
                               + std::to_string(segment.fence));
+        if (segment.state == State::Confirming) {
+            forgetOwner(segment);
+            break;
+        }
         segment.fence = 0;
         segment.sendAt = now + retryDelay(segment.owner.id);
         break;
@@ -664,6 +727,7 @@
             segment.lateHoldEnd =
                 std::max(segment.lateHoldEnd, now + m_times.maxArrivalDelay + withClockDrift(segment.callHold));
         }
+        segment.grantedUntil = std::min(segment.grantedUntil, segment.sentAt + segment.callHold);
         segment.sendAt = now + retryDelay(segment.owner.id);
         break;
     case KeyCallOutcome::NotSent:
@@ -828,8 +892,10 @@
 {
     std::vector<OwnedRange> ranges;
     for (const Segment &segment : m_segments) {
-        const bool isHeld = (segment.state == State::Held && now < segment.holdEnd)
-            || (segment.state == State::Granting && segment.inherited);
+        const bool isInherited = segment.inherited
+            && (segment.state == State::Granting || segment.state == State::Planned
+                || segment.state == State::Confirming);
+        const bool isHeld = (segment.state == State::Held && now < segment.holdEnd) || isInherited;
         if (!isHeld) {
             continue;
         }
@@ -884,6 +950,21 @@
     return known;
 }
 
+template <typename Rules>
+RunningGrants BasicKeyAuthority<Rules>::runningGrants(TimePoint now) const
+{
+    RunningGrants running;
+    running.fence = (m_plan.term << detail::FenceSequenceBits) + m_sequence + 1;
+    for (const Segment &segment : m_segments) {
+        const TimePoint until = segment.call == 0 ? segment.grantedUntil
+                                                  : std::min(segment.grantedUntil, segment.sentAt + segment.callHold);
+        if (segment.state == State::Held && (now < until || !Rules::ConfirmInTime)) {
+            running.grants.push_back({segment.keys, segment.owner, until});
+        }
+    }
+    return running;
+}
+
 } // namespace snipevalve
 
 #endif // SNIPEVALVE_OWNERSHIP_DETAIL_KEY_AUTHORITY_IMPL_HPP
--- a/include/snipevalve/ownership/key_authority.hpp
+++ b/include/snipevalve/ownership/key_authority.hpp
@@ -34,6 +34,7 @@
     Milliseconds returnDelay{10'000}; ///< keys return to a previous owner after it, unless no other server is usable
     Milliseconds ownerChangeDelay{2'000}; ///< a new leader leaves all keys with the owners in the plan for this long
     Milliseconds maxArrivalDelay{400}; ///< an unanswered call may still arrive this long after it timed out
+    Milliseconds confirmTime{900}; ///< a grant that was sent arrives within this time or never: timeout and delay
     double maxClockDrift = 0.02; ///< a server's clock may run slow by this fraction
 };
 
@@ -46,6 +47,7 @@
     std::uint64_t fence = 0; ///< fencing token: the server refuses a lower one than it has seen for a key
     Milliseconds hold{0};
     std::string handover; ///< the data that the previous owner returned on release; empty when there is none
+    TimePoint sendBefore = TimePoint::max(); ///< the call must not be sent later
 };
 
 /// @brief Asks the server to start no new work on the keys, and to answer when the running work on them has ended.
@@ -76,6 +78,21 @@
     std::string text;
 };
 
+/// @brief A grant that has not expired. A later leader may have released the keys.
+struct RunningGrant
+{
+    KeyRange keys;
+    ServerIncarnation owner;
+    TimePoint until; ///< the grant lasts until then at least
+};
+
+/// @brief The grants of one leader's term.
+struct RunningGrants
+{
+    std::vector<RunningGrant> grants; ///< in ascending order, without overlap
+    std::uint64_t fence = 0; ///< not below those of the grants, and below those of every later leader
+};
+
 /// @brief What a new leader knows of the leaders before it.
 struct PredecessorKnowledge
 {
@@ -85,6 +102,7 @@
     Milliseconds activeFor{0}; ///< an earlier leader may still grant keys for this long
     bool noLongHolds = false; ///< the previous leader has certainly granted no long holds
     std::uint64_t leastTerm = 1; ///< above the terms of all plans that may have been lost
+    RunningGrants ownGrants; ///< of this leader's last term; for a plan that is not complete
 };
 
 /// @brief The number of the first term in an era of the store (see `ConfigStore::era`). It is above every term of the
@@ -119,6 +137,8 @@
     static constexpr bool LimitKnownPlan = true; ///< a leader's own plan is known for a limited time after its lease
     static constexpr bool CountActivePredecessor = true; ///< holds count from the last moment of an earlier leader
     static constexpr bool KeepRestartedOwner = true; ///< a restarted server may hold keys granted to its previous run
+    static constexpr bool ConfirmWithOldFence = true; ///< an owner that a later leader has reached confirms nothing
+    static constexpr bool ConfirmInTime = true; ///< a grant is confirmed before it can have expired
     static constexpr bool RaiseTermWithEra = true; ///< terms of a new era are above those of earlier ones
 };
 
@@ -133,8 +153,10 @@
 /// nothing after its lease in the store has ended (`setLeaderLease`), and no other leader can exist before that.
 ///
 /// When the store is restored from an older copy, a new era begins, and plans and leases may have been lost. The leader
-/// of the earlier era knows which servers may own keys (`knownPlan`) as long as no other leader can have changed that;
-/// any other leader waits until every hold of the earlier era has expired.
+/// of the earlier era knows which servers may own keys (`knownPlan`) as long as no other leader can have changed that.
+/// Later it asks the owners whose grants still run (`runningGrants`) with a fence of its last term: an owner that
+/// accepts has been reached by no later leader, and no other server can own its keys. All other keys, and all keys
+/// under another leader, wait until every hold of the earlier era has expired.
 template <typename Rules>
 class BasicKeyAuthority
 {
@@ -206,8 +228,12 @@
     /// @return nothing when another leader may have changed owners since, or before the first plan was saved
     std::optional<KeyPlan> knownPlan(TimePoint leaseEnd, TimePoint now) const;
 
+    /// @brief The grants of this term that have certainly not expired.
+    RunningGrants runningGrants(TimePoint now) const;
+
 private:
     enum class State {
+        Confirming, ///< `owner` is asked whether its grant of this leader's last term is still in force
         Orphaned, ///< a lost server, or one with a late grant, may own the keys until the holds end
         Unowned, ///< no server owns the keys
         Planned, ///< `owner` gets the keys once the plan has been saved
@@ -227,6 +253,8 @@
         std::string handover;
         TimePoint holdEnd; ///< every accepted grant of these keys to `owner` has expired by then
         TimePoint lateHoldEnd; ///< every unanswered grant of these keys has expired by then
+        TimePoint grantedUntil; ///< the last grant to `owner` lasts until then at least
+        TimePoint sentAt; ///< of the last grant
         TimePoint sendAt; ///< when the next call is due
         std::uint64_t call = 0; ///< number of the call in flight; 0 for none
         Milliseconds callHold{0}; ///< hold of the last grant that was sent
@@ -235,7 +263,7 @@
 
         bool isOwnerUnknown() const
         {
-            return state == State::Orphaned && owner.id.empty();
+            return (state == State::Orphaned && owner.id.empty()) || state == State::Confirming;
         }
     };
 
@@ -262,6 +290,9 @@
     std::uint64_t nextFence();
     void inherit(const PredecessorKnowledge &known, TimePoint holdEnd);
     void addUnknownOwner(const KeyRange &keys, const std::string &nextOwner, TimePoint holdEnd);
+    void confirmOwners(const RunningGrants &own);
+    void updateConfirmation(Segment &segment, TimePoint now);
+    void forgetOwner(Segment &segment);
     void fillGaps();
     void split(std::uint32_t from);
     void release(Segment &segment, const std::string &nextOwner, TimePoint now);
--- a/src/snipevalve/node/control/service_leader.hpp
+++ b/src/snipevalve/node/control/service_leader.hpp
@@ -92,6 +92,7 @@
         known.leastTerm = firstTermOfEra(era);
         m_planRevision = stored->revision;
         m_startedAt = Clock::now();
+        m_suspendedTimeAtStart = suspendedTime();
         m_isFirstTerm = known.plan.term == 0 && known.isPlanComplete;
         m_mayResignFrom = m_startedAt + known.activeFor;
         ++m_generation;
@@ -220,6 +221,12 @@
                 known.plan = *own;
                 co_return known;
             }
+            known.ownGrants = m_authority->runningGrants(Clock::now());
+            for (RunningGrant &grant : known.ownGrants.grants) {
+                grant.until -= suspendedTime() - m_suspendedTimeAtStart;
+            }
+            spdlog::info("lead: event=confirm_owners service={} ranges={}", m_service.name,
+                         known.ownGrants.grants.size());
         }
         const auto plans = co_await m_store.list(PlansPrefix);
         if (!plans.ok()) {
@@ -305,14 +312,27 @@
     void start(const KeyRequest &request)
     {
         spawnMember(m_executor, this->shared_from_this(), &ServiceLeader::template callServer<KeyRequest>, request,
-                    m_generation);
+                    m_generation, suspendedTime());
+    }
+
+    static TimePoint sendBefore(const GrantKeys &grant)
+    {
+        return grant.sendBefore;
+    }
+
+    static TimePoint sendBefore(const ReleaseKeys &)
+    {
+        return TimePoint::max();
     }
 
+    /// @param suspended how long the machine had been suspended when the call was decided on
     template <typename KeyRequest>
-    Awaitable<void> callServer(KeyRequest request, std::uint64_t generation)
+    Awaitable<void> callServer(KeyRequest request, std::uint64_t generation, Duration suspended)
     {
         // The process may have been suspended since the decision, and the lease may have expired meanwhile.
-        const bool isLeaseHeld = m_generation == generation && m_lease.isHeld(Clock::now());
+        const TimePoint now = Clock::now() + (suspendedTime() - suspended);
+        const bool isLeaseHeld =
+            m_generation == generation && m_lease.isHeld(Clock::now()) && now < sendBefore(request);
         KeyCallOutcome end = KeyCallOutcome::NotSent;
         std::string handover;
         if (isLeaseHeld) {
@@ -405,6 +425,7 @@
     std::uint64_t m_generation = 0; ///< changes with each term and suspension, to discard results of earlier calls
     TimePoint m_lostLeaseEnd; ///< of the lease that was lost with the last era
     Duration m_suspendedTimeAtLoss{}; ///< of the machine, when that lease was lost
+    Duration m_suspendedTimeAtStart{}; ///< of the machine, when the term began
     TimePoint m_advancedAt;
     Duration m_advanceDuration{};
     std::uint64_t m_planRevision = 0;
--- a/src/snipevalve/ownership/key_authority_test.cpp
+++ b/src/snipevalve/ownership/key_authority_test.cpp
@@ -28,6 +28,9 @@
 constexpr test::FaultRates FrequentRestoreFaults{0.002, 0.005};
 /// As frequent, among few other faults.
 constexpr test::FaultRates MostlyRestoreFaults{0.001, 0.005};
+/// The store is often away for longer than its leader knows all owners, among so few other faults that grants still
+/// run.
+constexpr test::FaultRates LongRestoreFaults{0.0003, 0.00125, 0, Milliseconds(7'000)};
 
 /// Runs the simulations of the seeds 1 to `count` on several threads. `use` gets each seed and its result, one at a
 /// time and in no fixed order. @param isDone ends the run early; seeds that have begun are finished
@@ -153,6 +156,16 @@
     static constexpr bool LimitKnownPlan = false;
 };
 
+struct ConfirmWithNewFence : StandardKeyRules
+{
+    static constexpr bool ConfirmWithOldFence = false;
+};
+
+struct ConfirmExpiredGrants : StandardKeyRules
+{
+    static constexpr bool ConfirmInTime = false;
+};
+
 struct IgnoreActivePredecessor : StandardKeyRules
 {
     static constexpr bool CountActivePredecessor = false;
@@ -221,7 +234,9 @@
     std::size_t samples = 0;
     std::size_t continuedTerms = 0;
     std::size_t uncertainTerms = 0;
-    const auto rates = GENERATE(RestoreFaults, UsualAndRestoreFaults, FrequentRestoreFaults, MostlyRestoreFaults);
+    std::size_t confirmingTerms = 0;
+    const auto rates =
+        GENERATE(RestoreFaults, UsualAndRestoreFaults, FrequentRestoreFaults, MostlyRestoreFaults, LongRestoreFaults);
     runSimulations<StandardKeyRules>(1000, rates, LongSimulationLength, [&](unsigned seed, const auto &result) {
         INFO("seed " << seed << ", faults " << rates.each);
         CHECK(result.doubleOwnedMs == 0);
@@ -230,10 +245,12 @@
         samples += result.samples;
         continuedTerms += result.continuedTerms;
         uncertainTerms += result.uncertainTerms;
+        confirmingTerms += result.confirmingTerms;
     });
     CHECK(ownedSamples > samples / 8);
     CHECK(continuedTerms > 200);
     CHECK(uncertainTerms > 200);
+    CHECK((confirmingTerms > 200 || rates.longestRestore < LongRestoreFaults.longestRestore));
 }
 
 TEST_CASE("keys whose grants have reached a restarted server get no second owner")
@@ -362,6 +379,82 @@
     CHECK(authority.plan().unknownOwners.empty());
 }
 
+TEST_CASE("keys whose owner confirms its grant are served after the store was away for longer than the plan is known")
+{
+    struct Example
+    {
+        std::string name;
+        Milliseconds grantedFor; ///< from the start of the term
+        std::optional<std::int64_t> incarnation; ///< of the owner in the list of servers; it had 1
+        KeyCallOutcome outcome; ///< of calls with a fence of the last term
+        Milliseconds servedFrom; ///< after the start of the term
+    };
+    constexpr Milliseconds AllHoldsExpired(12'600);
+    const auto example = GENERATE_COPY(values<Example>({
+        {"it accepts", Milliseconds(5'000), 1, KeyCallOutcome::Accepted, Milliseconds(0)},
+        {"a later leader has reached it", Milliseconds(5'000), 1, KeyCallOutcome::Refused, AllHoldsExpired},
+        {"it does not answer", Milliseconds(5'000), 1, KeyCallOutcome::NoAnswer, AllHoldsExpired},
+        {"it can't be reached", Milliseconds(5'000), 1, KeyCallOutcome::NotSent, AllHoldsExpired},
+        {"its grant may expire before the call arrives", Milliseconds(900), 1, KeyCallOutcome::Accepted,
+         AllHoldsExpired},
+        {"it has restarted", Milliseconds(5'000), 2, KeyCallOutcome::Accepted, AllHoldsExpired},
+        {"it is gone", Milliseconds(5'000), std::nullopt, KeyCallOutcome::Accepted, AllHoldsExpired},
+    }));
+    INFO(example.name);
+    constexpr std::uint64_t OldFence = 500;
+    constexpr std::uint16_t Key = 100;
+    std::vector<UpstreamServer> servers(1);
+    servers[0].id = "b";
+    servers[0].slots = 2;
+    servers[0].incarnation = 1;
+    if (example.incarnation) {
+        servers.push_back(servers[0]);
+        servers[1].id = "a";
+        servers[1].incarnation = *example.incarnation;
+    }
+    const KeyAuthorityTimes times;
+    TimePoint now = Clock::now();
+    const TimePoint start = now;
+    PredecessorKnowledge known;
+    known.plan = KeyPlan{3, 3, {{{0, 999}, {"b", 1}}}, {}, {}};
+    known.isPlanComplete = false;
+    known.activeFor = Milliseconds(2'000);
+    known.leastTerm = firstTermOfEra(1);
+    known.ownGrants = {{{{50, 199}, {"a", 1}, start + example.grantedFor}}, OldFence};
+    KeyAuthority authority(known, times, now);
+    authority.setServers(servers, now);
+    bool isFirstPlan = true;
+    std::optional<Milliseconds> servedFrom;
+    for (; now < start + Milliseconds(18'000); now += Milliseconds(20)) {
+        authority.setLeaderLease(now + Milliseconds(1'000), true);
+        for (const KeyAction &action : authority.advance(now)) {
+            if (const auto *save = std::get_if<SaveKeyPlan>(&action)) {
+                // A successor must not believe in owners that have confirmed nothing yet.
+                CHECK((!isFirstPlan || save->plan.unknownOwners == std::vector<KeyRange>{{0, 65'535}}));
+                isFirstPlan = false;
+                authority.onPlanSaved(now);
+            } else if (const auto *grant = std::get_if<GrantKeys>(&action)) {
+                const bool isConfirmation = grant->fence == OldFence;
+                CHECK((isConfirmation || grant->fence >> 24U == firstTermOfEra(1)));
+                if (isConfirmation) {
+                    CHECK(grant->sendBefore <= start + example.grantedFor - times.confirmTime);
+                    CHECK(now < grant->sendBefore);
+                } else if (grant->keys.contains(Key) && !servedFrom) {
+                    servedFrom = std::chrono::duration_cast<Milliseconds>(now - start);
+                }
+                authority.onCallOutcome(grant->call, isConfirmation ? example.outcome : KeyCallOutcome::Accepted, {},
+                                        now);
+            }
+        }
+        const KeyOwners owners = authority.owners(now);
+        const std::string *owner = owners.ownerOf(Key);
+        CHECK((example.servedFrom > Milliseconds(0) || (owner != nullptr && *owner == "a")));
+    }
+    REQUIRE(servedFrom);
+    CHECK(*servedFrom >= example.servedFrom);
+    CHECK(*servedFrom <= example.servedFrom + Milliseconds(600)); // an unanswered call counts from its end
+}
+
 TEST_CASE("two plans of which one is in force leave the owners unknown where they differ")
 {
     const ServerIncarnation a{"a", 1};
@@ -412,14 +505,21 @@
     const unsigned atOnce =
         firstViolatingSeed<ChangeOwnersAtOnce>(3 * Seeds, FrequentRestoreFaults, LongSimulationLength);
     const unsigned forever = firstViolatingSeed<TrustOwnPlanForever>(Seeds, RestoreFaults, LongSimulationLength);
+    const unsigned newFence = firstViolatingSeed<ConfirmWithNewFence>(Seeds, RestoreFaults, LongSimulationLength);
+    const unsigned expired =
+        firstViolatingSeed<ConfirmExpiredGrants>(3 * Seeds, LongRestoreFaults, LongSimulationLength);
     const unsigned terms =
         firstViolatingSeed<CountTermsFromOldPlan>(Seeds, RestoreFaults, LongSimulationLength, hasLowFence);
     WARN("first failing seeds: old plan " << oldPlan << ", unknown owners " << unknown << ", changes at once " << atOnce
-                                          << ", own plan forever " << forever << ", terms " << terms);
+                                          << ", own plan forever " << forever << ", confirmed with a new fence "
+                                          << newFence << ", expired grants confirmed " << expired << ", terms "
+                                          << terms);
     CHECK(oldPlan > 0);
     CHECK(unknown > 0);
     CHECK(atOnce > 0);
     CHECK(forever > 0);
+    CHECK(newFence > 0);
+    CHECK(expired > 0);
     CHECK(terms > 0);
 }
 
--- a/src/snipevalve/ownership/key_simulation_test.hpp
+++ b/src/snipevalve/ownership/key_simulation_test.hpp
@@ -133,6 +133,7 @@
     double each = 0.004; ///< chance of each kind of fault in each step; the default makes one of each kind in 2.5 s
     double restore = 0; ///< chance in each step that the store goes away and is restored from a copy
     double outage = 0; ///< chance in each step that the store goes away for all hosts and loses nothing
+    Milliseconds longestRestore{4'000}; ///< for how long the store is away at most before it is restored
 };
 
 /// Result of one simulation.
@@ -144,6 +145,7 @@
     std::size_t termsWithoutLongHolds = 0; ///< terms whose leader knew that its predecessor had granted none
     std::size_t continuedTerms = 0; ///< first terms of an era whose leader knew the owners of the earlier era
     std::size_t uncertainTerms = 0; ///< first terms of an era whose leader did not
+    std::size_t confirmingTerms = 0; ///< uncertain terms whose leader asks owners to confirm its last grants
     std::size_t lowFences = 0; ///< grants of a key whose fencing token is not above that of an earlier owner
 };
 
@@ -295,7 +297,8 @@
     {
         if (m_now >= m_store.awayUntil && chance(m_rates.restore)) {
             const TimePoint awayAt = m_now;
-            const Milliseconds away = chance(0.5) ? randomDelay(10, 300) : randomDelay(300, 4'000);
+            const Milliseconds away =
+                chance(0.5) ? randomDelay(10, 300) : randomDelay(300, static_cast<int>(m_rates.longestRestore.count()));
             const Milliseconds age = randomDelay(10, 9'000);
             m_store.awayUntil = m_now + away;
             schedule(away, [this, awayAt, age]() {
@@ -467,6 +470,10 @@
         }
         ++m_result.uncertainTerms;
         known.isPlanComplete = false;
+        if (host.authority) {
+            known.ownGrants = host.authority->runningGrants(m_now);
+            m_result.confirmingTerms += known.ownGrants.grants.empty() ? 0 : 1;
+        }
         for (const auto &[era, plan] : m_store.plans) {
             if (!plan.text.empty()) {
                 known.plan = *parseKeyPlan(plan.text);
@@ -548,14 +555,24 @@
         });
     }
 
-    void perform(std::size_t number, const GrantKeys &grant)
+    /// The probes of a grant that another server has had with as high a fencing token.
+    std::size_t lowFences(const GrantKeys &grant) const
     {
-        const std::size_t at = indexOf(grant.server.id);
+        std::size_t count = 0;
         for (std::size_t probe = 0; probe < Probes; ++probe) {
             const Fence &last = m_lastFences[probe];
             const bool isLow = last.server != grant.server.id && grant.fence <= last.fence;
-            m_result.lowFences += FakeServer::covers(grant.keys, probe) && isLow ? 1 : 0;
+            count += FakeServer::covers(grant.keys, probe) && isLow ? 1 : 0;
         }
+        return count;
+    }
+
+    void perform(std::size_t number, const GrantKeys &grant)
+    {
+        const std::size_t at = indexOf(grant.server.id);
+        // An owner refuses to confirm a grant of its own accord, so such a call counts when it is accepted.
+        const bool isConfirmation = grant.sendBefore != TimePoint::max();
+        m_result.lowFences += isConfirmation ? 0 : lowFences(grant);
         if (!m_servers[at].isReachable) {
             scheduleOutcome(number, grant.call, KeyCallOutcome::NoAnswer, randomDelay(300, 500));
             return;
@@ -566,7 +583,7 @@
         const TimePoint arrival = m_now + oneWay;
         const auto outcome = std::make_shared<KeyCallOutcome>(KeyCallOutcome::NoAnswer);
         const std::int64_t run = m_servers[at].entry.incarnation;
-        schedule(applyAfter, [this, at, run, isDelayed, grant, arrival, outcome]() {
+        schedule(applyAfter, [this, at, run, isDelayed, isConfirmation, grant, arrival, outcome]() {
             FakeServer &server = m_servers[at];
             if (isDelayed && server.entry.incarnation != run) {
                 return; // the call has been lost with the run that got it
@@ -574,6 +591,9 @@
             const auto hold = std::chrono::duration<double, std::milli>(grant.hold) * server.clockFactor;
             const TimePoint end = arrival + std::chrono::duration_cast<Duration>(hold);
             *outcome = server.grant(grant.keys, grant.fence, end) ? KeyCallOutcome::Accepted : KeyCallOutcome::Refused;
+            if (isConfirmation && *outcome == KeyCallOutcome::Accepted) {
+                m_result.lowFences += lowFences(grant);
+            }
             for (std::size_t probe = 0; probe < Probes; ++probe) {
                 Fence &last = m_lastFences[probe];
                 if (*outcome == KeyCallOutcome::Accepted && FakeServer::covers(grant.keys, probe)
