Grant keys that return to their last owner though the plan does not change

Callers would see: the keys of a server are refused until something else changes the plan, though the server is registered and no other one has the keys. In a calm service that may be for ever.

Cause: a server gets keys when a plan that names it has been saved. When unowned keys go to the server that the saved plan names already (it comes back after its hold has run out and no other server is usable, or the target of a move leaves before the release is answered), savePlan() finds the plan unchanged and writes nothing, so nothing ends the state Planned.

Change: savePlan() starts the planned grants when the saved plan names their owners already. This is safe, as no plan is in flight then and the keys have waited for their hold or release as before.

--- a/include/snipevalve/ownership/detail/key_authority_impl.hpp
+++ b/include/snipevalve/ownership/detail/key_authority_impl.hpp
@@ -513,6 +513,7 @@
     const bool isUnchanged =
         ranges == m_plan.ranges && unknownOwners == m_plan.unknownOwners && m_deputy == m_plan.deputy;
     if (isUnchanged && m_planSaved) {
+        startPlannedGrants(now); // keys that return to their last owner change nothing in the plan
         return;
     }
     m_plan.ranges = std::move(ranges);
@@ -542,6 +543,13 @@
     m_planSaved = true;
     m_savedPlan = m_plan;
     m_savedDeputy = m_plan.deputy;
+    startPlannedGrants(now);
+}
+
+/// To be called when `m_plan` has been saved.
+template <typename Rules>
+void BasicKeyAuthority<Rules>::startPlannedGrants(TimePoint now)
+{
     for (Segment &segment : m_segments) {
         if (segment.state == State::Planned && isPlanned(segment)) {
             segment.state = State::Granting;
--- a/include/snipevalve/ownership/key_authority.hpp
+++ b/include/snipevalve/ownership/key_authority.hpp
@@ -272,6 +272,7 @@
     void coalesceNeighbours(TimePoint now);
     void savePlan(TimePoint now, Actions &actions);
     bool isPlanned(const Segment &segment) const;
+    void startPlannedGrants(TimePoint now);
     bool mayGrantLongHolds() const;
     bool mayLongHoldsLast(TimePoint now) const;
     void askDeputies(TimePoint now, Actions &actions);
--- a/src/snipevalve/ownership/key_authority_test.cpp
+++ b/src/snipevalve/ownership/key_authority_test.cpp
@@ -799,6 +799,16 @@
         m_authority->setServers(m_servers, now);
     }
 
+    /// Sets the servers that have an entry in the store; all others are gone.
+    void setRegistered(const std::set<std::string> &ids)
+    {
+        std::vector<UpstreamServer> registered;
+        std::copy_if(m_servers.begin(), m_servers.end(), std::back_inserter(registered), [&ids](const auto &server) {
+            return ids.contains(server.id);
+        });
+        m_authority->setServers(registered, now);
+    }
+
     void advance()
     {
         now += Step;
@@ -1077,4 +1087,43 @@
     CHECK(authority.knownPlan(leaseEnd, now)->recentLosses == example.knownPlan);
 }
 
+TEST_CASE("unowned keys that return to their last owner do not stay without an owner")
+{
+    struct Example
+    {
+        std::string name;
+        void (*loseOwner)(CalmService &service);
+    };
+    const auto example = GENERATE(values<Example>({
+        {"it comes back after its hold has run out",
+         [](CalmService &service) {
+             service.setRegistered({});
+             service.runFor(Milliseconds(11'000));
+         }},
+        {"it stops draining",
+         [](CalmService &service) {
+             service.setDraining({"a", "b", "c"});
+             service.runFor(Milliseconds(400));
+         }},
+        {"the new owner leaves before the release is answered",
+         [](CalmService &service) {
+             service.setRegistered({"a", "b"});
+             service.setLoads({{1'000, 1.2F}, {1'001, 1.2F}});
+             service.releasesAnsweredFrom = service.now + Milliseconds(500);
+             service.runFor(Milliseconds(400));
+         }},
+    }));
+    INFO(example.name);
+    CalmService service({1, 1, {{{0, 65'535}, {"a", 1}}}, {}});
+    service.setRegistered({"a"});
+    service.runFor(Milliseconds(400));
+    example.loseOwner(service);
+    REQUIRE((service.ownerOf(1'000).empty() || service.ownerOf(1'001).empty()));
+    service.setDraining({});
+    service.setRegistered({"a"});
+    service.runFor(Milliseconds(1'000));
+    CHECK(service.ownerOf(1'000) == "a");
+    CHECK(service.ownerOf(1'001) == "a");
+}
+
 } // namespace snipevalve
