Remove leader keys in the era of their revision

Callers would see: a service without a leader until a lease of up to 2 s ends, after a host restarts.

Cause: a restarted host that waits for its seeds hears from another host that a leader key still names it. It removed the key below the era that its own client of the store knew, which was none yet (0): another key, so nothing was removed, and it was not tried again. The same could, when the store is restored while a host resigns, remove the key of another host in the new era by a revision that was given out again.

Change: the era is that of the leader table or of the start of the removals.

Not tested: the restore while a host resigns.

--- a/src/snipevalve/node/control/node_control.hpp
+++ b/src/snipevalve/node/control/node_control.hpp
@@ -168,15 +168,16 @@
         for (auto &[service, leader] : m_ledServices) {
             leader->stop();
         }
-        // A copy, since the watch events of these removals modify the original.
+        // Copies, since the watch events of these removals and a restore of the store modify the originals.
         const std::map<std::string, std::uint64_t> owned = m_leaderKeyRevisions;
+        const std::uint64_t era = m_store.era();
         for (const auto &[service, revision] : owned) {
             const auto leader = m_ledServices.find(service);
             if (leader != m_ledServices.end() && !leader->second->mayResign()) {
                 continue; // the lease ends soon after the process
             }
             StoreWrite write;
-            write.key = leaderKey(service);
+            write.key = eraKey(LeadersPrefix, era, service);
             write.expectedRevision = revision;
             write.remove = true;
             const auto result = co_await m_store.write(write);
@@ -249,11 +250,6 @@
         return times;
     }
 
-    std::string leaderKey(const std::string &service) const
-    {
-        return eraKey(LeadersPrefix, m_store.era(), service);
-    }
-
     /// What this host has read from the store and written to it may be lost: its lease and leader keys are, and leaders
     /// have to be found again. Services that it leads are suspended until it has taken them over again.
     void onStoreRestored(std::uint64_t era)
@@ -554,17 +550,19 @@
             std::uint64_t &removed = m_removedLeaderKeys[service];
             if (entry.revision > removed && !m_resigned) {
                 removed = entry.revision;
-                asio::co_spawn(m_executor, removeStaleLeaderKey(service, entry.revision), LogFailure("lead"));
+                asio::co_spawn(m_executor, removeStaleLeaderKey(service, m_leaders.era, entry.revision),
+                               LogFailure("lead"));
             }
         }
     }
 
     /// Removes a key that names this host as leader although it does not lead: a previous run of the process wrote it,
     /// or the answer to its write was lost. It would block other leaders until its lease expires, which may be never.
-    Awaitable<void> removeStaleLeaderKey(std::string service, std::uint64_t revision)
+    /// @param era of the revision; the store may have told this host none yet, or a later one
+    Awaitable<void> removeStaleLeaderKey(std::string service, std::uint64_t era, std::uint64_t revision)
     {
         StoreWrite write;
-        write.key = leaderKey(service);
+        write.key = eraKey(LeadersPrefix, era, service);
         write.expectedRevision = revision;
         write.remove = true;
         const auto result = co_await m_store.write(write);
@@ -872,7 +870,7 @@
         }
         const auto owned = m_leaderKeyRevisions.find(service);
         if (owned != m_leaderKeyRevisions.end()) {
-            asio::co_spawn(m_executor, removeStaleLeaderKey(service, owned->second), LogFailure("lead"));
+            asio::co_spawn(m_executor, removeStaleLeaderKey(service, m_store.era(), owned->second), LogFailure("lead"));
             m_leaderKeyRevisions.erase(owned);
         }
         if (m_ledServices.empty()) {
--- a/src/snipevalve/node/control/node_control_test.cpp
+++ b/src/snipevalve/node/control/node_control_test.cpp
@@ -374,4 +374,18 @@
     CHECK_FALSE(plan.unknownOwners.empty());
 }
 
+TEST_CASE("A restarted host gives up what it led before, though another host tells it of that before the store does")
+{
+    Fixture &host = *new Fixture; // never destroyed, as suspended coroutines refer to each other
+    host.settings.seeds = {*parseEndpoint(Other)};
+    host.settings.processorShare = 0.1;
+    host.store.put("config", "a,");
+    host.store.put("snipevalve/leader/1/a", leaderText(toString(host.settings.control).c_str()));
+    const std::uint64_t revision = host.store.revision;
+    host.start();
+    host.relay({1, revision, {{"a", {host.settings.control, revision}}}});
+    host.runFor(Milliseconds(200));
+    CHECK_FALSE(host.store.values.contains("snipevalve/leader/1/a"));
+}
+
 } // namespace snipevalve
