Take no restored store for a first start on a host that knew its era from others only

Callers would see: two servers hold the same keys (OWNER), when the store comes back from a copy of before a service's first plan and the leader is lost as well.

Cause: a host without calls of its own learns leaders and their era from another host. Its client of the store takes the first era that it sees, the restored one, for no rise, and the list of the leaders then replaced the earlier era. The host took over as if the service had never had a leader: it waited for no earlier hold.

Change: leaders that are known from an earlier era show that the store was restored.

Not tested: the change in applyLeaders().

--- a/src/snipevalve/node/control/node_control.hpp
+++ b/src/snipevalve/node/control/node_control.hpp
@@ -433,6 +433,7 @@
             }
             m_leadersKnown = true;
             m_isEraDoubtful = false;
+            m_isRestored = m_isRestored || isAfterKnownLeaders(m_store.era());
             m_leaders.era = m_store.era();
             m_leaders.revision = std::max(m_leaders.revision, list.revision);
             announceLeaders();
@@ -457,6 +458,13 @@
         return handlers;
     }
 
+    /// Whether this host knows leaders of an earlier era. Another host may have told it of them, so the client of the
+    /// store need not know that era.
+    bool isAfterKnownLeaders(std::uint64_t era) const
+    {
+        return m_leaders.era != 0 && m_leaders.era < era;
+    }
+
     /// Applies a leader table that a leader relayed, unless it is older than this host's own.
     void applyLeaders(const LeaderTable &table)
     {
@@ -486,6 +494,7 @@
                              toString(leader.endpoint), leader.revision);
             }
         }
+        m_isRestored = m_isRestored || isAfterKnownLeaders(table.era);
         m_leaders = table;
         stopReplacedLeaders();
         for (const auto &[service, revision] : m_leaderKeyRevisions) {
--- a/src/snipevalve/node/control/node_control_test.cpp
+++ b/src/snipevalve/node/control/node_control_test.cpp
@@ -23,6 +23,7 @@
     bool refusesPlans = false;
     std::map<std::string, StoredValue> values;
     int leaderWrites = 0;
+    int calls = 0;
 
     void put(const std::string &key, const std::string &value)
     {
@@ -131,6 +132,7 @@
 
     Awaitable<absl::Status> answer(Milliseconds wait)
     {
+        ++content->calls;
         const std::uint64_t begunIn = m_era.known();
         asio::steady_timer timer(co_await asio::this_coro::executor);
         const TimePoint end = Clock::now() + wait;
@@ -374,6 +376,34 @@
     CHECK_FALSE(plan.unknownOwners.empty());
 }
 
+TEST_CASE("A host that knew of leaders only from others takes no restored store without plans for a first start")
+{
+    Fixture &host = *new Fixture; // never destroyed, as suspended coroutines refer to each other
+    host.settings.seeds = {*parseEndpoint(Other)};
+    host.settings.processorShare = 0.1;
+    host.store.put("config", "k,");
+    host.store.put("servers/s1", "k");
+    host.start();
+    StoreUpdate update;
+    update.configVersion = 1;
+    update.storeReadTime = Clock::now();
+    update.leaders = LeaderTable{1, 105, {{"k", {*parseEndpoint(Other), 105}}}};
+    update.change = changeBetween(nullptr, *FakePlatform::parseConfig("k,")->config);
+    host.control->onLeaderUpdate(update);
+    host.runWithHeartbeats(Milliseconds(2'000));
+    REQUIRE(host.store.calls == 0);
+
+    // The leader and its plan are lost with the earlier era.
+    host.store.era = 2;
+    host.store.revision = 50;
+    host.runFor(Milliseconds(7'000));
+    const auto stored = host.store.values.find("snipevalve/plan/2/k");
+    REQUIRE(stored != host.store.values.end());
+    const KeyPlan plan = *parseKeyPlan(stored->second.value);
+    CHECK(plan.ranges.empty()); // another server may own the keys for 12.6 s
+    CHECK_FALSE(plan.unknownOwners.empty());
+}
+
 TEST_CASE("A restarted host gives up what it led before, though another host tells it of that before the store does")
 {
     Fixture &host = *new Fixture; // never destroyed, as suspended coroutines refer to each other
