Soak: a drain binds one run of a server, not its ID

Cause: the check recorded drains by ID. All its requests later than 2 s after the drain of the earlier run counted, if they came from a host without disturbance. The check of servers that say that they leave has told runs apart from the start.

Evidence: the message now has the start of the run.

Change: drains are recorded by run. This is as strict for the run that drains, and stricter for later ones: a server that drains again in a new run is checked, and was left out before. A drain of a server that is down was recorded and had no effect; it is no longer counted, and brings no replacement, since the server starts again itself.

--- a/tests/soak/checks.cpp
+++ b/tests/soak/checks.cpp
@@ -80,7 +80,7 @@
         requests[request.id] = &request;
     }
     for (const ServerRecord &arrival : records.arrivals) {
-        const auto drained = records.drained.find(arrival.server);
+        const auto drained = records.drained.find({arrival.server, arrival.serverStart});
         const auto request = requests.find(arrival.id);
         if (drained == records.drained.end() || request == requests.end() || !arrival.ran
             || arrival.at <= drained->second + bounds.drain) {
@@ -88,7 +88,8 @@
         }
         if (isUndisturbed(records, request->second->node, drained->second, arrival.at, bounds.settleTime,
                           DisturbanceFilter::NodeOrStore)) {
-            violations.push_back({"no work for a draining server", arrival.id, "ran on " + arrival.server});
+            violations.push_back({"no work for a draining server", arrival.id,
+                                  "ran on " + arrival.server + ", started at " + std::to_string(arrival.serverStart)});
         }
     }
 }
--- a/tests/soak/checks_test.cpp
+++ b/tests/soak/checks_test.cpp
@@ -37,7 +37,7 @@
         records.requests.back().idempotent = number % 2 == 0;
         records.arrivals.push_back({"s0", id, "debits", at(10'010 + number * 100), true});
     }
-    records.drained["s1"] = at(5'000);
+    records.drained[{"s1", 0}] = at(5'000);
     records.configured[1] = at(5'000);
     records.starts[0] = {at(0)};
     records.healedAt = at(1'000);
@@ -86,6 +86,12 @@
          [](SoakRecords &records) {
              records.arrivals.front().server = "s1";
          }},
+        {"work for a drained server that has started and drained again", "no work for a draining server",
+         [](SoakRecords &records) {
+             records.drained[{"s1", 1}] = at(7'000);
+             records.arrivals.front().server = "s1";
+             records.arrivals.front().serverStart = 1;
+         }},
         {"work for a server that said that it leaves, while the store is away",
          "no work for a server that said that it leaves",
          [](SoakRecords &records) {
@@ -148,6 +154,11 @@
              records.arrivals.front().server = "s1";
              records.disturbances.push_back({0, at(4'000), at(9'000), false});
          }},
+        {"work for a later run of a drained server", "",
+         [](SoakRecords &records) {
+             records.arrivals.front().server = "s1";
+             records.arrivals.front().serverStart = 1;
+         }},
         {"work for a later start of a server that said that it leaves", "",
          [](SoakRecords &records) {
              records.arrivals[0].announcesLeaving = true;
--- a/tests/soak/records.hpp
+++ b/tests/soak/records.hpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "snipevalve/core/time.hpp"
+#include "snipevalve/gateway/upstream_server.hpp"
 #include "soak/schedule.hpp"
 
 namespace snipevalve::soak {
@@ -55,7 +56,7 @@
     std::vector<CallerRecord> requests;
     std::vector<ServerRecord> arrivals;
     std::vector<Disturbance> disturbances;
-    std::map<std::string, TimePoint> drained; ///< by server: when its drain began
+    std::map<ServerIncarnation, TimePoint> drained; ///< by run of a server: when its drain began
     std::map<std::uint64_t, TimePoint> configured; ///< by version: when the store acknowledged it
     std::map<std::size_t, std::vector<TimePoint>> starts; ///< of each node
     int doubleOwners = 0; ///< keys with two owners, as counted by the servers
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -279,12 +279,15 @@
         break;
     case FaultKind::DrainServer: {
         constexpr std::size_t MaxServers = 200;
-        if (m_servers.size() >= MaxServers || m_records.drained.contains(server.id)) {
+        if (m_servers.size() >= MaxServers) {
             return;
         }
-        m_records.drained[server.id] = Clock::now();
-        m_platform.drainServer(server.id);
-        addServer(std::string(server.service));
+        const TimePoint now = Clock::now();
+        const std::optional<std::int64_t> run = m_platform.drainServer(server.id);
+        const bool isNewDrain = run && m_records.drained.try_emplace({server.id, *run}, now).second;
+        if (isNewDrain) {
+            addServer(std::string(server.service));
+        }
         break;
     }
     case FaultKind::LateGrants:
--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -144,11 +144,16 @@
     asio::co_spawn(m_context, renewEntry(server), asio::detached);
 }
 
-void PlatformStandin::drainServer(const std::string &id)
+std::optional<std::int64_t> PlatformStandin::drainServer(const std::string &id)
 {
     const std::lock_guard lock(m_mutex);
-    m_servers.at(id)->draining = true;
-    m_servers.at(id)->announcesLeaving = true;
+    Server &server = *m_servers.at(id);
+    if (server.crashed) {
+        return std::nullopt;
+    }
+    server.draining = true;
+    server.announcesLeaving = true;
+    return server.startedAtMs;
 }
 
 void PlatformStandin::announceLeaving(const std::string &id)
--- a/tests/standins/platform_standin.hpp
+++ b/tests/standins/platform_standin.hpp
@@ -96,7 +96,8 @@
     void pauseServer(const std::string &id, Milliseconds pause);
 
     /// @brief Marks the server's entry as draining, which its answers say too; the server continues to serve.
-    void drainServer(const std::string &id);
+    /// @return the start of the run that drains, as in `RequestArrival`; empty when the server has crashed
+    std::optional<std::int64_t> drainServer(const std::string &id);
 
     /// @brief The server leaves without having drained: its entry is removed, and it continues to serve.
     void leave(const std::string &id);
