Take back requests that are queued when their servers ask for a pause

A request that the leader, or the host's own dispatcher, had queued when the pause began stayed there until its permit came or its time ended, although nothing could take it; its permit was then returned unused.

The host reviews its waiting requests in the next step (50 ms) after a pause or a view of the service has changed. A queued one whose servers all pause gives up its place and is refused with the end of the pause, or waits at the host if its caller can outlast it. One that waits for a pause already is reviewed alike.

--- a/src/snipevalve/node/placements.cpp
+++ b/src/snipevalve/node/placements.cpp
@@ -83,45 +83,51 @@
 }
 
 /// A permit may have been on its way when its server said that it leaves or asked for a pause; it is returned, and the
-/// leader is asked again.
+/// leader is asked again. A request that is still queued then is taken back by reviewWaiting().
 Awaitable<DispatchDecision> Placements::acquire(std::string service, WorkItem item, Ticket &ticket)
 {
-    std::optional<TimePoint> ownerPause; // of the key's owner, which the leader may know sooner than this host
+    std::string owner; // of the key, which the leader may know sooner than this host; empty: as in the known view
     for (int returned = 0; returned <= MaxReturnedPermits;) {
         const TimePoint now = Clock::now();
-        const std::optional<TimePoint> pause = ownerPause ? ownerPause : pauseOf(service, item, now);
+        const std::optional<TimePoint> pause = pauseOf(service, item, owner, now);
         if (pause) {
             const double draw = std::uniform_real_distribution<double>(0, 1)(m_random);
-            const auto work = std::chrono::duration_cast<Duration>(localDispatcher(service).expectedWork(item));
-            const auto resumeAt = ServerPauses::returnTime(*pause, item.deadline - work, now, draw);
+            const auto resumeAt = ServerPauses::returnTime(*pause, latestSend(service, item), now, draw);
             if (!resumeAt) {
                 co_return Rejection{ticket, RejectReason::Paused, ServerPauses::retryAfter(*pause, now, draw)};
             }
-            const std::optional<Rejection> rejection = co_await waitUntil(*resumeAt, service, item, ticket);
-            if (rejection) {
-                co_return *rejection;
+            const AwaitedPause awaited{owner, *pause}; // GCC 12 destroys such a temporary twice in a `co_await`
+            const WaitEnd end = co_await waitUntil(awaited, *resumeAt, service, item, ticket);
+            if (end.rejection) {
+                co_return *end.rejection;
+            }
+            if (!end.isTakenBack) {
+                owner.clear();
+                item.avoid.clear(); // all other servers have failed the request too
             }
-            ownerPause.reset();
-            item.avoid.clear(); // all other servers have failed the request too
             continue;
         }
+        owner.clear();
         WorkItem asked = item;
         const std::vector<std::string> paused = m_pauses.pausedServers(service, now);
         asked.avoid.insert(asked.avoid.end(), paused.begin(), paused.end());
-        DispatchDecision decision = co_await acquireOnce(service, std::move(asked), ticket);
-        const auto *placement = std::get_if<Placement>(&decision);
+        const std::optional<DispatchDecision> decision = co_await acquireOnce(service, item, asked, ticket);
+        if (!decision) {
+            continue; // taken back
+        }
+        const auto *placement = std::get_if<Placement>(&*decision);
         if (placement == nullptr) {
-            co_return decision;
+            co_return *decision;
         }
         const bool isLeaving = m_leaving.find(incarnationOf(placement->server)) != nullptr;
-        const auto serverPause = m_pauses.pausedUntil(placement->server.id, Clock::now());
-        if (!isLeaving && !serverPause) {
-            co_return decision;
+        const bool isPaused = m_pauses.pausedUntil(placement->server.id, Clock::now()).has_value();
+        if (!isLeaving && !isPaused) {
+            co_return *decision;
         }
         if (isLeaving) {
             item.avoid.push_back(placement->server.id);
         } else if (item.key) {
-            ownerPause = serverPause;
+            owner = placement->server.id;
         }
         returnPermit(*placement);
         ++returned;
@@ -129,16 +135,27 @@
     co_return Rejection{ticket, RejectReason::NoServer, Duration::zero()};
 }
 
+/// @return when the request has to be sent to meet its deadline
+TimePoint Placements::latestSend(const std::string &service, const WorkItem &item)
+{
+    return item.deadline - std::chrono::duration_cast<Duration>(localDispatcher(service).expectedWork(item));
+}
+
+/// @param owner of the item's key, if the leader has named another than the known view
 /// @return when the request may be sent, if each server that could take it has asked for a pause
-std::optional<TimePoint> Placements::pauseOf(const std::string &service, const WorkItem &item, TimePoint now) const
+std::optional<TimePoint> Placements::pauseOf(const std::string &service, const WorkItem &item, const std::string &owner,
+                                             TimePoint now) const
 {
+    if (!owner.empty()) {
+        return m_pauses.pausedUntil(owner, now);
+    }
     const ServiceView *view = m_pauses.isAnyPaused(now) ? m_views.find(service) : nullptr;
     if (view == nullptr) {
         return std::nullopt;
     }
     if (view->keyed && item.key) {
-        const std::string *owner = view->owners.ownerOf(*item.key);
-        return owner == nullptr ? std::nullopt : m_pauses.pausedUntil(*owner, now);
+        const std::string *known = view->owners.ownerOf(*item.key);
+        return known == nullptr ? std::nullopt : m_pauses.pausedUntil(*known, now);
     }
     std::optional<TimePoint> first;
     for (const UpstreamServer &server : view->servers) {
@@ -155,27 +172,51 @@
     return first;
 }
 
-/// Waits before a request is placed. @return a rejection when the wait was ended by abandon() or refuseWaiting()
-Awaitable<std::optional<Rejection>> Placements::waitUntil(TimePoint end, std::string service, WorkItem item,
-                                                          Ticket &ticket)
+/// Waits for the end of a pause before a request is placed.
+Awaitable<Placements::WaitEnd> Placements::waitUntil(AwaitedPause pause, TimePoint end, std::string service,
+                                                     WorkItem item, Ticket &ticket)
 {
     const Ticket mine = ++m_lastTicket;
     ticket = mine;
-    item.ticket = mine;
     Send &send = m_sends[mine];
     send.service = std::move(service);
+    send.wanted = item;
     send.item = std::move(item);
+    send.item.ticket = mine;
+    send.pause = std::move(pause);
     send.decisionTimer = std::make_unique<asio::steady_timer>(m_executor, end);
     ErrorCode error;
     co_await send.decisionTimer->async_wait(awaitInto(error));
-    std::optional<Rejection> rejection;
+    WaitEnd result;
+    result.isTakenBack = send.isTakenBack;
     if (send.decision) {
-        rejection = std::get<Rejection>(*send.decision);
-    } else if (error) {
-        rejection = Rejection{mine, RejectReason::TooLate, Duration::zero()};
+        result.rejection = std::get<Rejection>(*send.decision);
+    } else if (error && !send.isTakenBack) {
+        result.rejection = Rejection{mine, RejectReason::TooLate, Duration::zero()};
     }
     m_sends.erase(mine);
-    co_return rejection;
+    co_return result;
+}
+
+/// Takes back the requests whose wait has become pointless since the pauses or the servers have changed: those that are
+/// queued for servers which all pause, those that can't outlast a pause that has grown, and those that need not wait
+/// for it any more. acquire() then refuses them, lets them wait at this host or asks again.
+void Placements::reviewWaiting(TimePoint now)
+{
+    const std::set<std::string> services = std::exchange(m_servicesToReview, {});
+    for (auto &[ticket, send] : m_sends) {
+        if (send.decision || send.isTakenBack || !services.contains(send.service)) {
+            continue;
+        }
+        const std::string owner = send.pause ? send.pause->owner : std::string();
+        const std::optional<TimePoint> pause = pauseOf(send.service, send.wanted, owner, now);
+        const bool isTooLong = pause && latestSend(send.service, send.wanted) < *pause;
+        const bool isShorter = send.pause && now < send.pause->until && (!pause || *pause < send.pause->until);
+        send.isTakenBack = send.pause ? isTooLong || isShorter : pause.has_value();
+        if (send.isTakenBack) {
+            send.decisionTimer->cancel();
+        }
+    }
 }
 
 /// Gives back a permit that can't be used.
@@ -204,6 +245,7 @@
     if (!m_pauses.add(service, server, pause, now)) {
         return;
     }
+    m_servicesToReview.insert(service);
     const auto until = m_pauses.pausedUntil(server, now).value_or(now);
     spdlog::info("servers: event=paused server={} service={} pause_left_ms={} asked_ms={}", escapeLogValue(server),
                  escapeLogValue(service), std::chrono::duration_cast<Milliseconds>(until - now).count(), pause.count());
@@ -239,15 +281,20 @@
     }
 }
 
-Awaitable<DispatchDecision> Placements::acquireOnce(std::string service, WorkItem item, Ticket &ticket)
+/// @param wanted the request
+/// @param item the request with the paused servers among those to avoid
+/// @return the decision; empty when reviewWaiting() has taken the request back
+Awaitable<std::optional<DispatchDecision>> Placements::acquireOnce(std::string service, WorkItem wanted, WorkItem item,
+                                                                   Ticket &ticket)
 {
     const Ticket mine = ++m_lastTicket;
     ticket = mine;
-    item.ticket = mine;
     m_services.insert(service);
     Send &send = m_sends[mine];
     send.service = service;
+    send.wanted = std::move(wanted);
     send.item = std::move(item);
+    send.item.ticket = mine;
     send.decisionTimer = std::make_unique<asio::steady_timer>(m_executor, send.item.deadline);
     if (LeaderLink *link = leaderLinkForAsk(service, Clock::now())) {
         send.link = link->weak_from_this();
@@ -261,6 +308,13 @@
         ErrorCode ignored;
         co_await send.decisionTimer->async_wait(awaitInto(ignored));
     }
+    if (!send.decision && send.isTakenBack) {
+        spdlog::info("request: event=taken_back service={} reason=\"the servers that could take it pause\"",
+                     escapeLogValue(service));
+        report(send, mine, WorkEnd::Abandoned, Duration::zero());
+        m_sends.erase(mine);
+        co_return std::nullopt;
+    }
     // No decision: the caller has disconnected or the deadline has passed.
     DispatchDecision decision = send.decision.value_or(Rejection{mine, RejectReason::TooLate, Duration::zero()});
     if (std::holds_alternative<Rejection>(decision)) {
@@ -347,6 +401,7 @@
 {
     const auto position = m_sends.find(ticket);
     if (position != m_sends.end()) {
+        position->second.isTakenBack = false; // not to be asked for again
         position->second.decisionTimer->cancel();
     }
 }
@@ -606,6 +661,9 @@
 {
     std::vector<UpstreamServer> servers = view.servers;
     m_leaving.markIn(servers);
+    if (m_pauses.isAnyPaused(now)) {
+        m_servicesToReview.insert(view.service);
+    }
     Dispatcher &dispatcher = localDispatcher(view.service);
     dispatcher.setSlotShare(std::min(1.0, LocalShareFactor / m_hostCount));
     dispatcher.setServers(servers, now);
@@ -702,6 +760,9 @@
     for (const auto &[endpoint, link] : m_links) {
         link->closeIfSilent(now);
     }
+    if (!m_servicesToReview.empty()) {
+        reviewWaiting(now);
+    }
     for (auto &[service, dispatcher] : m_localDispatchers) {
         dispatcher->advance(now);
         deliverLocalDecisions(*dispatcher);
--- a/src/snipevalve/node/placements.hpp
+++ b/src/snipevalve/node/placements.hpp
@@ -101,10 +101,27 @@
     void consentAsDeputy(const DeputyAsk &ask);
 
 private:
+    /// The pause whose end a request waits for at this host.
+    struct AwaitedPause
+    {
+        std::string owner; ///< of the key, if the leader has named another than the known view; else empty
+        TimePoint until;
+    };
+
+    /// How a wait for the end of a pause ended.
+    struct WaitEnd
+    {
+        bool isTakenBack = false; ///< the pause or the servers have changed
+        std::optional<Rejection> rejection; ///< the wait was ended by abandon() or refuseWaiting()
+    };
+
     /// One attempt of a request, from acquire() to finish().
     struct Send
     {
         std::string service;
+        WorkItem wanted; ///< as passed to acquire(); the servers to avoid are those that have failed the request
+        std::optional<AwaitedPause> pause; ///< empty once a dispatcher has been asked
+        bool isTakenBack = false; ///< is to be considered anew by acquire()
         WorkItem item;
         std::weak_ptr<LeaderLink> link; ///< to the leader that decides; empty when the local dispatcher does
         std::optional<DispatchDecision> decision;
@@ -112,9 +129,13 @@
         std::unique_ptr<asio::steady_timer> decisionTimer; ///< expires at the deadline; cancelled on a decision
     };
 
-    Awaitable<DispatchDecision> acquireOnce(std::string service, WorkItem item, Ticket &ticket);
-    std::optional<TimePoint> pauseOf(const std::string &service, const WorkItem &item, TimePoint now) const;
-    Awaitable<std::optional<Rejection>> waitUntil(TimePoint end, std::string service, WorkItem item, Ticket &ticket);
+    Awaitable<std::optional<DispatchDecision>> acquireOnce(std::string service, WorkItem wanted, WorkItem item,
+                                                           Ticket &ticket);
+    TimePoint latestSend(const std::string &service, const WorkItem &item);
+    std::optional<TimePoint> pauseOf(const std::string &service, const WorkItem &item, const std::string &owner,
+                                     TimePoint now) const;
+    Awaitable<WaitEnd> waitUntil(AwaitedPause pause, TimePoint end, std::string service, WorkItem item, Ticket &ticket);
+    void reviewWaiting(TimePoint now);
     void addPause(const std::string &service, const std::string &server, Milliseconds pause);
     void returnPermit(const Placement &placement);
     bool addLeaving(const std::string &service, const UpstreamServer &server, LeavingSource source);
@@ -152,6 +173,7 @@
     KnownViews m_views;
     LeavingServers m_leaving;
     ServerPauses m_pauses;
+    std::set<std::string> m_servicesToReview; ///< services whose pauses or servers have changed since the last review
     std::mt19937_64 m_random; ///< spreads the requests that wait for the end of a pause
     /// By service: the host that the leader table names does not lead it; the next request is sent there at this time.
     std::map<std::string, TimePoint> m_nextAskOfDenier;
--- a/src/snipevalve/node/placements_test.cpp
+++ b/src/snipevalve/node/placements_test.cpp
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
 
+#include <deque>
+
 #include "snipevalve/net/endpoint.hpp"
 #include "snipevalve/node/leader_dispatcher.hpp"
 #include "snipevalve/node/placements.hpp"
@@ -137,12 +139,13 @@
 {
 public:
     explicit LedHost(bool keyed)
-        : m_acceptor(listenOn(m_context.get_executor(), Leader))
+        : m_keyed(keyed)
+        , m_acceptor(listenOn(m_context.get_executor(), Leader))
         , desk(m_context.get_executor(), settings(), 1)
         , placements(m_context.get_executor(), settings(), 1)
     {
         desk.startLeading("service");
-        desk.setView({"service", keyed, {server("a"), server("b")}, KeyOwners({{{0, 65'535}, "a"}})});
+        desk.setView(view());
         asio::co_spawn(m_context, desk.serve(m_acceptor), asio::detached);
         connect();
     }
@@ -153,13 +156,20 @@
         runFor(Milliseconds(50));
     }
 
-    static UpstreamServer server(const std::string &id)
+    /// @param owner of all keys
+    /// @param start of server a
+    ServiceView view(const std::string &owner = "a", std::int64_t start = 1) const
+    {
+        return {"service", m_keyed, {server("a", start), server("b")}, KeyOwners({{{0, 65'535}, owner}})};
+    }
+
+    static UpstreamServer server(const std::string &id, std::int64_t start = 1)
     {
         UpstreamServer entry;
         entry.id = id;
         entry.service = "service";
         entry.slots = 2;
-        entry.incarnation = 1;
+        entry.incarnation = start;
         return entry;
     }
 
@@ -177,12 +187,56 @@
         runFor(Milliseconds(200));
     }
 
+    /// From then on the host acts alone.
+    void disconnect()
+    {
+        placements.setLeaders({});
+        placements.setStoreView(view());
+        runFor(Milliseconds(50));
+    }
+
+    /// Sends requests that take all slots of server a, or of both servers of a pool, and the places behind them.
+    void fillSlots()
+    {
+        constexpr int ServerSlots = 3; // with the one that waits at the server
+        const int count = m_keyed ? ServerSlots : 2 * ServerSlots;
+        for (int index = 0; index < count; ++index) {
+            Ticket &ticket = m_fillers.emplace_back();
+            const WorkItem item = itemFor(Milliseconds(20'000));
+            asio::co_spawn(
+                m_context,
+                [this, item, &ticket]() -> Awaitable<void> {
+                    const DispatchDecision filler = co_await placements.acquire("service", item, ticket);
+                    if (m_isOpen && std::holds_alternative<Placement>(filler)) {
+                        placements.finish(ticket, WorkEnd::Done, Milliseconds(1));
+                    }
+                },
+                asio::detached);
+        }
+        runFor(Milliseconds(100));
+    }
+
+    /// Ends the requests of fillSlots(); those that still wait end as soon as they are placed.
+    void freeSlots()
+    {
+        m_isOpen = true;
+        for (const Ticket ticket : m_fillers) {
+            placements.finish(ticket, WorkEnd::Done, Milliseconds(1));
+        }
+    }
+
+    /// Runs what depends on time, as the traffic thread does.
+    void advance()
+    {
+        placements.advance();
+        desk.advance();
+        runFor(Milliseconds(50));
+    }
+
     void request(std::optional<std::uint16_t> key, Milliseconds deadline)
     {
-        WorkItem item;
+        WorkItem item = itemFor(deadline);
         item.key = key;
-        item.targetBy = Clock::now() + deadline;
-        item.deadline = Clock::now() + deadline;
         asio::co_spawn(
             m_context,
             [this, item]() -> Awaitable<void> {
@@ -213,9 +267,21 @@
         return settings;
     }
 
+    WorkItem itemFor(Milliseconds deadline) const
+    {
+        WorkItem item;
+        item.key = m_keyed ? std::optional<std::uint16_t>(7) : std::nullopt;
+        item.targetBy = Clock::now() + deadline;
+        item.deadline = Clock::now() + deadline;
+        return item;
+    }
+
     asio::io_context m_context;
+    bool m_keyed;
+    bool m_isOpen = false; ///< fillers end at once
     Tcp::acceptor m_acceptor;
     Ticket m_ticket = 0;
+    std::deque<Ticket> m_fillers;
 
 public:
     LeaderDispatcher desk;
@@ -275,6 +341,75 @@
     }
 }
 
+TEST_CASE("a request that is queued when its servers ask for a pause is refused at once or waits", "[promise-3]")
+{
+    struct Case
+    {
+        std::string name;
+        bool isKeyed;
+        bool isLed; ///< false: the host acts alone
+        std::vector<std::string> pausing;
+        Milliseconds deadline; ///< of the request
+        bool isRefused;
+        std::size_t queuedAtLeader; ///< after the notice
+    };
+    constexpr Milliseconds Pause(1'200);
+    constexpr Milliseconds Long(9'000);
+    constexpr Milliseconds Short(1'000);
+    const std::vector<Case> cases = {
+        {"a key, too late after the pause", true, true, {"a"}, Short, true, 0},
+        {"a key, in time after the pause", true, true, {"a"}, Long, false, 0},
+        {"a key, too late after the pause, without a leader", true, false, {"a"}, Short, true, 0},
+        {"a key, in time after the pause, without a leader", true, false, {"a"}, Long, false, 0},
+        {"a key of another server", true, true, {"b"}, Short, false, 1},
+        {"a pool with another server", false, true, {"a"}, Short, false, 1},
+        {"a pool, too late after its pause", false, true, {"a", "b"}, Short, true, 0},
+        {"a pool, too late after its pause, without a leader", false, false, {"a", "b"}, Short, true, 0},
+    };
+    for (const Case &each : cases) {
+        INFO(each.name);
+        LedHost host(each.isKeyed);
+        if (!each.isLed) {
+            host.disconnect();
+        }
+        host.fillSlots();
+        host.request(each.isKeyed ? std::optional<std::uint16_t>(7) : std::nullopt, each.deadline);
+        host.runFor(Milliseconds(50));
+        REQUIRE_FALSE(host.decision);
+        const TimePoint end = Clock::now() + Pause;
+        for (const std::string &id : each.pausing) {
+            host.placements.onServerNotice("service", LedHost::server(id), {false, Pause});
+        }
+        host.advance();
+        const auto *rejection = host.decision ? std::get_if<Rejection>(&*host.decision) : nullptr;
+        CHECK((rejection != nullptr) == each.isRefused);
+        if (rejection != nullptr) {
+            CHECK(rejection->reason == RejectReason::Paused);
+            CHECK(Clock::now() + rejection->retryAfter > end);
+        }
+        const Dispatcher *dispatcher = host.desk.dispatcher("service");
+        REQUIRE(dispatcher != nullptr);
+        if (each.isLed) {
+            CHECK(dispatcher->waiting() == each.queuedAtLeader);
+        }
+        host.freeSlots();
+        while (Clock::now() < end) {
+            const bool isEarly =
+                !each.isRefused && each.pausing.front() == "a" && each.isKeyed && host.decision.has_value();
+            REQUIRE_FALSE(isEarly);
+            host.advance();
+        }
+        for (int step = 0; step < 10; ++step) {
+            host.advance();
+        }
+        CHECK((host.decision && std::holds_alternative<Placement>(*host.decision)) != each.isRefused);
+        CHECK(dispatcher->running() == (each.isLed && !each.isRefused ? 1 : 0)); // no slot is lost
+        CHECK(dispatcher->waiting() == 0);
+        host.placements.refuseWaiting();
+        host.runFor(Milliseconds(50));
+    }
+}
+
 TEST_CASE("what a host knows of leaving servers reaches later leaders and the hosts that ask it for views",
           "[promise-6]")
 {
