Keep a departure that another host's view tells

A host that had adopted another host's view used a draining server of that view again as soon as an older copy of the store said that it was ready. Every view that a host uses now enters its record of departures, not only those of leaders and of the store.

placements_test has a table of what may happen between a server's notice and the next request: second and shorter pauses, departure during a pause, a new start, a lost and regained leader, another host's view, the store back from an older copy (20 rows).

--- a/src/snipevalve/node/placements.cpp
+++ b/src/snipevalve/node/placements.cpp
@@ -648,17 +648,17 @@
     m_services.insert(view.service);
     const TimePoint now = Clock::now();
     m_views.set(view, now);
-    for (const UpstreamServer &server : view.servers) {
-        if (server.draining) {
-            addLeaving(view.service, server, LeavingSource::List);
-        }
-    }
     useView(view, now);
 }
 
 /// Makes the local dispatcher work with this view.
 void Placements::useView(const ServiceView &view, TimePoint now)
 {
+    for (const UpstreamServer &server : view.servers) {
+        if (server.draining) {
+            addLeaving(view.service, server, LeavingSource::List);
+        }
+    }
     std::vector<UpstreamServer> servers = view.servers;
     m_leaving.markIn(servers);
     if (m_pauses.isAnyPaused(now)) {
--- a/src/snipevalve/node/placements_test.cpp
+++ b/src/snipevalve/node/placements_test.cpp
@@ -195,6 +195,37 @@
         runFor(Milliseconds(50));
     }
 
+    /// Sends as many requests of a pool as its servers have slots. @return the servers that they are placed on
+    std::set<std::string> probe()
+    {
+        constexpr std::size_t Slots = 4;
+        std::set<std::string> used;
+        Probe &probe = m_probes.emplace_back();
+        probe.tickets.resize(Slots);
+        for (Ticket &ticket : probe.tickets) {
+            const WorkItem item = itemFor(Milliseconds(9'000));
+            asio::co_spawn(
+                m_context,
+                [this, item, &probe, &ticket]() -> Awaitable<void> {
+                    const DispatchDecision placed = co_await placements.acquire("service", item, ticket);
+                    const auto *placement = std::get_if<Placement>(&placed);
+                    probe.used.insert(placement == nullptr ? "none" : placement->server.id);
+                    if (probe.isOver && placement != nullptr) {
+                        placements.finish(ticket, WorkEnd::Done, Milliseconds(1));
+                    }
+                },
+                asio::detached);
+        }
+        runFor(Milliseconds(60));
+        probe.isOver = true;
+        used = probe.used;
+        for (const Ticket ticket : probe.tickets) {
+            placements.finish(ticket, WorkEnd::Done, Milliseconds(1));
+        }
+        advance();
+        return used;
+    }
+
     /// Sends requests that take all slots of server a, or of both servers of a pool, and the places behind them.
     void fillSlots()
     {
@@ -276,12 +307,20 @@
         return item;
     }
 
+    struct Probe
+    {
+        std::vector<Ticket> tickets;
+        std::set<std::string> used;
+        bool isOver = false; ///< its other requests end at once
+    };
+
     asio::io_context m_context;
     bool m_keyed;
     bool m_isOpen = false; ///< fillers end at once
     Tcp::acceptor m_acceptor;
     Ticket m_ticket = 0;
     std::deque<Ticket> m_fillers;
+    std::deque<Probe> m_probes;
 
 public:
     LeaderDispatcher desk;
@@ -410,6 +449,151 @@
     }
 }
 
+TEST_CASE("a request that waits for the end of a pause is considered anew when the pause or the servers change",
+          "[promise-3]")
+{
+    struct Case
+    {
+        std::string name;
+        Milliseconds secondPause; ///< zero: none
+        std::string owner; ///< of the key, after a while
+        std::string result; ///< shortly afterwards: the server, `refused` or `waits`
+    };
+    constexpr Milliseconds Pause(1'000);
+    constexpr Milliseconds Deadline(3'000);
+    const std::vector<Case> cases = {
+        {"nothing changes", Milliseconds(0), "a", "waits"},
+        {"the pause grows, and the request can still outlast it", Milliseconds(2'000), "a", "waits"},
+        {"the pause grows beyond the request's time", Milliseconds(3'000), "a", "refused"},
+        {"the key moves", Milliseconds(0), "b", "b"},
+    };
+    for (const Case &each : cases) {
+        INFO(each.name);
+        LedHost host(true);
+        host.disconnect();
+        host.placements.onServerNotice("service", LedHost::server("a"), {false, Pause});
+        host.request(7, Deadline);
+        host.advance();
+        REQUIRE_FALSE(host.decision);
+        host.placements.onServerNotice("service", LedHost::server("a"), {false, each.secondPause});
+        host.placements.setStoreView(host.view(each.owner));
+        host.advance();
+        const auto *placement = host.decision ? std::get_if<Placement>(&*host.decision) : nullptr;
+        const std::string result = placement != nullptr ? placement->server.id : host.decision ? "refused" : "waits";
+        CHECK(result == each.result);
+        host.placements.refuseWaiting();
+        host.runFor(Milliseconds(50));
+    }
+}
+
+TEST_CASE("what a server has said holds through all that happens meanwhile", "[promise-6]")
+{
+    enum class Event {
+        Pause,
+        ShortPause,
+        Success,
+        Leave,
+        Back,
+        LoseLeader,
+        RegainLeader,
+        Relay,
+        RelayLeaving,
+        StoreBack
+    };
+    constexpr Milliseconds PauseTime(1'000);
+    constexpr Milliseconds ShortPauseTime(50);
+    struct Case
+    {
+        std::string name;
+        std::vector<Event> events; ///< of server a
+        bool isUsed; ///< server a, before the end of a pause
+        bool isUsedLater; ///< after it
+    };
+    using enum Event;
+    const std::vector<Case> cases = {
+        {"nothing happens", {}, true, true},
+        {"a pause", {Pause}, false, true},
+        {"a pause while a request is under way, which succeeds", {Pause, Success}, false, true},
+        {"a second and shorter pause during a first", {Pause, ShortPause}, false, true},
+        {"a pause on a server that then leaves", {Pause, Leave}, false, false},
+        {"a server that leaves and then asks for a pause", {Leave, Pause}, false, false},
+        {"an answer without the notice after one with it", {Leave, Success}, false, false},
+        {"leaving and back with a new start", {Leave, Back}, true, true},
+        {"leaving, and a late answer of the earlier start", {Leave, Back, Leave}, true, true},
+        {"a pause, leaving and back with a new start", {Pause, Leave, Back}, false, true},
+        {"the leader is lost during a pause", {Pause, LoseLeader}, false, true},
+        {"the leader is lost after a departure", {Leave, LoseLeader}, false, false},
+        {"a pause without a leader, which comes back", {LoseLeader, Pause, RegainLeader}, false, true},
+        {"a departure without a leader, which comes back", {LoseLeader, Leave, RegainLeader}, false, false},
+        {"another host's view during a pause", {Pause, LoseLeader, Relay}, false, true},
+        {"another host's view after a departure", {Leave, LoseLeader, Relay}, false, false},
+        {"another host's view tells a departure", {LoseLeader, RelayLeaving}, false, false},
+        {"another host's view tells a departure, and the store says ready",
+         {LoseLeader, RelayLeaving, StoreBack},
+         false,
+         false},
+        {"the store comes back during a pause", {Pause, LoseLeader, StoreBack}, false, true},
+        {"the store comes back after a departure", {Leave, LoseLeader, StoreBack}, false, false},
+    };
+    for (const Case &each : cases) {
+        INFO(each.name);
+        LedHost host(false);
+        const auto notify = [&host](ServerNotice notice) {
+            host.placements.onServerNotice("service", LedHost::server("a"), notice);
+        };
+        TimePoint end; // of the pause
+        for (const Event event : each.events) {
+            switch (event) {
+            case Pause:
+                notify({false, PauseTime});
+                end = Clock::now() + PauseTime;
+                break;
+            case ShortPause:
+                notify({false, ShortPauseTime});
+                host.runFor(2 * ShortPauseTime);
+                break;
+            case Success:
+                notify({});
+                break;
+            case Leave:
+                notify({true, Milliseconds(0)});
+                break;
+            case Back:
+                host.desk.setView(host.view("", 2));
+                break;
+            case LoseLeader:
+                host.placements.setLeaders({});
+                break;
+            case RegainLeader:
+                host.connect();
+                break;
+            case Relay:
+                host.placements.adoptView({host.view(), Milliseconds(0)});
+                break;
+            case RelayLeaving: {
+                ServiceView view = host.view();
+                view.servers.front().draining = true;
+                host.placements.adoptView({view, Milliseconds(0)});
+                break;
+            }
+            case StoreBack:
+                host.placements.setStoreView(host.view()); // an older copy: the entry is ready
+                break;
+            }
+            host.advance();
+        }
+        CHECK(host.probe().contains("a") == each.isUsed);
+        while (Clock::now() < end) {
+            host.advance();
+        }
+        const std::set<std::string> used = host.probe();
+        CHECK(used.contains("a") == each.isUsedLater);
+        CHECK(used.contains("b"));
+        host.placements.refuseWaiting();
+        host.runFor(Milliseconds(50));
+    }
+}
+
 TEST_CASE("what a host knows of leaving servers reaches later leaders and the hosts that ask it for views",
           "[promise-6]")
 {
