Test: another run of a server gets keys with a higher fence

A variant that grants the keys to the new run with the old fence passed all of key_authority_test; it now fails "keys whose grants have reached a restarted server get no second owner". The check is stricter than before, nowhere weaker.

Measured: that test case red with the variant, green without.

--- a/src/snipevalve/ownership/key_authority_test.cpp
+++ b/src/snipevalve/ownership/key_authority_test.cpp
@@ -268,7 +268,8 @@
     const TimePoint restart = now + times.ownerChangeDelay + Milliseconds(500);
     KeyAuthority authority(KeyPlan{1, 1, {{{0, 30'000}, {"a", 1}}, {{30'001, 65'535}, {"b", 1}}}, {}}, times, now);
     TimePoint holdEnd; // of the key at the restarted server
-    std::uint64_t fence = 0;
+    std::uint64_t fence = 0; // of the last grant of the key
+    ServerIncarnation owner;
     for (const TimePoint end = restart + Milliseconds(14'000); now < end; now += Milliseconds(20)) {
         std::vector<UpstreamServer> registered = servers;
         if (now >= restart + example.registersAfter) {
@@ -292,8 +293,10 @@
                     CHECK(now >= holdEnd);
                 }
                 if (grant->keys.contains(Key)) {
-                    CHECK(grant->fence >= fence);
+                    const bool isOtherRun = !(owner == incarnationOf(grant->server));
+                    CHECK(grant->fence >= fence + (isOtherRun ? 1 : 0));
                     fence = grant->fence;
+                    owner = incarnationOf(grant->server);
                 }
                 authority.onCallOutcome(grant->call, KeyCallOutcome::Accepted, {}, now);
             }
