Test: each run of node_control_test listens on unused ports

Cause: the ports were fixed, and three cases failed with "bind: Address already in use" while another worktree's run listened on them (pid and ports seen with ss).

Change: a port that the system chooses. No check changes.

--- a/src/snipevalve/node/control/node_control_test.cpp
+++ b/src/snipevalve/node/control/node_control_test.cpp
@@ -11,7 +11,6 @@
 
 namespace {
 
-constexpr std::uint16_t FirstPort = 18651; ///< each test listens on another one
 constexpr const char *Other = "127.0.0.1:9";
 
 /// The store's content and era, as the test sets them.
@@ -221,6 +220,14 @@
     }
 };
 
+/// A port that no other test run of this machine listens on.
+std::uint16_t unusedPort()
+{
+    asio::io_context context;
+    const Tcp::acceptor acceptor(context, Tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    return acceptor.local_endpoint().port();
+}
+
 /// One host's control state beside a store that the test controls.
 class Fixture
 {
@@ -230,8 +237,7 @@
         content = &store;
         settings.host = "self";
         settings.run = "self#1";
-        static std::uint16_t port = FirstPort;
-        settings.control = *parseEndpoint("127.0.0.1:" + std::to_string(port++));
+        settings.control = *parseEndpoint("127.0.0.1:" + std::to_string(unusedPort()));
         settings.isFirstStart = true;
     }
 
