Age an old entry of a removed server only while the store is read

Callers would see: requests to a server that this host knows to be gone (DRAIN), while it can't read the store.

Cause: the store removes the entry of a silent server after three heartbeats, so an old entry in a restored copy that lasts longer than that (and 2 s for a delayed read) was taken for that of a living server. The time was measured by the clock. When the store went away again, or the watch was paused, nothing could remove the entry and it counted as kept.

Change: the time ends at the last answer that this host has had of the watch of the servers, and begins anew when the store answers again after an outage, since a store that was down may count the silence from its return.

Of the table of server_directory_test, "the same, but the store can't be read" and "the same, after an outage in which the store may have removed nothing" fail with the former rules.

--- a/include/snipevalve/gateway/server_directory.hpp
+++ b/include/snipevalve/gateway/server_directory.hpp
@@ -18,7 +18,8 @@
 ///
 /// An entry may be older than what is known of its server, since the store may come back from a copy. Within one
 /// incarnation the heartbeats order the entries: an entry that isn't newer neither ends a drain nor brings back a
-/// removed server. The store removes the entry of a silent server, so one that outlasts that is in use again.
+/// removed server. The store removes the entry of a silent server, so one that outlasts that while this host reads the
+/// store is in use again.
 class ServerDirectory
 {
 public:
@@ -35,6 +36,10 @@
     /// @brief The store answers this host again, after an outage or from a copy: starts the grace time.
     void onStoreRecovered(TimePoint now);
 
+    /// @brief This host reads the store again after an outage of any length. The store may count the silence of servers
+    /// anew, so old entries have to outlast it from now on.
+    void onReadAgain(TimePoint now);
+
     /// @brief The entry was written. @param entry empty when it can't be parsed
     void onEntry(const std::string &id, std::optional<ServerEntry> entry, TimePoint now);
 
@@ -53,8 +58,10 @@
     /// @brief A snapshot was read: entries that are not in `ids` were removed.
     void onListed(const std::vector<std::string> &ids, TimePoint now);
 
-    /// @brief Drops expired entries after the grace time. @return whether anything changed since the last call
-    bool advance(TimePoint now);
+    /// @brief Drops expired entries after the grace time, and uses servers again whose old entries the store has kept.
+    /// @param readAt when this host last held the store's latest entries
+    /// @return whether anything changed since the last call
+    bool advance(TimePoint now, TimePoint readAt);
 
     std::vector<UpstreamServer> serversOf(const std::string &service) const;
     std::size_t size() const;
@@ -70,7 +77,7 @@
     struct OldEntry
     {
         ServerEntry entry;
-        TimePoint seenAt;
+        TimePoint seenAt; ///< or when this host has last begun to read the store again
     };
 
     /// A server that is not in use.
@@ -85,7 +92,7 @@
     const ServerEntry *lastEntry(const std::string &id) const;
     void use(const std::string &id, ServerEntry entry);
     void retire(const std::string &id, bool isRemoved, TimePoint now);
-    void reviewPastServers(TimePoint now);
+    void reviewPastServers(TimePoint now, TimePoint readAt);
 
     Milliseconds m_silenceTimeout; ///< the store has removed the entry of a silent server by then
     std::map<std::string, Entry> m_entries;
--- a/src/snipevalve/gateway/server_directory.cpp
+++ b/src/snipevalve/gateway/server_directory.cpp
@@ -24,6 +24,15 @@
     m_graceEnd = now + ReturnGrace;
 }
 
+void ServerDirectory::onReadAgain(TimePoint now)
+{
+    for (auto &[id, past] : m_past) {
+        if (past.oldEntry) {
+            past.oldEntry->seenAt = now;
+        }
+    }
+}
+
 const ServerEntry *ServerDirectory::lastEntry(const std::string &id) const
 {
     const auto entry = m_entries.find(id);
@@ -160,7 +169,7 @@
     m_graceEnd = {};
 }
 
-bool ServerDirectory::advance(TimePoint now)
+bool ServerDirectory::advance(TimePoint now, TimePoint readAt)
 {
     if (now >= m_graceEnd) {
         std::vector<std::string> lapsed;
@@ -175,18 +184,18 @@
     }
     if (now - m_reviewedAt >= ReviewInterval) {
         m_reviewedAt = now;
-        reviewPastServers(now);
+        reviewPastServers(now, readAt);
     }
     const bool changed = m_changed;
     m_changed = false;
     return changed;
 }
 
-void ServerDirectory::reviewPastServers(TimePoint now)
+void ServerDirectory::reviewPastServers(TimePoint now, TimePoint readAt)
 {
     std::map<std::string, ServerEntry> alive;
     for (const auto &[id, past] : m_past) {
-        if (past.oldEntry && now - past.oldEntry->seenAt >= m_silenceTimeout) {
+        if (past.oldEntry && readAt - past.oldEntry->seenAt >= m_silenceTimeout) {
             alive.emplace(id, past.oldEntry->entry);
         }
     }
--- a/src/snipevalve/gateway/server_directory_test.cpp
+++ b/src/snipevalve/gateway/server_directory_test.cpp
@@ -54,7 +54,7 @@
         if (each.comesBack) {
             directory.onEntry("a", entryOf("a", 2), Start + Milliseconds(2));
         }
-        directory.advance(Start + each.later);
+        directory.advance(Start + each.later, Start + each.later);
         CHECK(directory.serversOf("ledger").size() == each.left);
     }
 }
@@ -125,7 +125,17 @@
     };
     const auto after = [](Milliseconds time) {
         return [time](ServerDirectory &directory) {
-            directory.advance(Start + time);
+            directory.advance(Start + time, Start + time);
+        };
+    };
+    const auto unreadFor = [](Milliseconds time) {
+        return [time](ServerDirectory &directory) {
+            directory.advance(Start + time, Start);
+        };
+    };
+    const auto readAgainAfter = [](Milliseconds time) {
+        return [time](ServerDirectory &directory) {
+            directory.onReadAgain(Start + time);
         };
     };
     struct Case
@@ -184,6 +194,13 @@
         {"the same, but the store may still remove it",
          {ready(5), removed, ready(3), after(Silence - Milliseconds(1))},
          State::Absent},
+        {"the same, but the store can't be read", {ready(5), removed, ready(3), unreadFor(Silence)}, State::Absent},
+        {"the same, after an outage in which the store may have removed nothing",
+         {ready(5), removed, ready(3), readAgainAfter(Silence), after(2 * Silence - Milliseconds(1))},
+         State::Absent},
+        {"the same, and the store keeps it after the outage",
+         {ready(5), removed, ready(3), readAgainAfter(Silence), after(2 * Silence)},
+         State::Ready},
         {"an old entry that the store has removed",
          {ready(5), removed, ready(3), removed, after(Silence)},
          State::Absent},
@@ -217,7 +234,7 @@
         directory.onEntry(id, entryOf(id, 5), Start);
         directory.onRemoved(id, Start + Milliseconds(server));
     }
-    directory.advance(Start + Milliseconds(count));
+    directory.advance(Start + Milliseconds(count), Start);
     for (int server = 0; server < count; ++server) {
         const std::string id = std::to_string(server);
         directory.onEntry(id, entryOf(id, 3), Start);
@@ -229,13 +246,13 @@
 {
     ServerDirectory directory;
     directory.onEntry("a", entryOf("a", 1), Start);
-    CHECK(directory.advance(Start));
+    CHECK(directory.advance(Start, Start));
     ServerEntry warmer = entryOf("a", 2);
     warmer.server.warmupLeft = Milliseconds(500);
     directory.onEntry("a", warmer, Start);
-    CHECK_FALSE(directory.advance(Start));
+    CHECK_FALSE(directory.advance(Start, Start));
     directory.onEntry("a", entryOf("a", 3, 1, true), Start);
-    CHECK(directory.advance(Start));
+    CHECK(directory.advance(Start, Start));
 }
 
 TEST_CASE("the longest matching prefix among the host's routes is selected")
--- a/src/snipevalve/node/control/node_control.hpp
+++ b/src/snipevalve/node/control/node_control.hpp
@@ -612,6 +612,7 @@
             return m_ledServices.empty();
         };
         handlers.onRecovery = [this](Duration outage) {
+            m_directory.onReadAgain(Clock::now());
             if (outage >= MinLapsingOutage) {
                 m_directory.onStoreRecovered(Clock::now());
             }
@@ -893,7 +894,7 @@
 
     void advance()
     {
-        const bool serversChanged = m_directory.advance(Clock::now()) || m_viewsChanged;
+        const bool serversChanged = m_directory.advance(Clock::now(), m_serverWatcher.upToDateAt()) || m_viewsChanged;
         m_viewsChanged = false;
         std::vector<std::string> lost;
         for (auto &[service, leader] : m_ledServices) {
--- a/src/snipevalve/node/control/node_control_test.cpp
+++ b/src/snipevalve/node/control/node_control_test.cpp
@@ -1,5 +1,6 @@
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include <catch2/catch.hpp>
@@ -13,6 +14,7 @@
 
 constexpr std::uint16_t FirstPort = 18651; ///< each test listens on another one
 constexpr const char *Other = "127.0.0.1:9";
+constexpr const char *ServersPrefix = "servers/";
 
 /// The store's content and era, as the test sets them.
 struct StoreContent
@@ -23,6 +25,7 @@
     bool refusesPlans = false;
     std::map<std::string, StoredValue> values;
     int leaderWrites = 0;
+    int serverReads = 0; ///< answered watch calls
 
     void put(const std::string &key, const std::string &value)
     {
@@ -80,12 +83,13 @@
         co_return list;
     }
 
-    Awaitable<absl::StatusOr<StoreEvents>> watch(std::string, std::uint64_t revision, Milliseconds wait)
+    Awaitable<absl::StatusOr<StoreEvents>> watch(std::string prefix, std::uint64_t revision, Milliseconds wait)
     {
         const absl::Status status = co_await answer(wait);
         if (!status.ok()) {
             co_return status;
         }
+        content->serverReads += prefix == ServersPrefix ? 1 : 0;
         co_return StoreEvents{revision, {}};
     }
 
@@ -164,7 +168,7 @@
 
     static std::string serversPrefix()
     {
-        return "servers/";
+        return ServersPrefix;
     }
 
     /// The text names the services, each followed by a comma; those that begin with k are keyed.
@@ -240,13 +244,18 @@
         outputs.leaders = [this](std::map<std::string, Endpoint> announced) {
             leaders = std::move(announced);
         };
-        outputs.view = [](auto) {};
+        outputs.view = [this](ServiceView view) {
+            servers[view.service].clear();
+            for (const UpstreamServer &server : view.servers) {
+                servers[view.service].insert(server.id);
+            }
+        };
         outputs.requestConfig = [](auto) {};
         outputs.deputyConsent = [](auto) {};
         outputs.knownView = [](auto) {};
         outputs.readKnownViews = [](auto, auto) {};
-        outputs.needsViews = []() {
-            return false;
+        outputs.needsViews = [this]() {
+            return needsViews;
         };
         control = std::make_unique<NodeControl<FakePlatform>>(context.get_executor(), settings, outputs, 1);
         control->addTo(supervisor);
@@ -286,6 +295,8 @@
     Supervisor supervisor{context.get_executor(), "test", {}, []() {}};
     std::unique_ptr<NodeControl<FakePlatform>> control;
     std::map<std::string, Endpoint> leaders;
+    bool needsViews = false;
+    std::map<std::string, std::set<std::string>> servers; ///< by service: of the last view
 };
 
 std::string leaderText(const char *address)
@@ -374,4 +385,40 @@
     CHECK_FALSE(plan.unknownOwners.empty());
 }
 
+TEST_CASE("A removed server that a copy of the store still names is not used while the store can't be read")
+{
+    Fixture &host = *new Fixture; // never destroyed, as suspended coroutines refer to each other
+    const std::set<std::string> all = {"s1", "s2"};
+    const std::set<std::string> left = {"s2"};
+    host.settings.heartbeatInterval = Milliseconds(200);
+    host.needsViews = true;
+    host.store.put("config", "a,");
+    host.store.put("servers/s1", "a");
+    host.store.put("servers/s2", "a");
+    host.start();
+    host.runFor(Milliseconds(1'500));
+    REQUIRE(host.servers["a"] == all);
+
+    host.store.era = 2;
+    host.store.values.erase("servers/s1");
+    host.runFor(ServerDirectory::ReturnGrace + Milliseconds(1'000));
+    REQUIRE(host.servers["a"] == left);
+
+    host.store.era = 3;
+    host.store.put("servers/s1", "a");
+    host.runFor(Milliseconds(1'000));
+    REQUIRE(host.servers["a"] == left);
+    host.store.isAway = true;
+    host.runFor(Milliseconds(4'000)); // a store that answers would have removed the entry
+    CHECK(host.servers["a"] == left);
+    host.store.serverReads = 0;
+    host.store.isAway = false;
+    const TimePoint end = Clock::now() + Milliseconds(15'000);
+    while (host.servers["a"] != all && Clock::now() < end) {
+        host.runFor(Milliseconds(50));
+    }
+    CHECK(host.servers["a"] == all);
+    CHECK(host.store.serverReads >= 2); // after the first one, the store may still remove the entry
+}
+
 } // namespace snipevalve
