Log departures, pauses and ignored headers with the fields that were asked for

Lines named durations (leaving_for_ms, pause_left_ms, asked_ms) that an operator had to add to the line's time, an ignored header's line named no limit unless it was exceeded and only the first of repeated values, and a leader that was told by a host logged every departure as told_by=answer.

One place, server_notice_log, now writes the lines, escaped: servers: event=leaving server=... leaving since=... told_by=list|answer ... servers: event=paused server=... paused until=... asked=2000ms ... servers: event=invalid_header server=... header=... value=... limit=0..60s ... Hosts tell leaders which of the two told first.

--- a/include/snipevalve/gateway/server_notice.hpp
+++ b/include/snipevalve/gateway/server_notice.hpp
@@ -22,7 +22,8 @@
 {
     std::string name;
     std::string value;
-    std::string reason; ///< names the limit that the value exceeds
+    std::string limit; ///< what values are valid
+    std::string reason;
 };
 
 /// @brief A notice, and the headers that are not part of it because they are invalid.
--- a/src/snipevalve/dispatch_link/messages.cpp
+++ b/src/snipevalve/dispatch_link/messages.cpp
@@ -267,6 +267,7 @@
     message.set_incarnation(leaving.server.incarnation);
     const std::int64_t age = std::max<std::int64_t>(0, millisecondsBetween(leaving.since, now));
     message.set_age_ms(static_cast<std::uint32_t>(age));
+    message.set_told_by_list(leaving.source == LeavingSource::List);
     return message;
 }
 
@@ -274,7 +275,7 @@
 {
     return {message.service(),
             {message.id(), message.incarnation()},
-            LeavingSource::Answer,
+            message.told_by_list() ? LeavingSource::List : LeavingSource::Answer,
             now - Milliseconds(message.age_ms())};
 }
 
--- a/src/snipevalve/dispatch_link/messages_test.cpp
+++ b/src/snipevalve/dispatch_link/messages_test.cpp
@@ -132,4 +132,18 @@
     CHECK(parsed > Rounds / 10);
 }
 
+TEST_CASE("a departure reaches the leader with its time and with what told it", "[promise-6]")
+{
+    const TimePoint now{std::chrono::hours(1)};
+    for (const LeavingSource source : {LeavingSource::List, LeavingSource::Answer}) {
+        INFO(describe(source));
+        const LeavingServer received =
+            fromProto(toProto({"ledger", {"a", 7}, source, now - Milliseconds(300)}, now), now);
+        CHECK(received.service == "ledger");
+        CHECK(received.server == ServerIncarnation{"a", 7});
+        CHECK(received.source == source);
+        CHECK(received.since == now - Milliseconds(300));
+    }
+}
+
 } // namespace snipevalve
--- a/src/snipevalve/node/leader_dispatcher.cpp
+++ b/src/snipevalve/node/leader_dispatcher.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include "snipevalve/core/log_text.hpp"
+#include "snipevalve/gateway/server_notice_log.hpp"
 #include "snipevalve/net/log_failure.hpp"
 
 namespace snipevalve {
@@ -128,10 +129,7 @@
         return;
     }
     const TimePoint now = Clock::now();
-    spdlog::info("servers: event=leaving server={} service={} incarnation={} leaving_for_ms={} told_by={} host={}",
-                 escapeLogValue(leaving.server.id), escapeLogValue(leaving.service), leaving.server.incarnation,
-                 std::chrono::duration_cast<Milliseconds>(now - leaving.since).count(), describe(leaving.source),
-                 escapeLogValue(toldBy));
+    spdlog::info("{}", leavingLogText(leaving, wallTimeOf(leaving.since), toldBy));
     const auto led = m_ledServices.find(leaving.service);
     if (led != m_ledServices.end() && m_leaving.markIn(led->second.view.servers)) {
         led->second.dispatcher->setServers(led->second.view.servers, now);
--- a/src/snipevalve/node/placements.cpp
+++ b/src/snipevalve/node/placements.cpp
@@ -6,6 +6,7 @@
 #include <spdlog/spdlog.h>
 
 #include "snipevalve/core/log_text.hpp"
+#include "snipevalve/gateway/server_notice_log.hpp"
 
 namespace snipevalve {
 
@@ -247,8 +248,7 @@
     }
     m_servicesToReview.insert(service);
     const auto until = m_pauses.pausedUntil(server, now).value_or(now);
-    spdlog::info("servers: event=paused server={} service={} pause_left_ms={} asked_ms={}", escapeLogValue(server),
-                 escapeLogValue(service), std::chrono::duration_cast<Milliseconds>(until - now).count(), pause.count());
+    spdlog::info("{}", pauseLogText(service, server, wallTimeOf(until), pause));
 }
 
 void Placements::onServerNotice(const std::string &service, const UpstreamServer &server, const ServerNotice &notice)
@@ -257,9 +257,9 @@
     if (!notice.isLeaving || !addLeaving(service, server, LeavingSource::Answer)) {
         return;
     }
-    spdlog::info("servers: event=leaving server={} service={} incarnation={} leaving_for_ms=0 told_by={} host={}",
-                 escapeLogValue(server.id), escapeLogValue(service), server.incarnation,
-                 describe(LeavingSource::Answer), escapeLogValue(m_settings.host));
+    if (const LeavingServer *leaving = m_leaving.find(incarnationOf(server))) {
+        spdlog::info("{}", leavingLogText(*leaving, wallTimeOf(leaving->since), m_settings.host));
+    }
     if (LeaderLink *link = leaderLinkOf(service)) {
         tellLeaving(*link, service);
     }
--- a/src/snipevalve/node/request_runner.cpp
+++ b/src/snipevalve/node/request_runner.cpp
@@ -7,6 +7,7 @@
 
 #include "snipevalve/core/hash.hpp"
 #include "snipevalve/core/log_text.hpp"
+#include "snipevalve/gateway/server_notice_log.hpp"
 #include "snipevalve/net/message_head.hpp"
 #include "snipevalve/net/spawn.hpp"
 #include "snipevalve/node/attempt_timeout.hpp"
@@ -307,9 +308,7 @@
 void RequestRunner::logInvalidHeaders(const UpstreamServer &server, const ParsedServerNotice &notice) const
 {
     for (const InvalidHeader &header : notice.invalid) {
-        spdlog::warn("servers: event=invalid_header server={} header={} value={} reason=\"{}\"",
-                     escapeLogValue(server.id), header.name, escapeLogValue(header.value),
-                     escapeQuotedText(header.reason));
+        spdlog::warn("{}", invalidHeaderLogText(server.id, header));
     }
 }
 
--- a/tests/process/server_notice_test.cpp
+++ b/tests/process/server_notice_test.cpp
@@ -96,7 +96,11 @@
         }
         CHECK(arrivalsAt(deployment.platform, "debit-0") == before);
         CHECK(answered > 30); // a request takes about 20 ms
-        CHECK(deployment.logContains(otherHost, "event=leaving server=debit-0"));
+        CHECK(deployment.logContains(otherHost, "server=debit-0 leaving since=20"));
+        CHECK(deployment.logContains(otherHost, "told_by=answer service=debits"));
+        for (int host = 0; host < HostCount; ++host) {
+            CHECK_FALSE(deployment.logContains(host, "told_by=list")); // its entry has never said so
+        }
     }
 }
 
@@ -166,6 +170,9 @@
     CHECK(arrivalsAt(deployment.platform, "debit-0") <= before + HostCount); // one each, which was told of the pause
     CHECK(arrivalsAt(deployment.platform, "debit-0") > before);
     CHECK(sent.front() > 20);
+    for (int host = 0; host < HostCount; ++host) {
+        CHECK(deployment.logContains(host, "server=debit-0 paused until=20"));
+    }
     CHECK(refused == std::array<std::size_t, HostCount>{});
     std::this_thread::sleep_until(end);
     deployment.platform.crashServer("debit-1"); // so that the choice between the two does not matter
