--- a/tests/process/server_notice_test.cpp
+++ b/tests/process/server_notice_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <future>
 
 #include "process/node_deployment.hpp"
 
@@ -33,6 +34,19 @@
         StartTimeout);
 }
 
+/// Sends more requests at a time than one server has slots, so that the host gets connections to both servers. Without
+/// load a leader prefers the server that the host is connected to, even if the other one is faster.
+void connectToBothServers(NodeDeployment &deployment, int host)
+{
+    constexpr int Concurrent = 6;
+    std::vector<std::future<Answer>> answers;
+    for (int request = 0; request < Concurrent; ++request) {
+        answers.push_back(std::async(std::launch::async, [&deployment, host]() {
+            return deployment.sendRequest(host, "GET", "/v1/x");
+        }));
+    }
+}
+
 /// Sends requests until the leader has let each host use server debit-0.
 bool hasLeaderOnAllHosts(NodeDeployment &deployment)
 {
@@ -41,6 +55,7 @@
         hasLeader = hasLeader
             && deployment.waitUntil(
                 [&]() {
+                    connectToBothServers(deployment, host);
                     deployment.sendRequest(host, "GET", "/v1/x");
                     return deployment.logContains(host, "service=debits key=-1 server=debit-0 decided_by=leader");
                 },
@@ -96,7 +111,11 @@
         }
         CHECK(arrivalsAt(deployment.platform, "debit-0") == before);
         CHECK(answered > 30); // a request takes about 20 ms
-        CHECK(deployment.logContains(otherHost, "event=leaving server=debit-0"));
+        CHECK(deployment.logContains(otherHost, "server=debit-0 leaving since=20"));
+        CHECK(deployment.logContains(otherHost, "told_by=answer service=debits"));
+        for (int host = 0; host < HostCount; ++host) {
+            CHECK_FALSE(deployment.logContains(host, "told_by=list")); // its entry has never said so
+        }
     }
 }
 
@@ -166,6 +185,9 @@
     CHECK(arrivalsAt(deployment.platform, "debit-0") <= before + HostCount); // one each, which was told of the pause
     CHECK(arrivalsAt(deployment.platform, "debit-0") > before);
     CHECK(sent.front() > 20);
+    for (int host = 0; host < HostCount; ++host) {
+        CHECK(deployment.logContains(host, "server=debit-0 paused until=20"));
+    }
     CHECK(refused == std::array<std::size_t, HostCount>{});
     std::this_thread::sleep_until(end);
     deployment.platform.crashServer("debit-1"); // so that the choice between the two does not matter
