Notice test: connect each host to both servers before the case begins

The setup waits until the leader has let each host use debit-0.

Each step of the setup now sends six requests at once, more than one server has slots, so that the host is connected to both. What is waited for and checked is the same.

--- a/tests/process/node_deployment.hpp
+++ b/tests/process/node_deployment.hpp
@@ -1,6 +1,7 @@
 #ifndef SNIPEVALVE_PROCESS_NODE_DEPLOYMENT_HPP
 #define SNIPEVALVE_PROCESS_NODE_DEPLOYMENT_HPP
 
+#include <atomic>
 #include <filesystem>
 #include <fstream>
 #include <functional>
@@ -124,7 +125,7 @@
 private:
     std::string m_folder;
     std::uint8_t m_network;
-    int m_lastId = 0;
+    std::atomic<int> m_lastId = 0;
     std::map<int, Process> m_nodes;
 
 public:
--- a/tests/process/server_notice_test.cpp
+++ b/tests/process/server_notice_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <future>
 
 #include "process/node_deployment.hpp"
 
@@ -33,6 +34,19 @@
         StartTimeout);
 }
 
+/// Sends more requests at a time than one server has slots, so that the host gets connections to both servers. Without
+/// load a leader prefers the server that the host is connected to, even if the other one is faster.
+void connectToBothServers(NodeDeployment &deployment, int host)
+{
+    constexpr int Concurrent = 6;
+    std::vector<std::future<Answer>> answers;
+    for (int request = 0; request < Concurrent; ++request) {
+        answers.push_back(std::async(std::launch::async, [&deployment, host]() {
+            return deployment.sendRequest(host, "GET", "/v1/x");
+        }));
+    }
+}
+
 /// Sends requests until the leader has let each host use server debit-0.
 bool hasLeaderOnAllHosts(NodeDeployment &deployment)
 {
@@ -41,6 +55,7 @@
         hasLeader = hasLeader
             && deployment.waitUntil(
                 [&]() {
+                    connectToBothServers(deployment, host);
                     deployment.sendRequest(host, "GET", "/v1/x");
                     return deployment.logContains(host, "service=debits key=-1 server=debit-0 decided_by=leader");
                 },
