Separate inherited owners from the wait for all holds

Change: inheritOwners() for a complete plan, waitForAllHolds() for any other; named members instead of positions in the constructor. Behaviour as before.

--- a/include/snipevalve/ownership/detail/key_authority_impl.hpp
+++ b/include/snipevalve/ownership/detail/key_authority_impl.hpp
@@ -30,7 +30,7 @@
 
 template <typename Rules>
 BasicKeyAuthority<Rules>::BasicKeyAuthority(KeyPlan plan, KeyAuthorityTimes times, TimePoint now, bool noLongHolds)
-    : BasicKeyAuthority(PredecessorKnowledge{std::move(plan), true, Milliseconds(0), noLongHolds, 1}, times, now)
+    : BasicKeyAuthority(PredecessorKnowledge{.plan = std::move(plan), .noLongHolds = noLongHolds}, times, now)
 {
 }
 
@@ -48,24 +48,25 @@
     const TimePoint predecessorHoldEnd = now + activeFor + m_times.maxArrivalDelay + withClockDrift(longestHold);
     m_longHoldEnd = known.noLongHolds || isFirstTerm ? TimePoint() : predecessorHoldEnd;
     m_ownerChangesFrom = isFirstTerm || !Rules::DelayOwnerChanges ? TimePoint() : now + m_times.ownerChangeDelay;
-    inherit(known, predecessorHoldEnd);
+    if (known.isPlanComplete) {
+        inheritOwners(known.plan, predecessorHoldEnd);
+    } else {
+        waitForAllHolds(known.plan, predecessorHoldEnd);
+        confirmOwners(known.ownGrants);
+    }
     inheritLosses(known.plan.recentLosses, now);
-    fillGaps();
     m_plan = std::move(known.plan);
     m_plan.term = std::max(m_plan.term + 1, Rules::RaiseTermWithEra ? known.leastTerm : 1);
     m_plan.version = 0;
     m_plan.deputy = {};
 }
 
+/// The plan names every owner but those of `unknownOwners`.
 /// @param holdEnd every grant of earlier leaders has expired by then
 template <typename Rules>
-void BasicKeyAuthority<Rules>::inherit(const PredecessorKnowledge &known, TimePoint holdEnd)
+void BasicKeyAuthority<Rules>::inheritOwners(const KeyPlan &plan, TimePoint holdEnd)
 {
-    for (const PlannedRange &range : known.plan.ranges) {
-        if (!known.isPlanComplete) {
-            addUnknownOwner(range.keys, range.owner.id, holdEnd);
-            continue;
-        }
+    for (const PlannedRange &range : plan.ranges) {
         Segment segment;
         segment.keys = range.keys;
         segment.state = State::Granting;
@@ -74,20 +75,23 @@
         segment.inherited = true;
         m_segments.push_back(std::move(segment));
     }
-    for (const KeyRange &keys : known.plan.unknownOwners) {
+    for (const KeyRange &keys : plan.unknownOwners) {
         addUnknownOwner(keys, {}, holdEnd);
     }
     std::sort(m_segments.begin(), m_segments.end(), [](const Segment &left, const Segment &right) {
         return left.keys.from < right.keys.from;
     });
-    if (!known.isPlanComplete) {
-        fillGaps();
-        for (Segment &segment : m_segments) {
-            segment.state = State::Orphaned;
-            segment.released = true;
-            segment.holdEnd = holdEnd;
-        }
-        confirmOwners(known.ownGrants);
+    fillGaps();
+}
+
+/// Any server may own any key until `holdEnd`. The servers that the plan names are preferred as owners then.
+template <typename Rules>
+void BasicKeyAuthority<Rules>::waitForAllHolds(const KeyPlan &plan, TimePoint holdEnd)
+{
+    inheritOwners(plan, holdEnd);
+    for (Segment &segment : m_segments) {
+        segment.holdEnd = holdEnd;
+        forgetOwner(segment);
     }
 }
 
@@ -362,8 +366,7 @@
 }
 
 /// Updates a segment's state after its owner has restarted, left, returned or begun to drain, or its hold has expired.
-/// Grants for its previous run may reach a restarted server, so it stays the owner until it refuses them by the fence
-/// of a new grant.
+/// A restarted server stays the owner: grants for its previous run may reach it until it has seen a higher fence.
 template <typename Rules>
 void BasicKeyAuthority<Rules>::updateOwnerState(Segment &segment, TimePoint now)
 {
--- a/include/snipevalve/ownership/key_authority.hpp
+++ b/include/snipevalve/ownership/key_authority.hpp
@@ -288,7 +288,8 @@
     Duration withClockDrift(Milliseconds hold) const;
     const UpstreamServer *liveServer(const ServerIncarnation &life) const;
     std::uint64_t nextFence();
-    void inherit(const PredecessorKnowledge &known, TimePoint holdEnd);
+    void inheritOwners(const KeyPlan &plan, TimePoint holdEnd);
+    void waitForAllHolds(const KeyPlan &plan, TimePoint holdEnd);
     void addUnknownOwner(const KeyRange &keys, const std::string &nextOwner, TimePoint holdEnd);
     void confirmOwners(const RunningGrants &own);
     void updateConfirmation(Segment &segment, TimePoint now);
