--- a/include/snipevalve/node/node_settings.hpp
+++ b/include/snipevalve/node/node_settings.hpp
@@ -20,7 +20,8 @@
     std::string zone; ///< availability zone of this host
     Endpoint callers; ///< listening address for callers
     Endpoint readiness; ///< listening address for the load balancer's readiness checks
-    Endpoint control; ///< listening address for the other hosts
+    Endpoint control; ///< address at which the other hosts reach this one
+    Endpoint controlListen; ///< listening address for them; differs from `control` behind a relay
     std::vector<Endpoint> seeds; ///< control addresses of some hosts, to find the others; may be out of date
     Endpoint store; ///< address of the store
     double processorShare = 1.0; ///< CPU time that the process may use, in cores
--- a/src/snipevalve/node/control/node_control.hpp
+++ b/src/snipevalve/node/control/node_control.hpp
@@ -53,7 +53,7 @@
         , m_desk(executor, settings, seed)
         , m_lease(m_store, leaseTimes(settings))
         , m_consents(settings.run)
-        , m_acceptor(listenOn(executor, settings.control))
+        , m_acceptor(listenOn(executor, settings.controlListen))
     {
         m_desk.onKeyedAsk = [this](const std::string &service, std::uint16_t key, Seconds work) {
             const auto leader = m_ledServices.find(service);
--- a/src/snipevalve/node/control/node_control_test.cpp
+++ b/src/snipevalve/node/control/node_control_test.cpp
@@ -242,6 +242,7 @@
         settings.host = "self";
         settings.run = "self#1";
         settings.control = *parseEndpoint("127.0.0.1:" + std::to_string(unusedPort()));
+        settings.controlListen = settings.control;
         settings.isFirstStart = true;
     }
 
--- a/tests/soak/checks.cpp
+++ b/tests/soak/checks.cpp
@@ -39,13 +39,6 @@
     });
 }
 
-void checkOwners(const SoakRecords &records, Violations &violations)
-{
-    if (records.doubleOwners > 0) {
-        violations.push_back({"one owner", "", std::to_string(records.doubleOwners) + " keys had two owners"});
-    }
-}
-
 void checkRuns(const SoakRecords &records, Violations &violations)
 {
     std::map<std::string, int> runs;
@@ -295,7 +288,6 @@
 std::vector<Violation> findViolations(const SoakRecords &records, const SoakBounds &bounds)
 {
     Violations violations;
-    checkOwners(records, violations);
     checkRuns(records, violations);
     checkDrains(records, bounds, violations);
     checkAnnouncedDrains(records, bounds, violations);
--- a/tests/soak/checks_test.cpp
+++ b/tests/soak/checks_test.cpp
@@ -62,10 +62,6 @@
 TEST_CASE("each check finds a planted violation")
 {
     const std::vector<PlantedRecords> cases = {
-        {"two owners", "one owner",
-         [](SoakRecords &records) {
-             records.doubleOwners = 1;
-         }},
         {"a second run", "at most once",
          [](SoakRecords &records) {
              records.arrivals.push_back({"s0", "id1", "debits", at(10'200), true});
--- a/tests/soak/fault_proxy.cpp
+++ b/tests/soak/fault_proxy.cpp
@@ -1,5 +1,7 @@
 #include "soak/fault_proxy.hpp"
 
+#include <poll.h>
+
 #include <array>
 
 namespace snipevalve::soak {
@@ -87,8 +89,10 @@
 
 Awaitable<void> FaultProxy::serve(std::shared_ptr<RelayedConnection> connection)
 {
-    connection->isBlackholed = m_fault == ConnectionFault::Blackhole;
+    connection->isBlackholed = m_fault == ConnectionFault::Blackhole || isCut(true) || isCut(false);
     ErrorCode error;
+    connection->target.open(Tcp::v4(), error);
+    connection->target.bind({connection->client.remote_endpoint(error).address(), 0}, error);
     co_await connection->target.async_connect(toTcp(m_target), awaitInto(error));
     if (error) {
         resetSocket(connection->client);
@@ -106,6 +110,24 @@
         || (!toTarget && m_fault == ConnectionFault::BlockFromTarget);
 }
 
+bool FaultProxy::isCut(bool toTarget) const
+{
+    return m_fault == (toTarget ? ConnectionFault::CutToTarget : ConnectionFault::CutFromTarget);
+}
+
+/// Waits as TCP does: bytes that were sent during a cut arrive with the first retransmission after it.
+/// @return false when the sender has reset the connection, which discards what it has sent
+Awaitable<bool> FaultProxy::waitForRetransmission(Tcp::socket &sender, bool toTarget)
+{
+    constexpr Milliseconds FirstTimeout(200);
+    for (Milliseconds timeout = FirstTimeout; isCut(toTarget); timeout *= 2) {
+        co_await sleepFor(timeout);
+    }
+    pollfd state{sender.native_handle(), 0, 0};
+    ::poll(&state, 1, 0);
+    co_return (state.revents & POLLERR) == 0;
+}
+
 Awaitable<void> FaultProxy::relay(std::shared_ptr<RelayedConnection> connection, bool toTarget)
 {
     Tcp::socket &from = toTarget ? connection->client : connection->target;
@@ -123,7 +145,9 @@
         while (isBlocked(toTarget) && !connection->isBlackholed) {
             co_await sleepFor(BlockPollInterval);
         }
-        if (!connection->isBlackholed) {
+        if (!co_await waitForRetransmission(from, toTarget)) {
+            error = asio::error::connection_reset;
+        } else if (!connection->isBlackholed) {
             co_await asio::async_write(to, asio::buffer(bytes.data(), count), awaitInto(error));
         }
     }
--- a/tests/soak/fault_proxy.hpp
+++ b/tests/soak/fault_proxy.hpp
@@ -19,12 +19,17 @@
     Reset, ///< open connections are reset at once, new ones when they are accepted
     BlockToTarget, ///< bytes to the target are held back, bytes from it pass
     BlockFromTarget, ///< bytes from the target are held back, bytes to it pass
+    /// Bytes to the target are held back, also after the fault until TCP's next retransmission, and are lost if the
+    /// sender resets the connection. New connections are blackholed.
+    CutToTarget,
+    CutFromTarget, ///< the same for bytes from the target
     Blackhole, ///< bytes are dropped without closing; connections open during the fault stay blackholed
 };
 
 /// @brief A TCP proxy on loopback that injects faults into connections from outside the programs that use them.
 ///
-/// All work runs on the given context; setFault() may be called from any thread.
+/// It connects to the target from the caller's address, so the target can tell its callers apart. All work runs on the
+/// given context; setFault() may be called from any thread.
 class FaultProxy
 {
 public:
@@ -40,6 +45,8 @@
     Awaitable<void> serve(std::shared_ptr<RelayedConnection> connection);
     Awaitable<void> relay(std::shared_ptr<RelayedConnection> connection, bool toTarget);
     bool isBlocked(bool toTarget) const;
+    bool isCut(bool toTarget) const;
+    Awaitable<bool> waitForRetransmission(Tcp::socket &sender, bool toTarget);
 
     asio::io_context &m_context;
     Endpoint m_listen;
--- a/tests/soak/records.hpp
+++ b/tests/soak/records.hpp
@@ -59,7 +59,6 @@
     std::map<ServerIncarnation, TimePoint> drained; ///< by run of a server: when its drain began
     std::map<std::uint64_t, TimePoint> configured; ///< by version: when the store acknowledged it
     std::map<std::size_t, std::vector<TimePoint>> starts; ///< of each node
-    int doubleOwners = 0; ///< keys with two owners, as counted by the servers
     TimePoint healedAt; ///< when the last fault ended
     TimePoint endedAt;
 };
--- a/tests/soak/schedule.cpp
+++ b/tests/soak/schedule.cpp
@@ -9,12 +9,38 @@
 namespace {
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(FaultKind::LastKind) + 1> Names = {
-    "kill node",           "stop node",         "freeze node",    "reload node",
-    "delay store",         "reset store",       "block to store", "block from store",
-    "blackhole store",     "store unavailable", "store slow",     "store drops responses",
-    "store loses history", "delay server",      "reset server",   "blackhole server",
-    "crash server",        "drain server",      "late grants",    "wrong server responses",
-    "change config",       "restore store"};
+    "kill node",
+    "stop node",
+    "freeze node",
+    "reload node",
+    "delay store",
+    "reset store",
+    "block to store",
+    "block from store",
+    "blackhole store",
+    "store unavailable",
+    "store slow",
+    "store drops responses",
+    "store loses history",
+    "delay server",
+    "reset server",
+    "blackhole server",
+    "crash server",
+    "drain server",
+    "late grants",
+    "wrong server responses",
+    "change config",
+    "restore store",
+    "slow node",
+    "busy machine",
+    "delay links",
+    "reset links",
+    "cut links to node",
+    "cut links from node",
+    "cut to server",
+    "cut from server",
+    "cut server from store",
+    "freeze server"};
 
 /// SplitMix64 (Steele, Lea, Flood, 2014), since the standard library's distributions differ between implementations.
 class SplitMix64
@@ -39,12 +65,12 @@
 };
 
 /// Each seed uses a subset of the kinds (swarm testing, Groce et al., 2012): with all of them at once no node would be
-/// undisturbed for long enough for its bounds to apply. Configuration changes are always included.
-std::vector<FaultKind> selectKinds(SplitMix64 &random)
+/// undisturbed for long enough for its bounds to apply.
+std::vector<FaultKind> selectKinds(SplitMix64 &random, FaultKind first, FaultKind last)
 {
     constexpr std::uint64_t OneIn = 3;
-    std::vector<FaultKind> kinds = {FaultKind::ChangeConfig};
-    for (std::size_t kind = 0; kind < static_cast<std::size_t>(FaultKind::RestoreStore); ++kind) {
+    std::vector<FaultKind> kinds;
+    for (auto kind = static_cast<std::size_t>(first); kind <= static_cast<std::size_t>(last); ++kind) {
         if (random.below(OneIn) == 0) {
             kinds.push_back(static_cast<FaultKind>(kind));
         }
@@ -76,19 +102,15 @@
         fault.copyAge = Milliseconds(YoungestMs + random.below(OldestMs - YoungestMs));
         faults.push_back(fault);
     }
-    std::stable_sort(faults.begin(), faults.end(), [](const Fault &left, const Fault &right) {
-        return left.at < right.at;
-    });
 }
 
-std::vector<Fault> drawFaults(std::uint64_t seed, Milliseconds length)
+/// @param kinds what is drawn from
+std::vector<Fault> drawFaults(SplitMix64 &random, const std::vector<FaultKind> &kinds, Milliseconds length)
 {
     constexpr std::uint64_t MeanGapMs = 1'200;
     constexpr std::uint64_t LongestMs = 5'000;
     constexpr std::uint64_t ShortestMs = 200;
     constexpr std::uint64_t Targets = 1'000;
-    SplitMix64 random(seed);
-    const std::vector<FaultKind> kinds = selectKinds(random);
     std::vector<Fault> faults;
     Milliseconds at(0);
     while (true) {
@@ -133,8 +155,21 @@
 
 std::vector<Fault> makeSchedule(std::uint64_t seed, Milliseconds length)
 {
-    std::vector<Fault> faults = drawFaults(seed, length);
+    SplitMix64 random(seed);
+    std::vector<FaultKind> kinds = selectKinds(random, FaultKind::KillNode, FaultKind::ChangeConfig);
+    kinds.insert(kinds.begin(), FaultKind::ChangeConfig); // in each seed
+    std::vector<Fault> faults = drawFaults(random, kinds, length);
     addRestores(seed, length, faults);
+    // Drawn apart from the other faults, which are those that the seed had before there were these kinds.
+    constexpr std::uint64_t Stream = 5;
+    SplitMix64 more(seed ^ Stream);
+    kinds = selectKinds(more, FaultKind::SlowNode, FaultKind::LastKind);
+    kinds.push_back(FaultKind::CutToServer);
+    const std::vector<Fault> processFaults = drawFaults(more, kinds, length);
+    faults.insert(faults.end(), processFaults.begin(), processFaults.end());
+    std::stable_sort(faults.begin(), faults.end(), [](const Fault &left, const Fault &right) {
+        return left.at < right.at;
+    });
     return faults;
 }
 
--- a/tests/soak/schedule.hpp
+++ b/tests/soak/schedule.hpp
@@ -33,7 +33,17 @@
     WrongServerResponses, ///< a response of another request, without a stamp, truncated or encoded
     ChangeConfig, ///< adds a route
     RestoreStore, ///< the store is away for the duration and comes back from a copy
-    LastKind = RestoreStore,
+    SlowNode, ///< it runs for a fifth of the time
+    BusyMachine, ///< other work takes all cores
+    DelayLinks, ///< this and the next three: the connections of other nodes to one node
+    ResetLinks,
+    CutLinksToNode,
+    CutLinksFromNode,
+    CutToServer, ///< this and the next one: the connections of all nodes to one server, in one direction
+    CutFromServer,
+    CutServerFromStore, ///< requests still reach it
+    FreezeServer, ///< SIGSTOP for the duration
+    LastKind = FreezeServer,
 };
 
 std::string_view describe(FaultKind kind);
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -19,8 +19,8 @@
     R"(snipevalve-soak runs real nodes as processes, injects faults from outside them and checks the guarantees.
 
 Usage:
-  snipevalve-soak --list=FILE [--network=N] [--binaries=DIR] [--folder=DIR]
-  snipevalve-soak [--seed=N] [--seeds=N] [--minutes=M] [--seconds=S] [--scale=N] [--network=N] [--binaries=DIR] [--folder=DIR]
+  snipevalve-soak --list=FILE [options]
+  snipevalve-soak [options]
   snipevalve-soak --help
 
 Options:
@@ -31,6 +31,8 @@
   --scale=N       Multiplier for the four nodes and nine servers. [default: 1]
   --network=N     Second octet of all addresses; concurrent runs need different ones. [default: 60]
   --binaries=DIR  Folder of the programs. [default: build/bin]
+  --node=DIR      Folder of the nodes' program, if it is that of another build.
+  --direct-links  Without proxies between nodes, which earlier builds can't be told of.
   --folder=DIR    For settings and logs, one folder per seed; those of seeds without a finding are removed.
                   [default: /tmp/snipevalve-soak]
   --list=FILE     Run the seeds at the start of the lines of this file.
@@ -124,7 +126,10 @@
     options.keyedServers *= static_cast<unsigned>(scale);
     options.poolServers *= static_cast<unsigned>(scale);
     options.traffic = std::chrono::seconds(parseNumber(arguments, "--seconds"));
-    options.binaries = arguments.at("--binaries").asString();
+    options.serverBinaries = arguments.at("--binaries").asString();
+    const docopt::value &node = arguments.at("--node");
+    options.binaries = node.isString() ? node.asString() : options.serverBinaries;
+    options.proxiesLinks = !arguments.at("--direct-links").asBool();
     std::vector<std::uint64_t> seeds;
     if (arguments.at("--list").isString()) {
         seeds = readSeeds(arguments.at("--list").asString());
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -13,8 +13,13 @@
 namespace {
 
 constexpr unsigned NodeSubnet = 1; ///< third octet of the addresses
-constexpr unsigned ServerProxySubnet = 7;
 constexpr unsigned StoreProxySubnet = 8;
+constexpr unsigned LinkProxySubnet = 10;
+constexpr unsigned ServerSubnet = 100; ///< this and the next ones
+constexpr unsigned ServerProxySubnet = 130;
+constexpr unsigned ServerStoreProxySubnet = 160;
+constexpr unsigned HostsPerSubnet = 200;
+constexpr std::uint16_t ServerPort = 8080;
 constexpr std::uint16_t ProxyPort = 8700;
 constexpr unsigned ConnectionsPerNode = 4;
 constexpr Milliseconds PollInterval(10);
@@ -56,6 +61,13 @@
 SoakRun::~SoakRun()
 {
     m_callers.reset();
+    m_isStopping = true;
+    for (std::thread &thread : m_busyThreads) {
+        thread.join();
+    }
+    for (Server &server : m_servers) {
+        server.process.reset();
+    }
     for (Node &node : m_nodes) {
         node.process.reset(); // kills the process by its id
     }
@@ -65,7 +77,8 @@
 
 std::string SoakRun::addressOf(unsigned subnet, unsigned host) const
 {
-    return "127." + std::to_string(m_options.network) + "." + std::to_string(subnet) + "." + std::to_string(host + 1);
+    return "127." + std::to_string(m_options.network) + "." + std::to_string(subnet + host / HostsPerSubnet) + "."
+        + std::to_string(host % HostsPerSubnet + 1);
 }
 
 void SoakRun::addNode(unsigned number)
@@ -75,7 +88,13 @@
     const Endpoint proxy{addressOf(StoreProxySubnet, number), ProxyPort};
     node.storeProxy = std::make_unique<FaultProxy>(m_proxies, proxy, m_platform.storeEndpoint());
     node.settings = m_options.folder + "/node-" + std::to_string(number) + ".toml";
-    standins::writeNodeSettings(node.settings, "node-" + std::to_string(number), node.address, proxy);
+    std::optional<Endpoint> linkProxy;
+    if (m_options.proxiesLinks) {
+        linkProxy = Endpoint{addressOf(LinkProxySubnet, number), ProxyPort};
+        node.linkProxy =
+            std::make_unique<FaultProxy>(m_proxies, *linkProxy, Endpoint{node.address, standins::NodeControlPort});
+    }
+    standins::writeNodeSettings(node.settings, "node-" + std::to_string(number), node.address, proxy, linkProxy);
 }
 
 void SoakRun::startNode(std::size_t number)
@@ -90,14 +109,43 @@
 
 void SoakRun::addServer(const std::string &service)
 {
-    Server server;
-    server.id = service + "-" + std::to_string(m_servers.size());
+    Server &server = m_servers.emplace_back();
+    server.number = static_cast<unsigned>(m_servers.size() - 1);
+    server.id = service + "-" + std::to_string(server.number);
     server.service = service;
-    const Endpoint proxy{addressOf(ServerProxySubnet, static_cast<unsigned>(m_servers.size())), ProxyPort};
-    server.proxy = std::make_unique<FaultProxy>(m_proxies, proxy, m_platform.nextServerEndpoint());
-    const bool isKeyed = service == "ledger";
-    m_platform.addServer(server.id, service, isKeyed, isKeyed ? KeyedServiceTime : PoolServiceTime, proxy);
-    m_servers.push_back(std::move(server));
+    const Endpoint listen{addressOf(ServerSubnet, server.number), ServerPort};
+    const Endpoint proxy{addressOf(ServerProxySubnet, server.number), ProxyPort};
+    const Endpoint store{addressOf(ServerStoreProxySubnet, server.number), ProxyPort};
+    server.proxy = std::make_unique<FaultProxy>(m_proxies, proxy, listen);
+    server.storeProxy = std::make_unique<FaultProxy>(m_proxies, store, m_platform.storeEndpoint());
+    startServer(server);
+}
+
+/// Half of the servers have clocks that run 2 % slow. The time of day of a third of them is set back and forth by
+/// seconds between two starts.
+void SoakRun::startServer(Server &server)
+{
+    const bool isKeyed = server.service == "ledger";
+    const std::string name = m_options.folder + "/" + server.id + "-" + std::to_string(server.starts.size());
+    const bool isSlow = server.number % 2 == 0;
+    const bool isStepped = server.number % 3 == 0;
+    const int step = isStepped && server.starts.size() % 2 == 1 ? -5'000 : 0;
+    std::vector<std::string> arguments = {
+        "--id=" + server.id,
+        "--service=" + server.service,
+        "--listen=" + addressOf(ServerSubnet, server.number) + ":" + std::to_string(ServerPort),
+        "--registered-as=" + toString(server.proxy->endpoint()),
+        "--store=" + toString(server.storeProxy->endpoint()),
+        "--record=" + name + ".record",
+        "--service-ms=" + std::to_string((isKeyed ? KeyedServiceTime : PoolServiceTime).count()),
+        std::string("--clock-rate=") + (isSlow ? "0.98" : "1"),
+        "--clock-step-ms=" + std::to_string(step)};
+    if (isKeyed) {
+        arguments.emplace_back("--keyed");
+    }
+    std::filesystem::remove(name + ".record"); // of an earlier run in the same folder
+    server.process.emplace(m_options.serverBinaries + "/standin-upstream", arguments, name + ".log");
+    server.starts.push_back({name + ".record"});
 }
 
 void SoakRun::runAfter(Milliseconds after, std::function<void()> action)
@@ -139,8 +187,18 @@
     case FaultKind::BlockToStore:
     case FaultKind::BlockFromStore:
     case FaultKind::BlackholeStore:
+    case FaultKind::SlowNode:
         injectNodeFault(fault, node);
         break;
+    case FaultKind::BusyMachine:
+        occupyCores(fault.duration);
+        break;
+    case FaultKind::DelayLinks:
+    case FaultKind::ResetLinks:
+    case FaultKind::CutLinksToNode:
+    case FaultKind::CutLinksFromNode:
+        injectLinkFault(fault, node);
+        break;
     case FaultKind::StoreUnavailable:
     case FaultKind::StoreSlow:
     case FaultKind::StoreDropsResponses:
@@ -187,12 +245,17 @@
     case FaultKind::FreezeNode:
         recordDisturbance(number, fault.duration, false);
         node.process->freeze();
-        runAfter(fault.duration, [&node]() {
+        runAfter(fault.duration, [this, &node]() {
             if (node.process) {
+                m_grantExcuses.push_back({Clock::now(), node.address, {}});
                 node.process->resume();
             }
         });
         break;
+    case FaultKind::SlowNode:
+        recordDisturbance(number, fault.duration, false);
+        slowNode(node, Clock::now() + fault.duration);
+        break;
     case FaultKind::ReloadNode:
         ::kill(node.process->pid(), SIGHUP);
         break;
@@ -250,50 +313,155 @@
     (*poll)(Clock::now() + Grace);
 }
 
+/// The node runs for 20 ms of each 100 ms.
+void SoakRun::slowNode(Node &node, TimePoint end)
+{
+    constexpr Milliseconds Stopped(80);
+    constexpr Milliseconds Running(20);
+    if (!node.process || node.process->isFrozen() || Clock::now() >= end) {
+        return;
+    }
+    node.process->freeze();
+    runAfter(Stopped, [this, &node, end]() {
+        if (node.process) {
+            node.process->resume();
+        }
+        runAfter(Running, [this, &node, end]() {
+            slowNode(node, end);
+        });
+    });
+}
+
+void SoakRun::occupyCores(Milliseconds time)
+{
+    constexpr unsigned MaxThreads = 64; ///< of all faults of this kind
+    recordDisturbance(Disturbance::All, time, false);
+    const TimePoint end = Clock::now() + time;
+    const unsigned cores = std::max(1U, std::thread::hardware_concurrency());
+    for (unsigned core = 0; core < cores && m_busyThreads.size() < MaxThreads; ++core) {
+        m_busyThreads.emplace_back([this, end]() {
+            while (Clock::now() < end && !m_isStopping) {
+            }
+        });
+    }
+}
+
+void SoakRun::injectLinkFault(const Fault &fault, std::size_t number)
+{
+    FaultProxy *proxy = m_nodes[number].linkProxy.get();
+    if (proxy == nullptr) {
+        return;
+    }
+    ConnectionFault link = ConnectionFault::Delay;
+    link = fault.kind == FaultKind::ResetLinks ? ConnectionFault::Reset : link;
+    link = fault.kind == FaultKind::CutLinksToNode ? ConnectionFault::CutToTarget : link;
+    link = fault.kind == FaultKind::CutLinksFromNode ? ConnectionFault::CutFromTarget : link;
+    // Any node may have its leader behind this link.
+    recordDisturbance(Disturbance::All, fault.duration, false);
+    proxy->setFault(link);
+    runAfter(fault.duration, [proxy]() {
+        proxy->setFault(ConnectionFault::None);
+    });
+}
+
+void SoakRun::crashServer(Server &server, Milliseconds time)
+{
+    if (!server.process) {
+        return;
+    }
+    recordDisturbance(Disturbance::All, time, false, true);
+    server.process->kill();
+    server.process.reset();
+    server.starts.back().endedAt = Clock::now();
+    runAfter(time, [this, &server]() {
+        startServer(server);
+    });
+}
+
+void SoakRun::freezeServer(Server &server, Milliseconds time)
+{
+    if (!server.process || server.process->isFrozen()) {
+        return;
+    }
+    recordDisturbance(Disturbance::All, time, false, true);
+    server.process->freeze();
+    runAfter(time, [this, &server]() {
+        if (server.process) {
+            m_grantExcuses.push_back({Clock::now(), {}, server.id, true});
+            server.process->resume();
+        }
+    });
+}
+
+/// @param service empty for all
+void SoakRun::signalServers(const std::string &service, int signal)
+{
+    for (const Server &server : m_servers) {
+        if (server.process && (service.empty() || server.service == service)) {
+            ::kill(server.process->pid(), signal);
+        }
+    }
+}
+
 void SoakRun::injectServerFault(const Fault &fault, Server &server)
 {
-    const auto setConnectionFault = [&](ConnectionFault link) {
+    const auto setConnectionFault = [&](FaultProxy *proxy, ConnectionFault link) {
         recordDisturbance(Disturbance::All, fault.duration, false, true);
-        FaultProxy *proxy = server.proxy.get();
         proxy->setFault(link);
-        runAfter(fault.duration, [proxy]() {
+        runAfter(fault.duration, [this, proxy, id = server.id]() {
             proxy->setFault(ConnectionFault::None);
+            m_grantExcuses.push_back({Clock::now(), {}, id});
         });
     };
     switch (fault.kind) {
     case FaultKind::DelayServer:
-        setConnectionFault(ConnectionFault::Delay);
+        setConnectionFault(server.proxy.get(), ConnectionFault::Delay);
         break;
     case FaultKind::ResetServer:
-        setConnectionFault(ConnectionFault::Reset);
+        setConnectionFault(server.proxy.get(), ConnectionFault::Reset);
         break;
     case FaultKind::BlackholeServer:
-        setConnectionFault(ConnectionFault::Blackhole);
+        setConnectionFault(server.proxy.get(), ConnectionFault::Blackhole);
         break;
+    case FaultKind::CutToServer:
+        setConnectionFault(server.proxy.get(), ConnectionFault::CutToTarget);
+        break;
+    case FaultKind::CutFromServer:
+        setConnectionFault(server.proxy.get(), ConnectionFault::CutFromTarget);
+        break;
+    case FaultKind::CutServerFromStore:
+        setConnectionFault(server.storeProxy.get(), ConnectionFault::Blackhole);
+        break;
+    default:
+        injectServerProcessFault(fault, server);
+    }
+}
+
+void SoakRun::injectServerProcessFault(const Fault &fault, Server &server)
+{
+    switch (fault.kind) {
     case FaultKind::CrashServer:
-        recordDisturbance(Disturbance::All, fault.duration, false, true);
-        m_platform.crashServer(server.id);
-        runAfter(fault.duration, [this, id = server.id]() {
-            m_platform.restartServer(id);
-        });
+        crashServer(server, fault.duration);
+        break;
+    case FaultKind::FreezeServer:
+        freezeServer(server, fault.duration);
         break;
     case FaultKind::DrainServer: {
-        constexpr std::size_t MaxServers = 200;
-        if (m_servers.size() >= MaxServers) {
+        constexpr std::size_t MaxServers = 500;
+        if (!server.process || m_servers.size() >= MaxServers) {
             return;
         }
-        const TimePoint now = Clock::now();
-        const std::optional<std::int64_t> run = m_platform.drainServer(server.id);
-        const bool isNewDrain = run && m_records.drained.try_emplace({server.id, *run}, now).second;
-        if (isNewDrain) {
+        server.process->terminate();
+        if (!server.starts.back().drainedAt) {
+            server.starts.back().drainedAt = Clock::now();
             addServer(std::string(server.service));
         }
         break;
     }
     case FaultKind::LateGrants:
-        m_platform.setLateOrders(true);
+        signalServers({}, SIGUSR1);
         runAfter(fault.duration, [this]() {
-            m_platform.setLateOrders(false);
+            signalServers({}, SIGUSR2);
         });
         break;
     default: {
@@ -301,9 +469,9 @@
         constexpr std::array<ServerFault, 4> Kinds = {ServerFault::OtherId, ServerFault::NoStamp, ServerFault::CutShort,
                                                       ServerFault::Encoded};
         recordDisturbance(Disturbance::All, fault.duration, false, true);
-        m_platform.setFault(server.service, Kinds[fault.target % Kinds.size()]);
+        signalServers(server.service, SIGRTMIN + static_cast<int>(Kinds[fault.target % Kinds.size()]));
         runAfter(fault.duration, [this, service = server.service]() {
-            m_platform.setFault(service, ServerFault::None);
+            signalServers(service, SIGRTMIN + static_cast<int>(ServerFault::None));
         });
     }
     }
@@ -399,11 +567,33 @@
 {
     m_records.requests = callers.stop();
     m_records.endedAt = Clock::now();
-    for (const standins::RequestArrival &arrival : m_platform.arrivals()) {
-        m_records.arrivals.push_back({arrival.server, arrival.requestId, arrival.service, arrival.at, arrival.ran,
-                                      arrival.serverStart, arrival.announcesLeaving, arrival.pause});
+    collectServers();
+}
+
+void SoakRun::collectServers()
+{
+    for (const Server &server : m_servers) {
+        for (const ServerStart &start : server.starts) {
+            ServerRun run{standins::readServerRecord(start.record, server.id, server.service),
+                          std::min(start.endedAt, m_records.endedAt)};
+            for (const standins::ServerEvent &event : run.record.events) {
+                if (const auto *begin = std::get_if<standins::StartEvent>(&event);
+                    begin != nullptr && start.drainedAt) {
+                    m_records.drained.try_emplace({server.id, begin->serverStart}, *start.drainedAt);
+                }
+                if (const auto *arrival = std::get_if<standins::RequestArrival>(&event)) {
+                    m_records.arrivals.push_back({arrival->server, arrival->requestId, arrival->service, arrival->at,
+                                                  arrival->ran, arrival->serverStart, arrival->announcesLeaving,
+                                                  arrival->pause});
+                }
+            }
+            m_serverRuns.push_back(std::move(run));
+        }
     }
-    m_records.doubleOwners = m_platform.ownershipBreaches();
+    std::stable_sort(m_records.arrivals.begin(), m_records.arrivals.end(),
+                     [](const ServerRecord &left, const ServerRecord &right) {
+                         return left.at < right.at;
+                     });
 }
 
 SoakResult SoakRun::run()
@@ -427,6 +617,8 @@
     collect(*m_callers);
     const std::vector<Violation> found = findViolations(m_records, SoakBounds());
     result.violations.insert(result.violations.end(), found.begin(), found.end());
+    const std::vector<Violation> holds = findHoldViolations(m_serverRuns, m_grantExcuses, HoldBounds());
+    result.violations.insert(result.violations.end(), holds.begin(), holds.end());
     result.violations.insert(result.violations.end(), m_processViolations.begin(), m_processViolations.end());
     constexpr unsigned Ok = 200;
     result.requests = m_records.requests.size();
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -1,6 +1,8 @@
 #ifndef SNIPEVALVE_SOAK_SOAK_RUN_HPP
 #define SNIPEVALVE_SOAK_SOAK_RUN_HPP
 
+#include <atomic>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -10,6 +12,7 @@
 
 #include "soak/checks.hpp"
 #include "soak/fault_proxy.hpp"
+#include "soak/hold_checks.hpp"
 #include "soak/schedule.hpp"
 #include "soak/soak_callers.hpp"
 #include "standins/platform_standin.hpp"
@@ -26,8 +29,10 @@
     unsigned keyedServers = 5;
     unsigned poolServers = 4;
     Milliseconds traffic{12'000}; ///< duration of the traffic with faults
-    std::string binaries; ///< folder of the programs
-    std::string folder; ///< for settings and logs
+    std::string binaries; ///< folder of the nodes' program
+    std::string serverBinaries; ///< folder of the servers' program
+    std::string folder; ///< for settings, logs and records
+    bool proxiesLinks = true; ///< connections between nodes lead through proxies, too
 };
 
 /// @brief The result of one run.
@@ -58,15 +63,27 @@
         std::string settings;
         std::optional<standins::Process> process;
         std::unique_ptr<FaultProxy> storeProxy;
+        std::unique_ptr<FaultProxy> linkProxy; ///< for the connections of other nodes
         unsigned startCount = 0;
         bool isStopping = false;
     };
 
+    struct ServerStart
+    {
+        std::string record; ///< path
+        TimePoint endedAt = TimePoint::max();
+        std::optional<TimePoint> drainedAt;
+    };
+
     struct Server
     {
         std::string id;
         std::string service;
+        unsigned number = 0;
+        std::optional<standins::Process> process; ///< empty while it has crashed
         std::unique_ptr<FaultProxy> proxy;
+        std::unique_ptr<FaultProxy> storeProxy;
+        std::vector<ServerStart> starts;
     };
 
     /// An action scheduled for a time, such as the end of a fault.
@@ -79,11 +96,19 @@
     void addNode(unsigned number);
     void startNode(std::size_t number);
     void addServer(const std::string &service);
+    void startServer(Server &server);
+    void crashServer(Server &server, Milliseconds time);
+    void signalServers(const std::string &service, int signal);
+    void freezeServer(Server &server, Milliseconds time);
+    void slowNode(Node &node, TimePoint end);
+    void occupyCores(Milliseconds time);
     bool waitUntilServed();
     void injectFaults(const std::vector<Fault> &schedule);
     void inject(const Fault &fault);
     void injectNodeFault(const Fault &fault, std::size_t number);
+    void injectLinkFault(const Fault &fault, std::size_t number);
     void injectServerFault(const Fault &fault, Server &server);
+    void injectServerProcessFault(const Fault &fault, Server &server);
     void injectStoreFault(const Fault &fault);
     void stopNode(std::size_t number);
     void restartExitedNodes();
@@ -92,6 +117,7 @@
     void recordDisturbance(std::size_t node, Milliseconds time, bool planned, bool serversOnly = false);
     Milliseconds waitUntilRecovered(SoakCallers &callers);
     void collect(SoakCallers &callers);
+    void collectServers();
     std::string addressOf(unsigned subnet, unsigned host) const;
 
     SoakOptions m_options;
@@ -100,12 +126,16 @@
     asio::executor_work_guard<asio::io_context::executor_type> m_proxiesWork;
     std::thread m_proxyThread;
     std::vector<Node> m_nodes;
-    std::vector<Server> m_servers;
+    std::deque<Server> m_servers; ///< scheduled actions refer to them
+    std::vector<std::thread> m_busyThreads;
+    std::atomic<bool> m_isStopping = false;
     std::vector<Task> m_tasks;
     std::unique_ptr<SoakCallers> m_callers;
     std::uint64_t m_version = 2;
     std::uint64_t m_extraRoutes = 0;
     SoakRecords m_records;
+    std::vector<ServerRun> m_serverRuns;
+    std::vector<GrantExcuse> m_grantExcuses;
     std::vector<Violation> m_processViolations; ///< processes that exited unexpectedly or did not stop in time
 };
 
--- a/tests/standins/node_settings_file.cpp
+++ b/tests/standins/node_settings_file.cpp
@@ -5,14 +5,15 @@
 namespace snipevalve::standins {
 
 void writeNodeSettings(const std::string &path, const std::string &node, const std::string &address,
-                       const Endpoint &store)
+                       const Endpoint &store, const std::optional<Endpoint> &controlProxy)
 {
+    const Endpoint control{address, NodeControlPort};
     std::ofstream file(path);
     file << "node = \"" << node << "\"\nip = \"" << address
          << "\"\nzone = \"z\"\nseeds = []\nheartbeat_ms = 200\nbootstrap = true\n"
          << "bounds = [\"grace_s=6\",\"retry_budget_slack=60\",\"hold_max_ms=10000\"]\n[listen]\nfront = \"" << address
          << ":" << NodeCallersPort << "\"\nready = \"" << address << ":" << NodeReadinessPort << "\"\ncontrol = \""
-         << address << ":" << NodeControlPort << "\"\n"
+         << toString(controlProxy.value_or(control)) << "\"\n[bind]\ncontrol = \"" << toString(control) << "\"\n"
          << "[limits]\ncpu_share = 1.0\ncores = 1\nmemory_mb = 260\nmax_fds = 1000\n[platform]\naddress = \""
          << toString(store) << "\"\nttl_min_ms = 1000\n";
 }
--- a/tests/standins/node_settings_file.hpp
+++ b/tests/standins/node_settings_file.hpp
@@ -2,6 +2,7 @@
 #define SNIPEVALVE_STANDINS_NODE_SETTINGS_FILE_HPP
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "snipevalve/net/endpoint.hpp"
@@ -13,8 +14,9 @@
 constexpr std::uint16_t NodeControlPort = 8649;
 
 /// @brief Writes a node's settings file with the content that the platform would provide.
+/// @param controlProxy the address at which the other nodes reach this one, if it is that of a proxy
 void writeNodeSettings(const std::string &path, const std::string &node, const std::string &address,
-                       const Endpoint &store);
+                       const Endpoint &store, const std::optional<Endpoint> &controlProxy = std::nullopt);
 
 /// @brief Returns a small operators' configuration: the keyed service `ledger` at /k/ and the pool `debits` at /p/.
 /// @param version number of the configuration's version, which is written as `rN`
--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -9,23 +9,13 @@
 constexpr const char *ConfigKey = "op/config";
 constexpr std::uint16_t StorePort = 8642;
 constexpr std::uint16_t ServerPort = 8080;
-constexpr Milliseconds EntryRenewalInterval(200);
 constexpr Milliseconds PollInterval(5);
-/// Grants and their conflicts are tracked only for keys that are multiples of this; the tests use only such keys.
-constexpr std::uint32_t SampleStep = 64;
-constexpr std::uint32_t KeyCount = 65536;
 constexpr std::chrono::seconds HistoryRetention(20);
 constexpr Milliseconds CopyInterval(100);
 constexpr std::chrono::seconds CopyRetention(20);
-/// An entry is removed after three heartbeats of silence.
-constexpr Milliseconds SilenceTimeout = 3 * EntryRenewalInterval;
-static_assert(SilenceTimeout <= PlatformStandin::RewriteTime);
 /// Time from the return of a restored store until the operators have written their configuration again.
 constexpr Milliseconds ConfigRewriteDelay(500);
 constexpr Milliseconds SlowAnswer(240);
-constexpr unsigned Slots = 2;
-constexpr unsigned QueueLength = 8;
-constexpr Milliseconds PauseWhenFull(1'000);
 constexpr std::uint64_t LostAnswerPeriod = 3;
 
 std::string addressOf(std::uint8_t network, int host)
@@ -33,12 +23,6 @@
     return "127." + std::to_string(network) + ".9." + std::to_string(host);
 }
 
-std::int64_t unixMs()
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<Milliseconds>(now).count();
-}
-
 Awaitable<void> sleepFor(Milliseconds time)
 {
     asio::steady_timer timer(co_await asio::this_coro::executor, time);
@@ -99,79 +83,72 @@
 void PlatformStandin::addServer(const std::string &id, const std::string &service, bool keyed, Milliseconds serviceTime,
                                 std::optional<Endpoint> registeredAs)
 {
-    const Endpoint listen = nextServerEndpoint();
-    const auto server = std::make_shared<Server>();
-    server->id = id;
-    server->service = service;
-    server->keyed = keyed;
-    server->serviceTime = serviceTime;
-    server->startedAtMs = unixMs();
+    UpstreamOptions options;
+    options.id = id;
+    options.service = service;
+    options.keyed = keyed;
+    options.serviceTime = serviceTime;
+    options.listen = nextServerEndpoint();
+    options.registeredAs = registeredAs.value_or(options.listen);
+    UpstreamStandin::Handlers handlers;
+    handlers.onEvent = [this](const ServerEvent &event) {
+        onServerEvent(event);
+    };
+    handlers.onGrant = [this](const UpstreamStandin &server, const KeyRange &keys, TimePoint end) {
+        onGrant(server, keys, end);
+    };
+    const auto server = std::make_shared<UpstreamStandin>(m_context, m_mutex, std::move(options), std::move(handlers));
     const std::lock_guard lock(m_mutex);
-    server->endpoint = registeredAs.value_or(listen);
-    server->acceptor = std::make_unique<Tcp::acceptor>(listenOn(m_context.get_executor(), listen));
+    server->setFault(m_faults[service]);
+    server->setLateOrders(m_lateOrders);
+    server->start();
     m_servers[id] = server;
-    asio::co_spawn(m_context,
-                   serveHttp(*server->acceptor,
-                             [this, server](const HttpRequest &request) {
-                                 return answerServer(server, request);
-                             }),
-                   asio::detached);
     asio::co_spawn(m_context, renewEntry(server), asio::detached);
 }
 
 void PlatformStandin::crashServer(const std::string &id)
 {
     const std::lock_guard lock(m_mutex);
-    Server &server = *m_servers.at(id);
-    server.crashed = true;
-    server.grants.clear();
+    m_servers.at(id)->crash();
     erase("servers/" + id);
 }
 
 void PlatformStandin::restartServer(const std::string &id)
 {
     const std::lock_guard lock(m_mutex);
-    const std::shared_ptr<Server> server = m_servers.at(id);
-    if (!server->crashed) {
-        return;
+    const std::shared_ptr<UpstreamStandin> server = m_servers.at(id);
+    if (server->restart()) {
+        asio::co_spawn(m_context, renewEntry(server), asio::detached);
     }
-    server->crashed = false;
-    server->draining = false;
-    server->announcesLeaving = false;
-    server->keysInProgress.clear();
-    server->startedAtMs = unixMs();
-    server->renewals = 0;
-    asio::co_spawn(m_context, renewEntry(server), asio::detached);
 }
 
 std::optional<std::int64_t> PlatformStandin::drainServer(const std::string &id)
 {
     const std::lock_guard lock(m_mutex);
-    Server &server = *m_servers.at(id);
-    if (server.crashed) {
+    UpstreamStandin &server = *m_servers.at(id);
+    if (server.hasCrashed()) {
         return std::nullopt;
     }
-    server.draining = true;
-    server.announcesLeaving = true;
-    return server.startedAtMs;
+    server.drain();
+    return server.startedAtMs();
 }
 
 void PlatformStandin::announceLeaving(const std::string &id)
 {
     const std::lock_guard lock(m_mutex);
-    m_servers.at(id)->announcesLeaving = true;
+    m_servers.at(id)->announceLeaving();
 }
 
 void PlatformStandin::pauseServer(const std::string &id, Milliseconds pause)
 {
     const std::lock_guard lock(m_mutex);
-    m_servers.at(id)->pausedUntil = Clock::now() + pause;
+    m_servers.at(id)->pauseUntil(Clock::now() + pause);
 }
 
 void PlatformStandin::leave(const std::string &id)
 {
     const std::lock_guard lock(m_mutex);
-    m_servers.at(id)->left = true;
+    m_servers.at(id)->leave();
     erase("servers/" + id);
 }
 
@@ -179,6 +156,11 @@
 {
     const std::lock_guard lock(m_mutex);
     m_faults[service] = fault;
+    for (const auto &[id, server] : m_servers) {
+        if (server->options().service == service) {
+            server->setFault(fault);
+        }
+    }
 }
 
 void PlatformStandin::setStoreFault(StoreFault fault)
@@ -261,10 +243,10 @@
             put(ConfigKey, m_config, 0);
         }
     }
-    co_await sleepFor(SilenceTimeout - ConfigRewriteDelay);
+    co_await sleepFor(UpstreamStandin::SilenceTimeout - ConfigRewriteDelay);
     const std::lock_guard lock(m_mutex);
     for (const auto &[id, server] : m_servers) {
-        if (server->crashed || server->left) {
+        if (!server->isRegistered()) {
             erase("servers/" + id);
         }
     }
@@ -274,6 +256,9 @@
 {
     const std::lock_guard lock(m_mutex);
     m_lateOrders = late;
+    for (const auto &[id, server] : m_servers) {
+        server->setLateOrders(late);
+    }
 }
 
 std::vector<RequestArrival> PlatformStandin::runs() const
@@ -352,6 +337,7 @@
         co_await sleepFor(PollInterval);
         const std::lock_guard lock(m_mutex);
         copyStore();
+        removeSilentServers();
         for (auto lease = m_leases.begin(); lease != m_leases.end();) {
             if (Clock::now() < lease->second.expiry) {
                 ++lease;
@@ -404,6 +390,9 @@
     if (isStoreAway()) {
         return reply(http::status::service_unavailable, Json::object());
     }
+    if (target.path() == HeartbeatPath) {
+        return takeHeartbeat(Json::parse(request.body()));
+    }
     if (target.path() == "/kv-key") {
         const std::string key = target.parameter("key");
         const auto item = m_items.find(key);
@@ -505,245 +494,62 @@
     }
 }
 
-Awaitable<void> PlatformStandin::renewEntry(std::shared_ptr<Server> server)
+Awaitable<void> PlatformStandin::renewEntry(std::shared_ptr<UpstreamStandin> server)
 {
     while (true) {
         {
             const std::lock_guard lock(m_mutex);
-            if (server->crashed || server->left) {
+            if (!server->isRegistered()) {
                 co_return;
             }
-            const Json entry{{"service", server->service},
-                             {"address", toString(server->endpoint)},
-                             {"zone", "z"},
-                             {"version", "v1"},
-                             {"slots", 2},
-                             {"state", server->draining ? "draining" : "ready"},
-                             {"warmup_left_ms", 0},
-                             {"seq", ++server->renewals},
-                             {"born", server->startedAtMs}};
+            const Json entry = server->nextEntry();
             if (!isStoreAway()) {
-                put("servers/" + server->id, absl::Base64Escape(entry.dump()), 0);
-            }
-        }
-        co_await sleepFor(EntryRenewalInterval);
-    }
-}
-
-/// The granted time counts from the arrival of the order, even if the order is carried out later.
-HttpResponse PlatformStandin::grant(Server &server, const Json &body, TimePoint arrival)
-{
-    const auto from = body.at("from").get<std::uint32_t>();
-    const auto to = body.at("to").get<std::uint32_t>();
-    const auto fence = body.at("fence").get<std::uint64_t>();
-    const TimePoint now = Clock::now();
-    const TimePoint end = arrival + Milliseconds(body.at("hold_ms").get<std::int64_t>());
-    for (std::uint32_t key = 0; key < KeyCount; key += SampleStep) {
-        const auto keyGrant = server.grants.find(static_cast<std::uint16_t>(key));
-        if (key >= from && key <= to && keyGrant != server.grants.end() && keyGrant->second.fence > fence) {
-            return reply(http::status::conflict, Json::object());
-        }
-    }
-    for (std::uint32_t key = 0; key < KeyCount; key += SampleStep) {
-        if (key < from || key > to) {
-            continue;
-        }
-        const auto sample = static_cast<std::uint16_t>(key);
-        for (const auto &[id, other] : m_servers) {
-            const auto keyGrant = other->grants.find(sample);
-            const bool isOther = id != server.id && other->service == server.service && !other->crashed;
-            const bool isHeld = keyGrant != other->grants.end() && now < keyGrant->second.acceptsUntil;
-            const bool isInProgress = other->keysInProgress.contains(sample) && keyGrant != other->grants.end()
-                && now < keyGrant->second.expiry;
-            m_ownershipBreaches += isOther && end > now && (isHeld || isInProgress) ? 1 : 0;
-        }
-        server.grants[sample] = {fence, end, end};
-    }
-    return reply(http::status::ok, Json::object());
-}
-
-/// Answers once no request for the released keys runs any more.
-Awaitable<HttpResponse> PlatformStandin::release(std::shared_ptr<Server> server, Json body)
-{
-    const auto from = body.at("from").get<std::uint32_t>();
-    const auto to = body.at("to").get<std::uint32_t>();
-    {
-        const std::lock_guard lock(m_mutex);
-        for (auto &[key, keyGrant] : server->grants) {
-            if (key >= from && key <= to) {
-                keyGrant.acceptsUntil = {};
+                put("servers/" + server->options().id, absl::Base64Escape(entry.dump()), 0);
             }
         }
+        co_await sleepFor(UpstreamStandin::EntryRenewalInterval);
     }
-    bool isInProgress = true;
-    while (isInProgress) {
-        co_await sleepFor(PollInterval);
-        const std::lock_guard lock(m_mutex);
-        const auto first = server->keysInProgress.lower_bound(static_cast<std::uint16_t>(from));
-        isInProgress = !server->crashed && first != server->keysInProgress.end() && *first <= to;
-    }
-    HttpResponse response = reply(http::status::ok, Json::object());
-    response.set("X-Snipevalve-Handover", "handover-" + server->id);
-    co_return response;
 }
 
-Awaitable<HttpResponse> PlatformStandin::answerOrder(std::shared_ptr<Server> server, const HttpRequest &request)
+void PlatformStandin::onServerEvent(const ServerEvent &event)
 {
-    const TimePoint arrival = Clock::now();
-    const Json body = Json::parse(request.body());
-    const bool isGrant = request.target() == "/grant";
-    bool isLate = false;
-    {
-        const std::lock_guard lock(m_mutex);
-        constexpr std::uint64_t LateOfTen = 3;
-        isLate = m_lateOrders && ++m_orders % 10 < LateOfTen;
-    }
-    if (isLate) {
-        constexpr std::int64_t ShortestMs = 2'000;
-        constexpr std::uint64_t SpreadMs = 2'000;
-        co_await sleepFor(Milliseconds(ShortestMs + static_cast<std::int64_t>(m_orders * 397 % SpreadMs)));
-    }
-    if (!isGrant) {
-        HttpResponse response = co_await release(server, body);
-        co_return isLate ? HttpResponse(http::status::unknown, 11) : response;
-    }
-    const std::lock_guard lock(m_mutex);
-    if (server->crashed) {
-        co_return HttpResponse(http::status::unknown, 11);
+    if (const auto *arrival = std::get_if<RequestArrival>(&event)) {
+        m_arrivals.push_back(*arrival);
     }
-    HttpResponse response = grant(*server, body, arrival);
-    co_return isLate ? HttpResponse(http::status::unknown, 11) : response;
 }
 
-/// Takes a slot of the server, after waiting in its queue if none is free.
-/// @return false when the queue is full
-Awaitable<bool> PlatformStandin::waitForSlot(std::shared_ptr<Server> server)
+void PlatformStandin::onGrant(const UpstreamStandin &server, const KeyRange &keys, TimePoint end)
 {
-    bool isQueued = false;
-    while (true) {
-        {
-            const std::lock_guard lock(m_mutex);
-            if (server->running < Slots) {
-                ++server->running;
-                server->queued -= isQueued ? 1 : 0;
-                co_return true;
-            }
-            if (!isQueued && server->queued >= QueueLength) {
-                co_return false;
-            }
-            server->queued += isQueued ? 0 : 1;
-            isQueued = true;
+    constexpr std::uint32_t SampleStep = UpstreamStandin::SampleStep;
+    const TimePoint now = Clock::now();
+    for (std::uint32_t key = (keys.from + SampleStep - 1) / SampleStep * SampleStep; key <= keys.to;
+         key += SampleStep) {
+        for (const auto &[id, other] : m_servers) {
+            const bool isOther = other.get() != &server && other->options().service == server.options().service;
+            const bool isBreach = isOther && end > now && other->isUsing(static_cast<std::uint16_t>(key), now);
+            m_ownershipBreaches += isBreach ? 1 : 0;
         }
-        co_await sleepFor(PollInterval);
     }
 }
 
-HttpResponse PlatformStandin::refusal(const Server &server, const std::string &requestId, http::status status,
-                                      Milliseconds pause)
+/// Writes the entry of a server that is another process.
+HttpResponse PlatformStandin::takeHeartbeat(const Json &entry)
 {
-    m_arrivals.push_back({server.id, requestId, server.service, Clock::now(), false, server.startedAtMs,
-                          server.announcesLeaving, pause});
-    HttpResponse response(status, 11);
-    response.set("X-Snipevalve-Request-Id", requestId);
-    response.set("X-Snipevalve-Not-Executed", "1");
-    if (pause > Milliseconds::zero()) {
-        response.set(http::field::retry_after, std::to_string(std::chrono::duration<double>(pause).count()));
-    }
-    return response;
-}
-
-/// Adds what the server says of itself to its answer.
-Awaitable<HttpResponse> PlatformStandin::answerServer(std::shared_ptr<Server> server, const HttpRequest &request)
-{
-    HttpResponse response = co_await answerServerCall(server, request);
-    const std::lock_guard lock(m_mutex);
-    if (server->announcesLeaving) {
-        response.set("Server-Leaving", "1");
-    }
-    co_return response;
+    const std::string key = "servers/" + entry.at("id").get<std::string>();
+    put(key, absl::Base64Escape(entry.at("entry").dump()), 0);
+    m_heartbeats[key] = Clock::now();
+    return reply(http::status::ok, Json::object());
 }
 
-Awaitable<HttpResponse> PlatformStandin::answerServerCall(std::shared_ptr<Server> server, const HttpRequest &request)
+void PlatformStandin::removeSilentServers()
 {
-    const std::string id(request["X-Snipevalve-Request-Id"]);
-    const std::string keyText(request["X-Snipevalve-Shard-Key"]);
-    const auto key = static_cast<std::uint16_t>(keyText.empty() ? 0 : std::stoul(keyText));
-    const std::int64_t incarnation = server->startedAtMs;
-    const bool isOrder = request.target() == "/grant" || request.target() == "/release";
-    ServerFault fault = ServerFault::None;
-    {
-        const std::lock_guard lock(m_mutex);
-        if (server->crashed) {
-            co_return HttpResponse(http::status::unknown, 11);
-        }
-        const bool isAddressee = request["X-Snipevalve-Expect-Instance"] == server->id;
-        if (!isAddressee && isOrder) {
-            co_return HttpResponse(http::status::misdirected_request, 11);
-        }
-        fault = m_faults[server->service];
-        if (!isAddressee) {
-            co_return refusal(*server, id, http::status::misdirected_request);
+    std::erase_if(m_heartbeats, [this](const auto &heartbeat) {
+        const bool isSilent = Clock::now() - heartbeat.second > UpstreamStandin::SilenceTimeout;
+        if (isSilent) {
+            erase(heartbeat.first);
         }
-        if (!isOrder && Clock::now() < server->pausedUntil) {
-            const auto pause = std::chrono::ceil<Milliseconds>(server->pausedUntil - Clock::now());
-            co_return refusal(*server, id, http::status::service_unavailable, pause);
-        }
-        if (!isOrder && fault == ServerFault::Refuses) {
-            co_return refusal(*server, id, http::status::service_unavailable);
-        }
-    }
-    if (isOrder) {
-        co_return co_await answerOrder(server, request);
-    }
-    const bool hasSlot = co_await waitForSlot(server);
-    {
-        const std::lock_guard lock(m_mutex);
-        const auto keyGrant = server->grants.find(key);
-        const bool ownsKey = keyGrant != server->grants.end() && Clock::now() < keyGrant->second.acceptsUntil;
-        const bool isGone = server->crashed || server->startedAtMs != incarnation;
-        if (!hasSlot || isGone || (server->keyed && !ownsKey)) {
-            server->running -= hasSlot ? 1 : 0;
-            if (isGone) {
-                co_return HttpResponse(http::status::unknown, 11);
-            }
-            if (!hasSlot) {
-                co_return refusal(*server, id, http::status::service_unavailable, PauseWhenFull);
-            }
-            co_return refusal(*server, id, http::status::misdirected_request);
-        }
-        m_arrivals.push_back(
-            {server->id, id, server->service, Clock::now(), true, server->startedAtMs, server->announcesLeaving});
-        server->keysInProgress.insert(key);
-    }
-    co_await sleepFor(server->serviceTime);
-    {
-        const std::lock_guard lock(m_mutex);
-        --server->running;
-        const auto position = server->keysInProgress.find(key);
-        if (position != server->keysInProgress.end()) {
-            server->keysInProgress.erase(position);
-        }
-        if (server->crashed || server->startedAtMs != incarnation) {
-            co_return HttpResponse(http::status::unknown, 11);
-        }
-    }
-    HttpResponse response(http::status::ok, 11);
-    response.set("X-Snipevalve-Request-Id", fault == ServerFault::OtherId ? "0000" : id);
-    if (fault != ServerFault::NoStamp) {
-        response.set("X-Snipevalve-Response-Stamp", "stamp-" + id);
-    }
-    if (fault == ServerFault::Encoded) {
-        response.set(http::field::content_encoding, "br");
-    }
-    if (fault == ServerFault::UnavailableAfterRun) {
-        response.result(http::status::service_unavailable);
-    }
-    response.body() = "answer to " + id;
-    if (fault == ServerFault::CutShort) {
-        // Closes the connection without a response.
-        co_return HttpResponse(http::status::unknown, 11);
-    }
-    co_return response;
+        return isSilent;
+    });
 }
 
 } // namespace snipevalve::standins
--- a/tests/standins/platform_standin.hpp
+++ b/tests/standins/platform_standin.hpp
@@ -4,34 +4,20 @@
 #include <array>
 #include <atomic>
 #include <deque>
-#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
-#include <set>
 #include <string>
 #include <thread>
 #include <vector>
 
 #include <nlohmann/json.hpp>
 
-#include "snipevalve/core/time.hpp"
-#include "snipevalve/net/http_server.hpp"
+#include "standins/upstream_standin.hpp"
 
 namespace snipevalve::standins {
 
-/// @brief A fault that the servers of a service show in their responses.
-enum class ServerFault {
-    None,
-    NoStamp, ///< a success without the response stamp header
-    OtherId, ///< the response carries the id of another request; all else is right
-    Encoded, ///< the response has a Content-Encoding header
-    CutShort, ///< the request runs, then the connection closes before a whole response is sent
-    UnavailableAfterRun, ///< 503 after the request ran, without the not-executed header
-    Refuses, ///< 503 with the not-executed header for every request; nothing runs
-};
-
 /// @brief A fault that the store shows.
 enum class StoreFault {
     None,
@@ -40,19 +26,6 @@
     LosesAnswers, ///< every third write is handled, then its connection closes without an answer
 };
 
-/// @brief One arrival of one request at one server.
-struct RequestArrival
-{
-    std::string server;
-    std::string requestId;
-    std::string service;
-    TimePoint at;
-    bool ran = true; ///< false when the server refused the request without running it
-    std::int64_t serverStart = 0; ///< identifies the run of the server
-    bool announcesLeaving = false; ///< its answer says that it leaves
-    Milliseconds pause{0}; ///< that its answer asks for
-};
-
 /// @brief A stand-in for the users' platform in tests: the store and the servers, with the published protocols.
 ///
 /// The store and all servers run on one thread that the stand-in owns. Only what the node's tests use is implemented.
@@ -60,7 +33,7 @@
 {
 public:
     /// Time from the return of a restored store until servers and operators have written again what it had lost.
-    static constexpr Milliseconds RewriteTime{600};
+    static constexpr Milliseconds RewriteTime = UpstreamStandin::SilenceTimeout;
 
     /// @param network second octet of the 127.x addresses
     explicit PlatformStandin(std::uint8_t network);
@@ -74,6 +47,9 @@
     /// @brief Writes a value unchecked, e.g. a damaged or forged entry.
     void putEntry(const std::string &key, const std::string &value);
 
+    /// @brief Path of the store at which servers that are other processes renew their entries.
+    static constexpr const char *HeartbeatPath = "/standin-heartbeat";
+
     /// @brief Starts a server, which registers itself in the store and renews its entry periodically.
     /// @param serviceTime how long each request runs
     /// @param registeredAs the address in its entry, if it is reached through a proxy
@@ -170,34 +146,6 @@
         std::uint64_t revision = 0;
     };
 
-    struct KeyGrant
-    {
-        std::uint64_t fence = 0;
-        TimePoint acceptsUntil; ///< no request starts later; a release ends it at once
-        TimePoint expiry; ///< end of the granted time, regardless of a release
-    };
-
-    struct Server
-    {
-        std::string id;
-        std::string service;
-        Endpoint endpoint;
-        bool keyed = false;
-        bool draining = false;
-        bool announcesLeaving = false; ///< in its answers
-        TimePoint pausedUntil; ///< refuses requests until then
-        bool crashed = false;
-        bool left = false;
-        Milliseconds serviceTime{0};
-        std::int64_t startedAtMs = 0; ///< Unix time; changes with each restart
-        std::uint64_t renewals = 0;
-        std::unique_ptr<Tcp::acceptor> acceptor;
-        std::map<std::uint16_t, KeyGrant> grants; ///< by sampled key; a grant order covers a range
-        std::multiset<std::uint16_t> keysInProgress; ///< one per running request; 0 for a request without a key
-        unsigned running = 0; ///< running requests, with or without a key
-        unsigned queued = 0; ///< requests that wait for a slot
-    };
-
     Awaitable<HttpResponse> answerStore(const HttpRequest &request);
     Awaitable<HttpResponse> answerStoreRequest(const HttpRequest &request);
     bool isStoreAway() const;
@@ -206,15 +154,11 @@
     Awaitable<HttpResponse> watch(const RequestTarget &target);
     HttpResponse commitTransaction(const Json &body);
     HttpResponse answerStoreCall(const HttpRequest &request, const RequestTarget &target);
-    Awaitable<HttpResponse> answerOrder(std::shared_ptr<Server> server, const HttpRequest &request);
-    Awaitable<bool> waitForSlot(std::shared_ptr<Server> server);
-    HttpResponse refusal(const Server &server, const std::string &requestId, http::status status,
-                         Milliseconds pause = Milliseconds(0));
-    Awaitable<HttpResponse> answerServer(std::shared_ptr<Server> server, const HttpRequest &request);
-    Awaitable<HttpResponse> answerServerCall(std::shared_ptr<Server> server, const HttpRequest &request);
-    HttpResponse grant(Server &server, const Json &body, TimePoint arrival);
-    Awaitable<HttpResponse> release(std::shared_ptr<Server> server, Json body);
-    Awaitable<void> renewEntry(std::shared_ptr<Server> server);
+    HttpResponse takeHeartbeat(const Json &entry);
+    void onServerEvent(const ServerEvent &event);
+    void onGrant(const UpstreamStandin &server, const KeyRange &keys, TimePoint end);
+    void removeSilentServers();
+    Awaitable<void> renewEntry(std::shared_ptr<UpstreamStandin> server);
     Awaitable<void> expireLeases();
     void put(const std::string &key, const std::string &value, std::uint64_t lease);
     void erase(const std::string &key);
@@ -239,8 +183,8 @@
     std::uint64_t m_writes = 0;
     std::uint64_t m_compactedRevision = 0; ///< changes up to this revision are no longer in the history
     bool m_lateOrders = false;
-    std::uint64_t m_orders = 0;
-    std::map<std::string, std::shared_ptr<Server>> m_servers;
+    std::map<std::string, std::shared_ptr<UpstreamStandin>> m_servers;
+    std::map<std::string, TimePoint> m_heartbeats; ///< the last one of each server that is another process
     std::map<std::string, ServerFault> m_faults; ///< by service
     std::vector<RequestArrival> m_arrivals;
     int m_ownershipBreaches = 0;
