--- a/tests/soak/schedule.cpp
+++ b/tests/soak/schedule.cpp
@@ -105,10 +105,11 @@
 }
 
 /// @param kinds what is drawn from
-std::vector<Fault> drawFaults(SplitMix64 &random, const std::vector<FaultKind> &kinds, Milliseconds length)
+std::vector<Fault> drawFaults(SplitMix64 &random, const std::vector<FaultKind> &kinds, Milliseconds length,
+                              Milliseconds longest = Milliseconds(5'000))
 {
     constexpr std::uint64_t MeanGapMs = 1'200;
-    constexpr std::uint64_t LongestMs = 5'000;
+    const auto longestMs = static_cast<std::uint64_t>(longest.count());
     constexpr std::uint64_t ShortestMs = 200;
     constexpr std::uint64_t Targets = 1'000;
     std::vector<Fault> faults;
@@ -121,7 +122,7 @@
         Fault fault;
         fault.kind = kinds[random.below(kinds.size())];
         fault.at = at;
-        fault.duration = Milliseconds(ShortestMs + random.below(LongestMs - ShortestMs));
+        fault.duration = Milliseconds(ShortestMs + random.below(longestMs - ShortestMs));
         fault.target = static_cast<unsigned>(random.below(Targets));
         faults.push_back(fault);
         // One fault in four is a series of overlapping faults on consecutive targets.
@@ -173,6 +174,20 @@
     return faults;
 }
 
+std::vector<Fault> makeSchedule(std::uint64_t seed, Milliseconds length, const std::vector<FaultKind> &kinds,
+                                Milliseconds longest)
+{
+    SplitMix64 random(seed);
+    return drawFaults(random, kinds, length, longest);
+}
+
+std::optional<FaultKind> parseFaultKind(std::string_view description)
+{
+    const auto position = std::find(Names.begin(), Names.end(), description);
+    return position == Names.end() ? std::nullopt
+                                   : std::optional(static_cast<FaultKind>(std::distance(Names.begin(), position)));
+}
+
 std::string describe(const std::vector<Fault> &schedule)
 {
     std::ostringstream text;
--- a/tests/soak/schedule.hpp
+++ b/tests/soak/schedule.hpp
@@ -2,6 +2,7 @@
 #define SNIPEVALVE_SOAK_SCHEDULE_HPP
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -63,6 +64,14 @@
 /// @brief Generates the faults of one seed. The same seed and length give the same faults on every machine.
 std::vector<Fault> makeSchedule(std::uint64_t seed, Milliseconds length);
 
+/// @brief Generates faults of some kinds only, to reproduce a finding.
+/// @param longest upper limit of the durations
+std::vector<Fault> makeSchedule(std::uint64_t seed, Milliseconds length, const std::vector<FaultKind> &kinds,
+                                Milliseconds longest);
+
+/// @return the kind with this description
+std::optional<FaultKind> parseFaultKind(std::string_view description);
+
 /// @brief Formats the schedule for reports, one line per fault.
 std::string describe(const std::vector<Fault> &schedule);
 
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -32,6 +32,8 @@
   --network=N     Second octet of all addresses; concurrent runs need different ones. [default: 60]
   --binaries=DIR  Folder of the programs. [default: build/bin]
   --node=DIR      Folder of the nodes' program, if it is that of another build.
+  --only=KINDS    Only these kinds of fault, separated by commas, as in the list of faults that a finding is printed with.
+  --longest-ms=N  Longest duration of a fault of --only. [default: 5000]
   --direct-links  Without proxies between nodes, which earlier builds can't be told of.
   --folder=DIR    For settings and logs, one folder per seed; those of seeds without a finding are removed.
                   [default: /tmp/snipevalve-soak]
@@ -130,6 +132,16 @@
     const docopt::value &node = arguments.at("--node");
     options.binaries = node.isString() ? node.asString() : options.serverBinaries;
     options.proxiesLinks = !arguments.at("--direct-links").asBool();
+    options.longestFault = Milliseconds(parseNumber(arguments, "--longest-ms"));
+    std::istringstream kinds(arguments.at("--only").isString() ? arguments.at("--only").asString() : std::string());
+    for (std::string name; std::getline(kinds, name, ',');) {
+        const std::optional<FaultKind> kind = parseFaultKind(name);
+        if (!kind) {
+            std::cerr << "no kind of fault is called \"" << name << "\"" << std::endl;
+            return 2;
+        }
+        options.only.push_back(*kind);
+    }
     std::vector<std::uint64_t> seeds;
     if (arguments.at("--list").isString()) {
         seeds = readSeeds(arguments.at("--list").asString());
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -610,7 +610,9 @@
         result.violations.push_back({"starts", "", "not all requests are served 20 s after the start"});
     }
     m_records.disturbances.back().to = Clock::now();
-    result.schedule = makeSchedule(m_options.seed, m_options.traffic);
+    result.schedule = m_options.only.empty()
+        ? makeSchedule(m_options.seed, m_options.traffic)
+        : makeSchedule(m_options.seed, m_options.traffic, m_options.only, m_options.longestFault);
     injectFaults(result.schedule);
     m_records.healedAt = Clock::now();
     result.recoveryTime = waitUntilRecovered(*m_callers);
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -32,6 +32,8 @@
     std::string binaries; ///< folder of the nodes' program
     std::string serverBinaries; ///< folder of the servers' program
     std::string folder; ///< for settings, logs and records
+    std::vector<FaultKind> only; ///< the only kinds of fault; empty for those of the seed
+    Milliseconds longestFault{5'000}; ///< of `only`
     bool proxiesLinks = true; ///< connections between nodes lead through proxies, too
 };
 
