Log the hold, duration and reason of a failed call to a server

A server's record of its holds and the leader's log could not be brought together: call_failed named the fence and how the call ended, but neither how long the grant would hold nor for how long the leader had waited, so a grant that a server took late looked like one that was never written. Compiles; node_control_test builds. No logic changes.

--- a/src/snipevalve/node/control/service_leader.hpp
+++ b/src/snipevalve/node/control/service_leader.hpp
@@ -315,6 +315,16 @@
                     m_generation, suspendedTime());
     }
 
+    static Milliseconds holdOf(const GrantKeys &grant)
+    {
+        return grant.hold;
+    }
+
+    static Milliseconds holdOf(const ReleaseKeys &)
+    {
+        return Milliseconds(0);
+    }
+
     static TimePoint sendBefore(const GrantKeys &grant)
     {
         return grant.sendBefore;
@@ -335,15 +345,23 @@
             m_generation == generation && m_lease.isHeld(Clock::now()) && now < sendBefore(request);
         KeyCallOutcome end = KeyCallOutcome::NotSent;
         std::string handover;
+        std::string reason = "the lease is not held";
+        const TimePoint startedAt = Clock::now();
+        HttpCall httpCall = Platform::toCall(request);
+        const Milliseconds limit = httpCall.timeout;
         if (isLeaseHeld) {
-            const auto reply = co_await m_client.call(Platform::toCall(request));
+            const auto reply = co_await m_client.call(std::move(httpCall));
             end = Platform::toCallOutcome(reply);
             handover = reply.ok() ? Platform::handoverOf(*reply) : std::string();
+            reason = reply.ok() ? "status " + std::to_string(reply->status) : std::string(reply.status().message());
         }
         if (end != KeyCallOutcome::Accepted) {
-            spdlog::warn("own: event=call_failed service={} server={} keys={}-{} fence={} end={} held={}",
+            const auto took = std::chrono::duration_cast<Milliseconds>(Clock::now() - startedAt);
+            spdlog::warn("own: event=call_failed service={} server={} keys={}-{} fence={} hold_ms={} end={} held={} "
+                         "took_ms={} limit_ms={} reason=\"{}\"",
                          m_service.name, request.server.id, request.keys.from, request.keys.to, request.fence,
-                         static_cast<int>(end), isLeaseHeld);
+                         holdOf(request).count(), static_cast<int>(end), isLeaseHeld, took.count(), limit.count(),
+                         escapeQuotedText(reason));
         }
         if (!m_stopped && m_generation == generation) {
             // Renewals change no owner: going through all ranges after each would saturate a small host's processor.
