Reset the connection of a control call that was given up

Callers saw requests run at two servers that held the same key (OWNER): one leader's grants were in force at a server whose keys it had given on.

Cause: a call that timed out was ended by closing its connection. A kernel goes on sending what was written before a close, with growing pauses, for as long as the peer can't be reached; so a renewal that the leader had given up arrived seconds after the link had healed, and the server counts its hold from then. The leader counts a late grant for 0.4 s after it has given it up. The same holds for a leader that is killed.

The server's record of holds shows the leader's earlier fence.

Change: connections of control calls are reset when they are closed (SO_LINGER), which discards what is not delivered, also when the process ends. TCP_USER_TIMEOUT bounds what the kernel sends while the process is stopped; no test here can drop packets, so that part is not shown by a run.

--- a/include/snipevalve/net/http_client.hpp
+++ b/include/snipevalve/net/http_client.hpp
@@ -40,7 +40,8 @@
 /// @brief HTTP client for control calls (store, grants, host list) with a pool of persistent connections. Not
 /// thread-safe.
 ///
-/// A connection on which a call failed or timed out is closed and not reused.
+/// A connection on which a call failed or timed out is reset, so that the kernel delivers nothing of it any more; the
+/// same happens when the process ends. While the process is stopped, the kernel gives up after the call's timeout.
 class HttpClient
 {
 public:
--- a/src/snipevalve/dispatch_link/frame_channel.cpp
+++ b/src/snipevalve/dispatch_link/frame_channel.cpp
@@ -4,7 +4,7 @@
 #include <spdlog/spdlog.h>
 
 #include "snipevalve/net/spawn.hpp"
-#include "snipevalve/net/tcp_user_timeout.hpp"
+#include "snipevalve/net/tcp_options.hpp"
 
 namespace snipevalve {
 
--- a/src/snipevalve/net/http_client.cpp
+++ b/src/snipevalve/net/http_client.cpp
@@ -1,6 +1,7 @@
 #include "snipevalve/net/http_client.hpp"
 
 #include "snipevalve/net/idle_connection.hpp"
+#include "snipevalve/net/tcp_options.hpp"
 
 namespace snipevalve {
 
@@ -79,6 +80,7 @@
         co_return absl::FailedPreconditionError("no connection to " + toString(call.endpoint) + ": " + error.message());
     }
     stream->socket().set_option(Tcp::no_delay(true), error);
+    resetOnClose(stream->socket());
     co_return stream;
 }
 
@@ -94,6 +96,7 @@
         stream = std::move(*connected);
     }
     stream->expires_after(call.timeout);
+    setTcpUserTimeout(stream->socket(), call.timeout);
     const http::request<http::string_body> request = toRequest(call);
     ErrorCode error;
     co_await http::async_write(*stream, request, awaitInto(error));
--- a/src/snipevalve/net/tcp_user_timeout.cpp
+++ b/src/snipevalve/net/tcp_options.cpp
@@ -1,4 +1,4 @@
-#include "snipevalve/net/tcp_user_timeout.hpp"
+#include "snipevalve/net/tcp_options.hpp"
 
 #include <netinet/tcp.h>
 
@@ -10,4 +10,10 @@
     ::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, &value, sizeof(value));
 }
 
+void resetOnClose(Tcp::socket &socket)
+{
+    ErrorCode ignored;
+    socket.set_option(asio::socket_base::linger(true, 0), ignored);
+}
+
 } // namespace snipevalve
--- a/src/snipevalve/net/upstream_pool.cpp
+++ b/src/snipevalve/net/upstream_pool.cpp
@@ -1,7 +1,7 @@
 #include "snipevalve/net/upstream_pool.hpp"
 
 #include "snipevalve/net/idle_connection.hpp"
-#include "snipevalve/net/tcp_user_timeout.hpp"
+#include "snipevalve/net/tcp_options.hpp"
 
 namespace snipevalve {
 
