Reset the connection of a request that was given up

Cause: as for control calls, a connection was closed and not reset, so the kernel delivered the request after the link had healed. Evidence: process_late_grants_test, "a request that its host has given up": one late run for a lookup and one for a debit before. Change: connections to servers are reset when they are closed; an answer has been read whole before that, so nothing is lost. Measured: no late run in either case.

--- a/src/snipevalve/net/upstream_pool.cpp
+++ b/src/snipevalve/net/upstream_pool.cpp
@@ -47,6 +47,7 @@
     stream.socket().set_option(Tcp::no_delay(true), error);
     stream.socket().non_blocking(true, error);
     setTcpUserTimeout(stream.socket(), TcpUserTimeout);
+    resetOnClose(stream.socket());
     co_return connection;
 }
 
--- a/tests/process/late_grants_test.cpp
+++ b/tests/process/late_grants_test.cpp
@@ -103,4 +103,37 @@
     CHECK(platform.ownershipBreaches() == 0);
 }
 
+TEST_CASE("a request that its host has given up does not run after the link has healed", "[promise-5]")
+{
+    struct Case
+    {
+        std::string name;
+        std::string method;
+        std::string path;
+    };
+    const Case each = GENERATE(values<Case>({
+        {"late-lookup", "GET", "/v1/x"},
+        {"late-debit", "POST", "/p/x"},
+    }));
+    INFO(each.name);
+    NodeDeployment deployment(each.name, each.method == "GET" ? Network + 2 : Network + 3, 1);
+    PlatformStandin &platform = deployment.platform;
+    platform.putConfig(smallConfig(3, 1));
+    const Endpoint server = platform.nextServerEndpoint();
+    ServerLink link({server.address, 8700}, server);
+    platform.addServer("cut", "debits", false, Milliseconds(1), link.proxy.endpoint());
+    REQUIRE(deployment.waitUntil(
+        [&]() {
+            return deployment.sendRequest(0, each.method, each.path).status == 200;
+        },
+        StartTimeout));
+
+    link.proxy.setFault(ConnectionFault::CutToTarget);
+    const std::size_t runsBefore = platform.runs().size();
+    CHECK(deployment.sendRequest(0, each.method, each.path, -1, Milliseconds(1'000)).status != 200);
+    link.proxy.setFault(ConnectionFault::None);
+    std::this_thread::sleep_for(Milliseconds(3'000));
+    CHECK(platform.runs().size() == runsBefore);
+}
+
 } // namespace snipevalve::standins
