Check the right to send right before a grant is written

A leader's lease was checked before the connection to the server was opened. Opening takes up to 0.5 s, and for as long as the process is stopped; the grant was then written although the lease had ended and another host could have given the keys on (two holders, OWNER). A leader that had been stopped could send, too.

Evidence: node_control_test, "A host that is stopped while it connects to a server": with the process held for 2.5 s between connect and write, the grant was on the wire before; none is now.

Change: HttpCall::maySend is asked before a connection is opened and again right before the write; a call that may not be sent any more counts as not sent. Found by reading, not seen in the users' record or in the soak.

--- a/include/snipevalve/net/http_client.hpp
+++ b/include/snipevalve/net/http_client.hpp
@@ -1,6 +1,7 @@
 #ifndef SNIPEVALVE_NET_HTTP_CLIENT_HPP
 #define SNIPEVALVE_NET_HTTP_CLIENT_HPP
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -26,6 +27,9 @@
     std::map<std::string, std::string> headers; ///< additional headers, by name
     std::vector<std::string> replyHeaders; ///< names of the response headers to return in HttpReply::headers
     Milliseconds timeout{1000};
+    /// Asked right before the request is written, since opening the connection takes time; any call may be sent if
+    /// empty.
+    std::function<bool()> maySend;
 };
 
 /// @brief The response to an HttpCall.
@@ -51,7 +55,8 @@
 
     /// @brief Sends a request and waits for the response.
     /// @return the response; Unavailable when sending failed or no response arrived before the timeout (the call may
-    ///         have taken effect); FailedPrecondition when no connection could be opened (the call had no effect)
+    ///         have taken effect); FailedPrecondition when no connection could be opened or the call may not be sent
+    ///         any more (it had no effect)
     Awaitable<absl::StatusOr<HttpReply>> call(HttpCall call);
 
 private:
--- a/src/snipevalve/net/http_client.cpp
+++ b/src/snipevalve/net/http_client.cpp
@@ -43,6 +43,16 @@
     return selected;
 }
 
+bool maySend(const HttpCall &call)
+{
+    return !call.maySend || call.maySend();
+}
+
+absl::Status noLongerWanted(const HttpCall &call)
+{
+    return absl::FailedPreconditionError("the call to " + toString(call.endpoint) + " may not be sent any more");
+}
+
 } // namespace
 
 HttpClient::HttpClient(asio::any_io_executor executor, std::string sourceAddress)
@@ -87,6 +97,9 @@
 Awaitable<absl::StatusOr<HttpReply>> HttpClient::call(HttpCall call)
 {
     const Endpoint endpoint = call.endpoint;
+    if (!maySend(call)) {
+        co_return noLongerWanted(call);
+    }
     Stream stream = takeIdle(endpoint);
     if (!stream) {
         auto connected = co_await connect(call);
@@ -99,6 +112,9 @@
     setTcpUserTimeout(stream->socket(), call.timeout);
     const http::request<http::string_body> request = toRequest(call);
     ErrorCode error;
+    if (!maySend(call)) {
+        co_return noLongerWanted(call);
+    }
     co_await http::async_write(*stream, request, awaitInto(error));
     if (error) {
         co_return absl::UnavailableError("no answer from " + toString(endpoint) + ": " + error.message());
--- a/src/snipevalve/node/control/node_control_test.cpp
+++ b/src/snipevalve/node/control/node_control_test.cpp
@@ -2,6 +2,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <thread>
 
 #include <catch2/catch.hpp>
 
@@ -162,6 +163,8 @@
 {
     using Store = FakeStore;
 
+    static inline std::uint16_t serverPort = 9; ///< of all servers
+
     static std::string configKey()
     {
         return "config";
@@ -203,7 +206,7 @@
     static HttpCall toCall(const KeyCall &)
     {
         HttpCall call;
-        call.endpoint = *parseEndpoint(Other);
+        call.endpoint = {"127.0.0.1", serverPort};
         call.timeout = Milliseconds(100);
         return call;
     }
@@ -308,6 +311,46 @@
     std::map<std::string, std::set<std::string>> servers; ///< by service: of the last view
 };
 
+/// Accepts the connections of calls to servers and answers none. It is read between the host's steps.
+class SilentServer
+{
+public:
+    SilentServer()
+        : m_acceptor(m_context, Tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+    {
+        m_acceptor.non_blocking(true);
+        FakePlatform::serverPort = m_acceptor.local_endpoint().port();
+    }
+
+    ~SilentServer()
+    {
+        FakePlatform::serverPort = 9;
+    }
+
+    /// @return whether a connection has been opened since the last call
+    bool accept()
+    {
+        ErrorCode error;
+        Tcp::socket socket = m_acceptor.accept(error);
+        if (!error) {
+            m_connections.push_back(std::move(socket));
+        }
+        return !error;
+    }
+
+    /// @return whether the newest connection has bytes to read
+    bool hasRequest()
+    {
+        ErrorCode error;
+        return !m_connections.empty() && m_connections.back().available(error) > 0;
+    }
+
+private:
+    asio::io_context m_context;
+    Tcp::acceptor m_acceptor;
+    std::vector<Tcp::socket> m_connections;
+};
+
 std::string leaderText(const char *address)
 {
     return std::string(R"({"host":"other","address":")") + address + "\"}";
@@ -472,4 +515,24 @@
     CHECK(host.store.serverReads >= 2); // after the first one, the store may still remove the entry
 }
 
+TEST_CASE("A host that is stopped while it connects to a server sends no grant after the end of its lease")
+{
+    Fixture &host = *new Fixture; // never destroyed, as suspended coroutines refer to each other
+    SilentServer server;
+    host.store.put("config", "k,");
+    host.store.put("servers/s1", "k");
+    host.start();
+    const TimePoint end = Clock::now() + Milliseconds(8'000);
+    bool isConnected = false;
+    while (!isConnected && Clock::now() < end) {
+        host.context.run_one_for(Milliseconds(10));
+        isConnected = server.accept() && !server.hasRequest();
+    }
+    REQUIRE(isConnected);
+    std::this_thread::sleep_for(Milliseconds(2'500)); // longer than the lease
+    host.store.isAway = true;
+    host.runFor(Milliseconds(50));
+    CHECK_FALSE(server.hasRequest());
+}
+
 } // namespace snipevalve
--- a/src/snipevalve/node/control/service_leader.hpp
+++ b/src/snipevalve/node/control/service_leader.hpp
@@ -339,28 +339,26 @@
     template <typename KeyRequest>
     Awaitable<void> callServer(KeyRequest request, std::uint64_t generation, Duration suspended)
     {
-        // The process may have been suspended since the decision, and the lease may have expired meanwhile.
-        const TimePoint now = Clock::now() + (suspendedTime() - suspended);
-        const bool isLeaseHeld =
-            m_generation == generation && m_lease.isHeld(Clock::now()) && now < sendBefore(request);
-        KeyCallOutcome end = KeyCallOutcome::NotSent;
-        std::string handover;
-        std::string reason = "the lease is not held";
         const TimePoint startedAt = Clock::now();
-        HttpCall httpCall = Platform::toCall(request);
-        const Milliseconds limit = httpCall.timeout;
-        if (isLeaseHeld) {
-            const auto reply = co_await m_client.call(std::move(httpCall));
-            end = Platform::toCallOutcome(reply);
-            handover = reply.ok() ? Platform::handoverOf(*reply) : std::string();
-            reason = reply.ok() ? "status " + std::to_string(reply->status) : std::string(reply.status().message());
-        }
+        HttpCall call = Platform::toCall(request);
+        const Milliseconds limit = call.timeout;
+        // The process may have been stopped or the machine suspended since the decision, and the lease may have ended.
+        call.maySend = [&]() {
+            const TimePoint now = Clock::now();
+            return !m_stopped && m_generation == generation && m_lease.isHeld(now)
+                && now + (suspendedTime() - suspended) < sendBefore(request);
+        };
+        const auto reply = co_await m_client.call(std::move(call));
+        const KeyCallOutcome end = Platform::toCallOutcome(reply);
+        const std::string handover = reply.ok() ? Platform::handoverOf(*reply) : std::string();
         if (end != KeyCallOutcome::Accepted) {
             const auto took = std::chrono::duration_cast<Milliseconds>(Clock::now() - startedAt);
-            spdlog::warn("own: event=call_failed service={} server={} keys={}-{} fence={} hold_ms={} end={} held={} "
-                         "took_ms={} limit_ms={} reason=\"{}\"",
+            const std::string reason =
+                reply.ok() ? "status " + std::to_string(reply->status) : std::string(reply.status().message());
+            spdlog::warn("own: event=call_failed service={} server={} keys={}-{} fence={} hold_ms={} end={} took_ms={} "
+                         "limit_ms={} reason=\"{}\"",
                          m_service.name, request.server.id, request.keys.from, request.keys.to, request.fence,
-                         holdOf(request).count(), static_cast<int>(end), isLeaseHeld, took.count(), limit.count(),
+                         holdOf(request).count(), static_cast<int>(end), took.count(), limit.count(),
                          escapeQuotedText(reason));
         }
         if (!m_stopped && m_generation == generation) {
