End the leaderships of a lease that has ended before a new one is opened

A host has one lease for all services that it leads.

Evidence: node_control_test, "A leadership that was won with an earlier lease": the host sent grants for a service that another host led; none now.

Change: before a takeover opens a new lease, all leaderships of the lapsed one end; suspended terms, which begin anew, stay.

--- a/src/snipevalve/node/control/node_control.hpp
+++ b/src/snipevalve/node/control/node_control.hpp
@@ -815,6 +815,7 @@
 
     Awaitable<void> takeOver(std::string service)
     {
+        stopLapsedLeaderships();
         const std::uint64_t lease = co_await m_lease.open();
         const std::uint64_t era = m_store.era();
         if (lease == 0) {
@@ -870,6 +871,21 @@
         announceLeaders();
     }
 
+    /// Other hosts may lead the services of a lease that has ended, and a new lease must not let this host go on.
+    /// Suspended terms begin anew with the new lease.
+    void stopLapsedLeaderships()
+    {
+        std::vector<std::string> lapsed;
+        for (const auto &[service, leader] : m_ledServices) {
+            if (!m_lease.isHeld(Clock::now()) && !leader->isSuspended()) {
+                lapsed.push_back(service);
+            }
+        }
+        for (const std::string &service : lapsed) {
+            stopLeading(service, "the lease has ended");
+        }
+    }
+
     void stopLeading(const std::string &service, const std::string &reason)
     {
         const auto leader = m_ledServices.find(service);
--- a/src/snipevalve/node/control/node_control_test.cpp
+++ b/src/snipevalve/node/control/node_control_test.cpp
@@ -23,6 +23,7 @@
     std::uint64_t revision = 100;
     bool isAway = false;
     bool refusesPlans = false;
+    bool losesRenewals = false; ///< renewals of leases get no answer
     std::map<std::string, StoredValue> values;
     int leaderWrites = 0;
     int calls = 0;
@@ -128,7 +129,8 @@
 
     Awaitable<absl::Status> renewLease(std::uint64_t)
     {
-        co_return co_await answer(Delay);
+        const absl::Status status = co_await answer(Delay);
+        co_return content->losesRenewals ? absl::UnavailableError("no answer") : status;
     }
 
 private:
@@ -535,4 +537,31 @@
     CHECK_FALSE(server.hasRequest());
 }
 
+TEST_CASE("A leadership that was won with an earlier lease grants no keys under a new one")
+{
+    Fixture &host = *new Fixture; // never destroyed, as suspended coroutines refer to each other
+    SilentServer server;
+    host.store.put("config", "b,k,");
+    host.store.put("servers/s1", "k");
+    host.store.put("snipevalve/leader/1/b", leaderText(Other));
+    host.start();
+    host.runFor(Milliseconds(4'000));
+    REQUIRE(host.leaders["k"] == host.settings.control);
+    REQUIRE(server.accept());
+    while (server.accept()) {
+    }
+
+    host.store.losesRenewals = true;
+    const std::uint64_t revision = host.store.values["snipevalve/leader/1/k"].revision;
+    host.runFor(Milliseconds(2'500)); // the lease lapses
+    while (server.accept()) {
+    }
+    host.store.put("snipevalve/leader/1/k", leaderText(Other)); // which the host does not learn
+    host.store.values.erase("snipevalve/leader/1/b");
+    host.relay({1, revision, {{"k", {host.settings.control, revision}}}});
+    host.runFor(Milliseconds(1'500));
+    REQUIRE(host.leaders["b"] == host.settings.control);
+    CHECK_FALSE(server.accept());
+}
+
 } // namespace snipevalve
