Simulation: grants that are held up on their way, and clocks at their bound

The simulation lost every grant to a server that could not be reached, so it could not see grants that arrive after the leader has given them up.

--- a/include/snipevalve/ownership/key_authority.hpp
+++ b/include/snipevalve/ownership/key_authority.hpp
@@ -139,6 +139,7 @@
     static constexpr bool KeepRestartedOwner = true; ///< a restarted server may hold keys granted to its previous run
     static constexpr bool ConfirmWithOldFence = true; ///< an owner that a later leader has reached confirms nothing
     static constexpr bool ConfirmInTime = true; ///< a grant is confirmed before it can have expired
+    static constexpr bool ResetGivenUpCalls = true; ///< a call that was given up does not arrive much later
     static constexpr bool RaiseTermWithEra = true; ///< terms of a new era are above those of earlier ones
 };
 
--- a/src/snipevalve/ownership/key_authority_test.cpp
+++ b/src/snipevalve/ownership/key_authority_test.cpp
@@ -131,6 +131,11 @@
     static constexpr bool AllowForSlowClock = false;
 };
 
+struct CloseGivenUpCalls : StandardKeyRules
+{
+    static constexpr bool ResetGivenUpCalls = false;
+};
+
 struct ForgetRestartedOwner : StandardKeyRules
 {
     static constexpr bool KeepRestartedOwner = false;
@@ -211,18 +216,20 @@
     const unsigned late = firstViolatingSeed<ForgetLateGrants>(Seeds);
     const unsigned lease = firstViolatingSeed<SendWithoutLease>(Seeds, LongFaults);
     const unsigned clock = firstViolatingSeed<TrustServersClocks>(Seeds);
+    const unsigned closed = firstViolatingSeed<CloseGivenUpCalls>(Seeds, LongFaults, LongSimulationLength);
     const unsigned restart = firstViolatingSeed<ForgetRestartedOwner>(Seeds, LongFaults, LongSimulationLength);
     const unsigned consent = firstViolatingSeed<LongHoldsWithoutConsent>(Seeds, LongFaults, LongSimulationLength);
     const unsigned deputy =
         firstViolatingSeed<NameDeputyDuringLongHolds>(2 * Seeds, OutageFaults, LongSimulationLength);
     WARN("first failing seeds: plan " << plan << ", hold " << hold << ", late grants " << late << ", lease " << lease
-                                      << ", clock " << clock << ", restart " << restart << ", consent " << consent
-                                      << ", deputy " << deputy);
+                                      << ", clock " << clock << ", closed calls " << closed << ", restart " << restart
+                                      << ", consent " << consent << ", deputy " << deputy);
     CHECK(plan > 0);
     CHECK(hold > 0);
     CHECK(late > 0);
     CHECK(lease > 0);
     CHECK(clock > 0);
+    CHECK(closed > 0);
     CHECK(restart > 0);
     CHECK(consent > 0);
     CHECK(deputy > 0);
--- a/src/snipevalve/ownership/key_simulation_test.hpp
+++ b/src/snipevalve/ownership/key_simulation_test.hpp
@@ -155,6 +155,7 @@
 public:
     explicit KeySimulation(unsigned seed, FaultRates rates = {})
         : m_random(seed)
+        , m_heldUpRandom(seed)
         , m_rates(rates)
     {
         for (std::size_t number = 0; number < m_hosts.size(); ++number) {
@@ -164,7 +165,7 @@
             m_servers[at].entry.id = "s" + std::to_string(at);
             m_servers[at].entry.slots = 2;
             m_servers[at].entry.incarnation = 1;
-            m_servers[at].clockFactor = 1.0 + 0.02 * uniform(); // up to 2 % slow, as the platform allows
+            m_servers[at].clockFactor = 1.0 / (1.0 - 0.02 * uniform()); // up to 2 % slow, as the platform allows
         }
     }
 
@@ -574,7 +575,9 @@
         const bool isConfirmation = grant.sendBefore != TimePoint::max();
         m_result.lowFences += isConfirmation ? 0 : lowFences(grant);
         if (!m_servers[at].isReachable) {
-            scheduleOutcome(number, grant.call, KeyCallOutcome::NoAnswer, randomDelay(300, 500));
+            const Milliseconds givenUpAfter = randomDelay(300, 500);
+            scheduleOutcome(number, grant.call, KeyCallOutcome::NoAnswer, givenUpAfter);
+            holdUp(at, grant, givenUpAfter);
             return;
         }
         const Milliseconds oneWay = randomDelay(1, 60);
@@ -611,6 +614,22 @@
                  });
     }
 
+    /// The kernel sends a call again while the server can't be reached, until the host resets the connection. What was
+    /// sent last may be under way for as long as the rules allow.
+    void holdUp(std::size_t at, const GrantKeys &grant, Milliseconds givenUpAfter)
+    {
+        const Milliseconds longest =
+            Rules::ResetGivenUpCalls ? givenUpAfter + KeyAuthorityTimes().maxArrivalDelay : Milliseconds(8'000);
+        const Milliseconds delay(std::uniform_int_distribution<std::int64_t>(100, longest.count())(m_heldUpRandom));
+        schedule(delay, [this, at, grant]() {
+            FakeServer &server = m_servers[at];
+            const auto hold = std::chrono::duration<double, std::milli>(grant.hold) * server.clockFactor;
+            if (server.isReachable) {
+                server.grant(grant.keys, grant.fence, m_now + std::chrono::duration_cast<Duration>(hold));
+            }
+        });
+    }
+
     void perform(std::size_t number, const ReleaseKeys &release)
     {
         const std::size_t at = indexOf(release.server.id);
@@ -676,6 +695,7 @@
     }
 
     std::mt19937 m_random;
+    std::mt19937 m_heldUpRandom; ///< apart from the other draws, which a seed had before there were held-up calls
     FaultRates m_rates;
     std::array<Fence, Probes> m_lastFences;
     typename BasicKeyAuthority<Rules>::Demand m_demand; ///< a member because its two vectors are large
