--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -2,6 +2,8 @@
 
 #include <optional>
 
+#include "standins/thread_time.hpp"
+
 namespace snipevalve::soak {
 
 namespace {
@@ -61,6 +63,11 @@
     return {sent, served};
 }
 
+Milliseconds SoakCallers::processorTime()
+{
+    return standins::processorTimeOf(m_thread);
+}
+
 std::vector<CallerRecord> SoakCallers::stop()
 {
     m_stopping = true;
--- a/tests/soak/soak_callers.hpp
+++ b/tests/soak/soak_callers.hpp
@@ -32,6 +32,9 @@
     /// @return their number, and how many of them were served
     std::pair<std::size_t, std::size_t> servedSince(TimePoint since) const;
 
+    /// @return the processor time that the callers' thread has used
+    Milliseconds processorTime();
+
     /// @brief Stops the traffic.
     /// @return the records of all requests
     std::vector<CallerRecord> stop();
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -1,3 +1,5 @@
+#include <sys/resource.h>
+
 #include <algorithm>
 #include <chrono>
 #include <filesystem>
@@ -29,6 +31,7 @@
   --minutes=M     Continue with further seeds until this many minutes have passed. [default: 0]
   --seconds=S     Seconds of faults for each seed. [default: 12]
   --scale=N       Multiplier for the four nodes and nine servers. [default: 1]
+  --servers=N     Number of servers, instead of nine times the scale.
   --network=N     Second octet of all addresses; concurrent runs need different ones. [default: 60]
   --binaries=DIR  Folder of the programs. [default: build/bin]
   --node=DIR      Folder of the nodes' program, if it is that of another build.
@@ -61,7 +64,9 @@
 {
     std::cout << "seed " << seed << ": " << result.violations.size() << " findings, " << result.schedule.size()
               << " faults, " << result.served << " of " << result.requests << " requests served, regained after "
-              << result.recoveryTime.count() << " ms" << std::endl;
+              << result.recoveryTime.count() << " ms; processor time in " << result.elapsed.count() << " ms: store "
+              << result.storeTime.count() << ", callers " << result.callersTime.count() << ", proxies "
+              << result.proxiesTime.count() << " ms" << std::endl;
     if (result.violations.empty()) {
         return;
     }
@@ -113,10 +118,20 @@
     return std::stoull(arguments.at(name).asString());
 }
 
+/// Each connection through a proxy takes two descriptors of this process.
+void raiseFileLimit()
+{
+    rlimit limit{};
+    ::getrlimit(RLIMIT_NOFILE, &limit);
+    limit.rlim_cur = limit.rlim_max;
+    ::setrlimit(RLIMIT_NOFILE, &limit);
+}
+
 } // namespace
 
 int main(int argc, char **argv)
 {
+    raiseFileLimit();
     const auto arguments = docopt::docopt(Usage, {argv + 1, argv + argc}, true);
     const std::uint64_t scale = parseNumber(arguments, "--scale");
     const std::string folder = arguments.at("--folder").asString();
@@ -125,6 +140,11 @@
     options.nodes *= static_cast<unsigned>(scale);
     options.keyedServers *= static_cast<unsigned>(scale);
     options.poolServers *= static_cast<unsigned>(scale);
+    if (arguments.at("--servers").isString()) {
+        const auto servers = static_cast<unsigned>(parseNumber(arguments, "--servers"));
+        options.keyedServers = servers * options.keyedServers / (options.keyedServers + options.poolServers);
+        options.poolServers = servers - options.keyedServers;
+    }
     options.traffic = std::chrono::seconds(parseNumber(arguments, "--seconds"));
     options.serverBinaries = arguments.at("--binaries").asString();
     const docopt::value &node = arguments.at("--node");
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -7,6 +7,7 @@
 #include <filesystem>
 
 #include "standins/node_settings_file.hpp"
+#include "standins/thread_time.hpp"
 
 namespace snipevalve::soak {
 
@@ -21,7 +22,8 @@
 constexpr unsigned HostsPerSubnet = 200;
 constexpr std::uint16_t ServerPort = 8080;
 constexpr std::uint16_t ProxyPort = 8700;
-constexpr unsigned ConnectionsPerNode = 4;
+constexpr unsigned MostConnectionsPerNode = 4;
+constexpr unsigned AllConnections = 80; ///< of the callers, when there are many nodes
 constexpr Milliseconds PollInterval(10);
 constexpr Milliseconds StartTimeout(20'000);
 constexpr Milliseconds KeyedServiceTime(15);
@@ -212,11 +214,25 @@
         m_records.configured[m_extraRoutes] = Clock::now();
         m_callers->setVersion(m_extraRoutes);
         break;
-    default:
+    case FaultKind::DrainServer:
+    case FaultKind::LateGrants:
+    case FaultKind::WrongServerResponses:
         injectServerFault(fault, server);
+        break;
+    default:
+        for (unsigned target = 0; target < serversPerFault(); ++target) {
+            injectServerFault(fault, m_servers[(fault.target + target) % m_servers.size()]);
+        }
     }
 }
 
+/// One server in 30, at least one.
+unsigned SoakRun::serversPerFault() const
+{
+    constexpr unsigned ServersPerTarget = 30;
+    return std::max(1U, (m_options.keyedServers + m_options.poolServers) / ServersPerTarget);
+}
+
 void SoakRun::injectNodeFault(const Fault &fault, std::size_t number)
 {
     Node &node = m_nodes[number];
@@ -447,8 +463,8 @@
         freezeServer(server, fault.duration);
         break;
     case FaultKind::DrainServer: {
-        constexpr std::size_t MaxServers = 500;
-        if (!server.process || m_servers.size() >= MaxServers) {
+        constexpr std::size_t MaxProcesses = 300;
+        if (!server.process || m_nodes.size() + m_servers.size() >= MaxProcesses) {
             return;
         }
         server.process->terminate();
@@ -602,7 +618,8 @@
     for (const Node &node : m_nodes) {
         callerEndpoints.push_back({node.address, standins::NodeCallersPort});
     }
-    m_callers = std::make_unique<SoakCallers>(callerEndpoints, ConnectionsPerNode, m_options.seed);
+    const unsigned connectionsPerNode = std::clamp(AllConnections / m_options.nodes, 1U, MostConnectionsPerNode);
+    m_callers = std::make_unique<SoakCallers>(callerEndpoints, connectionsPerNode, m_options.seed);
     recordDisturbance(Disturbance::All, StartTimeout, false);
     m_callers->start();
     SoakResult result;
@@ -614,6 +631,10 @@
     injectFaults(result.schedule);
     m_records.healedAt = Clock::now();
     result.recoveryTime = waitUntilRecovered(*m_callers);
+    result.elapsed = std::chrono::duration_cast<Milliseconds>(Clock::now() - m_createdAt);
+    result.storeTime = m_platform.processorTime();
+    result.callersTime = m_callers->processorTime();
+    result.proxiesTime = standins::processorTimeOf(m_proxyThread);
     collect(*m_callers);
     const std::vector<Violation> found = findViolations(m_records, SoakBounds());
     result.violations.insert(result.violations.end(), found.begin(), found.end());
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -44,6 +44,10 @@
     std::size_t served = 0;
     /// From the end of the last fault until 90 % of the requests of the last second were served.
     Milliseconds recoveryTime{0};
+    Milliseconds elapsed{0}; ///< from the creation of the run until its end
+    Milliseconds storeTime{0}; ///< this and the next two: processor time of their thread
+    Milliseconds callersTime{0};
+    Milliseconds proxiesTime{0};
 };
 
 /// @brief Runs one seed: real nodes as processes against a stand-in for the platform, with faults injected from outside
@@ -105,6 +109,7 @@
     bool waitUntilServed();
     void injectFaults(const std::vector<Fault> &schedule);
     void inject(const Fault &fault);
+    unsigned serversPerFault() const;
     void injectNodeFault(const Fault &fault, std::size_t number);
     void injectLinkFault(const Fault &fault, std::size_t number);
     void injectServerFault(const Fault &fault, Server &server);
@@ -121,6 +126,7 @@
     std::string addressOf(unsigned subnet, unsigned host) const;
 
     SoakOptions m_options;
+    TimePoint m_createdAt = Clock::now();
     standins::PlatformStandin m_platform;
     asio::io_context m_proxies{1};
     asio::executor_work_guard<asio::io_context::executor_type> m_proxiesWork;
--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -2,6 +2,8 @@
 
 #include <absl/strings/escaping.h>
 
+#include "standins/thread_time.hpp"
+
 namespace snipevalve::standins {
 
 namespace {
@@ -58,6 +60,11 @@
     return {addressOf(m_network, 1), StorePort};
 }
 
+Milliseconds PlatformStandin::processorTime()
+{
+    return processorTimeOf(m_thread);
+}
+
 void PlatformStandin::putConfig(const std::string &text)
 {
     const std::lock_guard lock(m_mutex);
--- a/tests/standins/platform_standin.hpp
+++ b/tests/standins/platform_standin.hpp
@@ -41,6 +41,9 @@
 
     Endpoint storeEndpoint() const;
 
+    /// @return the processor time that the store and the servers have used
+    Milliseconds processorTime();
+
     /// @brief Writes the operators' configuration.
     void putConfig(const std::string &text);
 
