Soak: servers that restart before their entries are removed

Cause: a crash lasted 0.2 to 5 s, so most servers were back only after their entries had been removed (600 ms of silence); a supervisor restarts a process at once. Grants for the earlier run then reach the new one.

Change: each seed has one to four restarts within 100 ms, each with another fault that begins up to 600 ms earlier: the server cut off from the store or from the nodes in one direction, frozen or draining, or a node that stops or freezes. They have their own stream. A server's process that ends by itself is now a finding, like a node's.

--- a/tests/soak/schedule.cpp
+++ b/tests/soak/schedule.cpp
@@ -104,6 +104,38 @@
     }
 }
 
+/// Adds one to four servers that restart under their ids before their entries are removed, each of them with another
+/// fault that begins up to 600 ms earlier. They are drawn apart, like the restores.
+void addQuickRestarts(std::uint64_t seed, Milliseconds length, std::vector<Fault> &faults)
+{
+    constexpr std::uint64_t Stream = 7;
+    constexpr std::uint64_t MostRestarts = 4;
+    constexpr std::uint64_t ShortestMs = 5;
+    constexpr std::uint64_t LongestMs = 100;
+    constexpr std::uint64_t Targets = 1'000;
+    constexpr std::uint64_t LongestLeadMs = 600;
+    constexpr std::uint64_t ShortestOtherMs = 200;
+    constexpr std::uint64_t LongestOtherMs = 5'000;
+    constexpr std::array<FaultKind, 7> Others = {
+        FaultKind::CutServerFromStore, FaultKind::CutToServer, FaultKind::CutFromServer, FaultKind::FreezeServer,
+        FaultKind::DrainServer,        FaultKind::StopNode,    FaultKind::FreezeNode};
+    SplitMix64 random(seed ^ Stream);
+    const std::uint64_t count = 1 + random.below(MostRestarts);
+    for (std::uint64_t restart = 0; restart < count; ++restart) {
+        Fault crash;
+        crash.kind = FaultKind::CrashServer;
+        crash.at = Milliseconds(random.below(static_cast<std::uint64_t>(length.count())));
+        crash.duration = Milliseconds(ShortestMs + random.below(LongestMs - ShortestMs));
+        crash.target = static_cast<unsigned>(random.below(Targets));
+        Fault other = crash;
+        other.kind = Others.at(random.below(Others.size()));
+        other.at = std::max(Milliseconds(0), crash.at - Milliseconds(random.below(LongestLeadMs)));
+        other.duration = Milliseconds(ShortestOtherMs + random.below(LongestOtherMs - ShortestOtherMs));
+        faults.push_back(other);
+        faults.push_back(crash);
+    }
+}
+
 /// @param kinds what is drawn from
 std::vector<Fault> drawFaults(SplitMix64 &random, const std::vector<FaultKind> &kinds, Milliseconds length)
 {
@@ -167,6 +199,7 @@
     kinds.push_back(FaultKind::CutToServer);
     const std::vector<Fault> processFaults = drawFaults(more, kinds, length);
     faults.insert(faults.end(), processFaults.begin(), processFaults.end());
+    addQuickRestarts(seed, length, faults);
     std::stable_sort(faults.begin(), faults.end(), [](const Fault &left, const Fault &right) {
         return left.at < right.at;
     });
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -589,6 +589,10 @@
 void SoakRun::collectServers()
 {
     for (const Server &server : m_servers) {
+        if (server.process && !server.process->isRunning()) {
+            m_processViolations.push_back(
+                {"no process exits unexpectedly", server.id, "start " + std::to_string(server.starts.size() - 1)});
+        }
         for (const ServerStart &start : server.starts) {
             ServerRun run{standins::readServerRecord(start.record, server.id, server.service),
                           std::min(start.endedAt, m_records.endedAt)};
