Soak: constants that clang-tidy 14 can read in a nested lambda

Cause: clang 14, which lint uses, reports an implicit capture of a local constant in a lambda within a lambda; g++ accepts it. Change: the two are static. Measured: clang-tidy with lint's options reports nothing for soak_run.cpp.

--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -332,8 +332,8 @@
 /// The node runs for 20 ms of each 100 ms.
 void SoakRun::slowNode(Node &node, TimePoint end)
 {
-    constexpr Milliseconds Stopped(80);
-    constexpr Milliseconds Running(20);
+    static constexpr Milliseconds Stopped(80);
+    static constexpr Milliseconds Running(20);
     if (!node.process || node.process->isFrozen() || Clock::now() >= end) {
         return;
     }
