Soak: signals wait until a server handles them

Cause: reported that ledger-4 ended by itself. It had restarted 28 ms before a fault sent SIGUSR1 to all servers, which ends a process that has not installed its handlers; it had not even opened its record. A fault of the soak.

Change: servers start with all signals blocked and let them in with their handlers. A server that starts while late orders last has them, too, and these last until the last of several overlapping faults has ended.

--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -146,7 +146,16 @@
         arguments.emplace_back("--keyed");
     }
     std::filesystem::remove(name + ".record"); // of an earlier run in the same folder
+    // A signal that comes before the process handles it waits until it does.
+    sigset_t signals;
+    sigset_t before;
+    ::sigfillset(&signals);
+    ::pthread_sigmask(SIG_BLOCK, &signals, &before);
     server.process.emplace(m_options.serverBinaries + "/standin-upstream", arguments, name + ".log");
+    ::pthread_sigmask(SIG_SETMASK, &before, nullptr);
+    if (m_lateOrders > 0) {
+        ::kill(server.process->pid(), SIGUSR1);
+    }
     server.starts.push_back({name + ".record"});
 }
 
@@ -475,9 +484,11 @@
         break;
     }
     case FaultKind::LateGrants:
+        ++m_lateOrders;
         signalServers({}, SIGUSR1);
         runAfter(fault.duration, [this]() {
-            signalServers({}, SIGUSR2);
+            --m_lateOrders;
+            signalServers({}, m_lateOrders > 0 ? SIGUSR1 : SIGUSR2);
         });
         break;
     default: {
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -137,6 +137,7 @@
     std::atomic<bool> m_isStopping = false;
     std::vector<Task> m_tasks;
     std::unique_ptr<SoakCallers> m_callers;
+    unsigned m_lateOrders = 0; ///< faults of this kind that last
     std::uint64_t m_version = 2;
     std::uint64_t m_extraRoutes = 0;
     SoakRecords m_records;
--- a/tests/standins/process.hpp
+++ b/tests/standins/process.hpp
@@ -14,7 +14,7 @@
 class Process
 {
 public:
-    /// @brief Starts a program.
+    /// @brief Starts a program. It inherits the signals that the calling thread has blocked.
     /// @param output file to which standard output and standard error are appended
     /// @throws std::runtime_error when no process can be created
     Process(const std::string &program, const std::vector<std::string> &arguments, const std::string &output);
--- a/tests/standins/upstream_main.cpp
+++ b/tests/standins/upstream_main.cpp
@@ -67,6 +67,9 @@
     for (int fault = 0; fault <= static_cast<int>(ServerFault::LastFault); ++fault) {
         signals.add(SIGRTMIN + fault);
     }
+    sigset_t all;
+    ::sigfillset(&all);
+    ::pthread_sigmask(SIG_UNBLOCK, &all, nullptr); // whoever starts this process may have blocked them
     while (true) {
         const int signal = co_await signals.async_wait(asio::use_awaitable);
         const std::lock_guard lock(mutex);
