Soak: a frozen node's grace period goes on when it does

Cause: reported that node-2 still ran 6 s after SIGTERM. It was frozen (SIGSTOP) for 4.4 s from 2.0 s after the SIGTERM on; its log ends with answers 1.6 s after stop_begins. A fault of the soak.

Change: the time for which a stopping node is frozen does not count as grace. A node that runs gets 6 s as before.

--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -311,8 +311,8 @@
         return; // a repeated SIGTERM from a series of faults
     }
     m_nodes[number].isStopping = true;
-    const auto poll = std::make_shared<std::function<void(TimePoint)>>();
-    *poll = [this, number, poll](TimePoint end) {
+    const auto poll = std::make_shared<std::function<void(TimePoint, TimePoint)>>();
+    *poll = [this, number, poll](TimePoint end, TimePoint lastPoll) {
         Node &node = m_nodes[number];
         if (!node.process) {
             node.isStopping = false; // killed in the meantime
@@ -326,16 +326,20 @@
             });
             return;
         }
-        if (Clock::now() >= end) {
+        const TimePoint now = Clock::now();
+        if (node.process->isFrozen()) {
+            end += now - lastPoll; // its grace period goes on when it does
+        }
+        if (now >= end) {
             m_processViolations.push_back(
                 {"stops in time", "node-" + std::to_string(number), "still ran after the grace period"});
             node.process->kill();
         }
-        runAfter(PollInterval, [poll, end]() {
-            (*poll)(end);
+        runAfter(PollInterval, [poll, end, now]() {
+            (*poll)(end, now);
         });
     };
-    (*poll)(Clock::now() + Grace);
+    (*poll)(Clock::now() + Grace, Clock::now());
 }
 
 /// The node runs for 20 ms of each 100 ms.
