Don't repeat a request on a connection that has carried its id

Callers saw: 503 ("not run, try again") for requests that the server ran: REFUSED. With three attempts or more, the next send would run, too: TWICE (by reading; the test's route has two). This happened on services with keys, where the repeated send goes to the same server, if that server wrote its refusal once more.

Cause: answers on a connection are told apart by the request's id. The connection of a refusal goes back to the pool, and the repeated send took it, as the one used last. A late copy of the refusal has the same id and passed as the answer to the second send. The check of idle connections sees only bytes that arrived before the send.

Change: connections are numbered in their pool. The runner keeps the numbers of the connections that its request was sent on, and the pool skips these. They stay in the pool for other requests. Weighed: closing the connection after each refusal (a new connection for each refusal, also where no send is repeated), only for unsafe requests (a safe one that ran would still get 503, and its server a refusal that it did not send).

Measured: process_hostile_server_test "a refusal that is sent once more is not taken for one of a later send" failed before with 503 for 10 of 20 safe and 10 of 20 unsafe requests (each second one; the others found no kept connection), and passes now, as do "a request that was refused at each send is answered as not run" (passed before, too) and upstream_exchange_test: 15 sends of 5 requests open 3 connections in all. process_hostile_server_test as a whole: 9 cases, 748 checks passed.

--- a/include/snipevalve/net/upstream_pool.hpp
+++ b/include/snipevalve/net/upstream_pool.hpp
@@ -1,6 +1,7 @@
 #ifndef SNIPEVALVE_NET_UPSTREAM_POOL_HPP
 #define SNIPEVALVE_NET_UPSTREAM_POOL_HPP
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
@@ -19,6 +20,7 @@
     {
     }
 
+    std::uint64_t number = 0; ///< unique within its pool; 0 for none
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     TimePoint lastResponseAt; ///< when the last complete response ended
@@ -35,8 +37,10 @@
 
     /// @brief Takes the most recently used idle connection that is still usable.
     /// @param maxIdleTime the longest time since the end of its last response
+    /// @param excluded numbers of connections that are not taken and stay in the pool
     /// @return null when there is no such connection
-    std::unique_ptr<UpstreamConnection> takeIdle(const Endpoint &endpoint, Duration maxIdleTime, TimePoint now);
+    std::unique_ptr<UpstreamConnection> takeIdle(const Endpoint &endpoint, Duration maxIdleTime, TimePoint now,
+                                                 const std::vector<std::uint64_t> &excluded = {});
 
     /// @brief Opens a connection.
     /// @return null when no connection could be opened before the timeout
@@ -50,6 +54,7 @@
     asio::any_io_executor m_executor;
     std::string m_sourceAddress;
     std::size_t m_idleLimit;
+    std::uint64_t m_lastNumber = 0; ///< of a connection
     std::map<Endpoint, std::vector<std::unique_ptr<UpstreamConnection>>> m_idle;
 };
 
--- a/src/snipevalve/net/upstream_pool.cpp
+++ b/src/snipevalve/net/upstream_pool.cpp
@@ -1,5 +1,7 @@
 #include "snipevalve/net/upstream_pool.hpp"
 
+#include <algorithm>
+
 #include "snipevalve/net/idle_connection.hpp"
 #include "snipevalve/net/tcp_user_timeout.hpp"
 
@@ -13,17 +15,21 @@
 }
 
 std::unique_ptr<UpstreamConnection> UpstreamPool::takeIdle(const Endpoint &endpoint, Duration maxIdleTime,
-                                                           TimePoint now)
+                                                           TimePoint now, const std::vector<std::uint64_t> &excluded)
 {
     auto &idle = m_idle[endpoint];
-    while (!idle.empty()) {
-        std::unique_ptr<UpstreamConnection> connection = std::move(idle.back());
-        idle.pop_back();
-        if (now - connection->lastResponseAt > maxIdleTime) {
+    for (auto position = idle.end(); position != idle.begin();) {
+        --position;
+        if (now - (*position)->lastResponseAt > maxIdleTime) {
             // The connections before it have been idle even longer.
-            idle.clear();
+            idle.erase(idle.begin(), std::next(position));
             return nullptr;
         }
+        if (std::find(excluded.begin(), excluded.end(), (*position)->number) != excluded.end()) {
+            continue;
+        }
+        std::unique_ptr<UpstreamConnection> connection = std::move(*position);
+        position = idle.erase(position);
         if (connection->buffer.size() == 0 && !isStaleConnection(connection->stream.socket())) {
             return connection;
         }
@@ -36,6 +42,7 @@
     constexpr Milliseconds TcpUserTimeout(5000);
     ErrorCode error;
     auto connection = std::make_unique<UpstreamConnection>(m_executor);
+    connection->number = ++m_lastNumber;
     beast::tcp_stream &stream = connection->stream;
     stream.expires_after(timeout);
     stream.socket().open(Tcp::v4(), error);
--- a/src/snipevalve/node/request_runner.cpp
+++ b/src/snipevalve/node/request_runner.cpp
@@ -161,7 +161,9 @@
         spawnMember(m_traffic.executor, shared_from_this(), &RequestRunner::enforceAttemptTimeout, timer, m_sendCount);
     }
     const ScopedAddition buffered(m_traffic.bufferedAnswers, 1);
-    ExchangeResult result = co_await exchange->run(placement.server, m_request.deadline - AnswerMargin, bufferLimit());
+    ExchangeResult result =
+        co_await exchange->run(placement.server, m_request.deadline - AnswerMargin, bufferLimit(), m_usedConnections);
+    m_usedConnections.push_back(result.connection);
     timer->cancel();
     const bool isStreamed = result.answer && !result.answer->isWhole;
     m_exchange = isStreamed ? exchange : nullptr;
--- a/src/snipevalve/node/request_runner.hpp
+++ b/src/snipevalve/node/request_runner.hpp
@@ -64,6 +64,7 @@
     std::uint64_t m_streamedBytes = 0;
     Ticket m_waitingTicket = 0; ///< while waiting for a placement, else 0
     std::vector<std::string> m_failedServers; ///< ids
+    std::vector<std::uint64_t> m_usedConnections; ///< numbers of the connections of earlier sends
     int m_sendCount = 0;
     bool m_isShuttingDown = false; ///< the process is about to end; no further sends
 };
--- a/src/snipevalve/node/upstream_exchange.cpp
+++ b/src/snipevalve/node/upstream_exchange.cpp
@@ -51,13 +51,14 @@
 {
 }
 
-Awaitable<ExchangeResult> UpstreamExchange::run(UpstreamServer server, TimePoint until, std::size_t bufferLimit)
+Awaitable<ExchangeResult> UpstreamExchange::run(UpstreamServer server, TimePoint until, std::size_t bufferLimit,
+                                                std::vector<std::uint64_t> usedConnections)
 {
     ExchangeResult result;
     const TimePoint startedAt = Clock::now();
     m_serverId = server.id;
     m_endpoint = server.endpoint;
-    co_await connect(server.endpoint, until, result);
+    co_await connect(until, usedConnections, result);
     if (m_cancelled || !m_connection) {
         result.end = m_cancelled ? WorkEnd::Abandoned : WorkEnd::Unreachable;
         result.took = Clock::now() - startedAt;
@@ -112,16 +113,18 @@
     }
 }
 
-Awaitable<void> UpstreamExchange::connect(const Endpoint &endpoint, TimePoint until, ExchangeResult &result)
+Awaitable<void> UpstreamExchange::connect(TimePoint until, const std::vector<std::uint64_t> &usedConnections,
+                                          ExchangeResult &result)
 {
     const Milliseconds maxIdleTime = m_request.isIdempotent() ? IdempotentReuseAge : NonIdempotentReuseAge;
-    m_connection = m_pool.takeIdle(endpoint, maxIdleTime, Clock::now());
+    m_connection = m_pool.takeIdle(m_endpoint, maxIdleTime, Clock::now(), usedConnections);
     result.reusedConnection = m_connection != nullptr;
     if (!m_connection) {
         const auto remaining = std::chrono::duration_cast<Milliseconds>(until - Clock::now());
-        m_connection = co_await m_pool.connect(endpoint, std::clamp(remaining, Milliseconds(1), ConnectTimeout));
+        m_connection = co_await m_pool.connect(m_endpoint, std::clamp(remaining, Milliseconds(1), ConnectTimeout));
         result.detail = m_connection ? "" : "no connection";
     }
+    result.connection = m_connection ? m_connection->number : 0;
 }
 
 Awaitable<void> UpstreamExchange::send()
--- a/src/snipevalve/node/upstream_exchange.hpp
+++ b/src/snipevalve/node/upstream_exchange.hpp
@@ -4,6 +4,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "snipevalve/dispatch/work.hpp"
 #include "snipevalve/gateway/server_notice.hpp"
@@ -31,6 +32,7 @@
     std::optional<UpstreamAnswer> answer; ///< set only when `end` is Done
     std::string detail; ///< why the send failed; logged, and sent to the caller when there is no retry
     bool reusedConnection = false;
+    std::uint64_t connection = 0; ///< number of the connection; 0 if there was none
     Duration took{}; ///< until the exchange ended or streaming began
     ParsedServerNotice notice; ///< of the server that the request was meant for
 };
@@ -54,7 +56,10 @@
     /// @param server where to send the request
     /// @param until time limit for the exchange
     /// @param bufferLimit longest body in bytes that is read whole; longer ones are streamed
-    Awaitable<ExchangeResult> run(UpstreamServer server, TimePoint until, std::size_t bufferLimit);
+    /// @param usedConnections numbers of the connections on which the request was sent before. It is not sent there
+    /// again: answers are told apart by the request's id, so a late copy of the earlier one would pass as the answer.
+    Awaitable<ExchangeResult> run(UpstreamServer server, TimePoint until, std::size_t bufferLimit,
+                                  std::vector<std::uint64_t> usedConnections);
 
     /// @brief Reads the next part of a streamed body.
     /// @param error set when the server's answer ended early; the caller's must then not look complete
@@ -68,7 +73,7 @@
     void giveUp();
 
 private:
-    Awaitable<void> connect(const Endpoint &endpoint, TimePoint until, ExchangeResult &result);
+    Awaitable<void> connect(TimePoint until, const std::vector<std::uint64_t> &usedConnections, ExchangeResult &result);
     Awaitable<void> send();
     Awaitable<void> waitForSend();
     Awaitable<void> receive(ExchangeResult &result, std::size_t bufferLimit);
--- a/tests/process/hostile_server_test.cpp
+++ b/tests/process/hostile_server_test.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <fstream>
+#include <map>
 #include <random>
 #include <set>
 
@@ -13,6 +14,7 @@
 namespace {
 
 constexpr std::uint8_t Network = 57;
+constexpr std::uint8_t RefusalNetwork = 110;
 constexpr std::size_t PartBytes = 16 << 10;
 constexpr unsigned Incomplete = 0; ///< the connection of the caller ended before the response was complete
 
@@ -51,6 +53,18 @@
     return reply;
 }
 
+/// @brief A complete refusal that names a request, or none if the id is empty.
+std::string refusal(const std::string &id, const std::string &more = {})
+{
+    return "HTTP/1.1 503 Busy\r\nX-Snipevalve-Not-Executed: 1\r\n"
+        + (id.empty() ? std::string() : "X-Snipevalve-Request-Id: " + id + "\r\n") + more + "Content-Length: 0\r\n\r\n";
+}
+
+ScriptedReply success(const std::string &id)
+{
+    return makeReply(responseHead(id, "Content-Length: 2\r\n") + "ok");
+}
+
 /// @brief One node and one server whose replies are scripted.
 class HostileDeployment : public NodeDeployment
 {
@@ -330,6 +344,87 @@
     }
 }
 
+/// @brief One node and one server that holds all keys, with scripted replies. All routes lead to it.
+class HostileOwner : public NodeDeployment
+{
+public:
+    HostileOwner(const std::string &name, std::uint8_t network)
+        : NodeDeployment(name, network, 1)
+        , server({"127." + std::to_string(network) + ".3.1", ServerPort})
+    {
+        const std::string pool = "\"service\":\"debits\"";
+        std::string config = smallConfig(3, 1);
+        for (auto at = config.find(pool); at != std::string::npos; at = config.find(pool)) {
+            config.replace(at, pool.size(), "\"service\":\"ledger\"");
+        }
+        platform.putConfig(config);
+        platform.addServer("scripted", "ledger", true, Milliseconds(5), server.endpoint());
+        server.setScript(success);
+        REQUIRE(waitUntil(
+            [this]() {
+                return send("GET").status == 200;
+            },
+            StartTimeout));
+    }
+
+    Answer send(const std::string &method)
+    {
+        constexpr int Key = 7;
+        return sendRequest(0, method, method == "POST" ? "/p/x" : "/v1/x", Key);
+    }
+
+    static constexpr std::uint16_t ServerPort = 8080;
+    ScriptedServer server;
+};
+
+TEST_CASE("a refusal that is sent once more is not taken for one of a later send", "[promise-5]")
+{
+    constexpr Milliseconds Later(30); ///< long after the request has been sent again, which takes a few ms
+    HostileOwner deployment("node-refusals", RefusalNetwork);
+    for (const std::string method : {"GET", "POST"}) {
+        INFO(method);
+        std::map<std::string, int> arrivals; // by id of the request
+        deployment.server.setScript([&arrivals, Later](const std::string &id) {
+            if (++arrivals[id] > 1) {
+                return success(id);
+            }
+            ScriptedReply reply = makeReply(refusal(id));
+            reply.late = refusal(id);
+            reply.lateAfter = Later;
+            return reply;
+        });
+        constexpr int Requests = 20;
+        for (int request = 0; request < Requests; ++request) {
+            CHECK(deployment.send(method).status == 200);
+        }
+        deployment.server.setScript(success); // `arrivals` is not used any more
+        CHECK(arrivals.size() == Requests);
+        for (const auto &[id, count] : arrivals) {
+            CHECK(count == 2); // one that was refused, one that ran
+        }
+    }
+}
+
+TEST_CASE("a request that was refused at each send is answered as not run", "[promise-5]")
+{
+    HostileOwner deployment("node-refused", RefusalNetwork + 1);
+    std::map<std::string, int> arrivals; // by id of the request
+    deployment.server.setScript([&arrivals](const std::string &id) {
+        ++arrivals[id];
+        return makeReply(refusal(id));
+    });
+    for (const std::string method : {"GET", "POST"}) {
+        INFO(method);
+        const Answer answer = deployment.send(method);
+        CHECK(answer.status == 503);
+        CHECK(!answer.retryAfter.empty());
+    }
+    deployment.server.setScript(success); // `arrivals` is not used any more
+    for (const auto &[id, count] : arrivals) {
+        CHECK(count == 2);
+    }
+}
+
 TEST_CASE("a graceful stop answers the callers of a hanging server", "[promise-7]")
 {
     HostileDeployment deployment("node-hang", Network + 5);
--- a/tests/standins/scripted_server.cpp
+++ b/tests/standins/scripted_server.cpp
@@ -25,12 +25,36 @@
     m_script = std::move(script);
 }
 
+Endpoint ScriptedServer::endpoint() const
+{
+    const Tcp::endpoint local = m_acceptor.local_endpoint();
+    return {local.address().to_string(), local.port()};
+}
+
 int ScriptedServer::requests() const
 {
     const std::lock_guard lock(m_mutex);
     return m_requests;
 }
 
+int ScriptedServer::connections() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_connections;
+}
+
+ScriptedReply ScriptedServer::replyTo(const std::string &id)
+{
+    ScriptedReply reply;
+    if (id.empty()) {
+        reply.start = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        return reply;
+    }
+    const std::lock_guard lock(m_mutex);
+    ++m_requests;
+    return m_script ? m_script(id) : reply;
+}
+
 Awaitable<void> ScriptedServer::accept()
 {
     while (true) {
@@ -40,6 +64,10 @@
         if (error) {
             co_return;
         }
+        {
+            const std::lock_guard lock(m_mutex);
+            ++m_connections;
+        }
         asio::co_spawn(m_context, serve(socket), asio::detached);
     }
 }
@@ -49,17 +77,12 @@
     ErrorCode error;
     beast::flat_buffer buffer;
     while (!error) {
-        http::request<http::empty_body> request;
+        http::request<http::string_body> request;
         co_await http::async_read(*socket, buffer, request, awaitInto(error));
         if (error) {
             break;
         }
-        ScriptedReply reply;
-        {
-            const std::lock_guard lock(m_mutex);
-            ++m_requests;
-            reply = m_script ? m_script(std::string(request["X-Snipevalve-Request-Id"])) : ScriptedReply{};
-        }
+        const ScriptedReply reply = replyTo(std::string(request["X-Snipevalve-Request-Id"]));
         co_await asio::async_write(*socket, asio::buffer(reply.start), awaitInto(error));
         for (std::size_t time = 0; time < reply.times && !error; ++time) {
             co_await asio::async_write(*socket, asio::buffer(reply.repeated), awaitInto(error));
--- a/tests/standins/scripted_server.hpp
+++ b/tests/standins/scripted_server.hpp
@@ -30,7 +30,8 @@
     static constexpr std::size_t Endless = static_cast<std::size_t>(-1);
 };
 
-/// @brief A server that answers requests without a body with exactly the bytes that a test gives it.
+/// @brief A server that answers requests with exactly the bytes that a test gives it. It accepts calls that bear no id,
+/// such as grants of keys.
 class ScriptedServer
 {
 public:
@@ -44,18 +45,26 @@
     /// @brief Replaces the script; it applies to the requests that arrive from now on.
     void setScript(Script script);
 
-    /// @return the number of requests received so far
+    /// @return the address at which it listens, with the port that it got if the given one was 0
+    Endpoint endpoint() const;
+
+    /// @return the number of requests received so far, without the calls that bear no id
     int requests() const;
 
+    /// @return the number of connections accepted so far
+    int connections() const;
+
 private:
     Awaitable<void> accept();
     Awaitable<void> serve(std::shared_ptr<Tcp::socket> socket);
+    ScriptedReply replyTo(const std::string &id);
 
     asio::io_context m_context{1};
     Tcp::acceptor m_acceptor;
     mutable std::mutex m_mutex;
     Script m_script;
     int m_requests = 0;
+    int m_connections = 0;
     std::thread m_thread;
 };
 
