Count a refusal without an id only on a connection without earlier requests

Callers saw: debits that ran twice at their server (TWICE), or 503 for one that had run (REFUSED), after a server had sent a refusal without an id late, on a kept connection. The server was also taken for one that refuses, and a Retry-After in such an answer kept the host from it.

Cause: whether an answer is a refusal was asked before whether it names the request, and answersOtherRequest() lets an answer without an id pass. Servers echo the id, and our requests always have one, so such an answer may be one to an earlier request.

Change: an answer without an id is a refusal, and its pause counts, only if the connection has carried no other request and has brought no other answer. Else the send is lost: an unsafe request ends with 502, a safe one is repeated, and the server counts no refusal. A departure that such an answer tells still counts, as none is taken back. The connection is not kept after a refusal without an id, since a copy of it could not be told from the next answer. Weighed: skipping answers without an id (the request would wait for its whole time if the server's own answer lacks it).

--- a/src/snipevalve/node/upstream_exchange.cpp
+++ b/src/snipevalve/node/upstream_exchange.cpp
@@ -118,7 +118,8 @@
 {
     const Milliseconds maxIdleTime = m_request.isIdempotent() ? IdempotentReuseAge : NonIdempotentReuseAge;
     m_connection = m_pool.takeIdle(m_endpoint, maxIdleTime, Clock::now(), usedConnections);
-    result.reusedConnection = m_connection != nullptr;
+    m_reusesConnection = m_connection != nullptr;
+    result.reusedConnection = m_reusesConnection;
     if (!m_connection) {
         const auto remaining = std::chrono::duration_cast<Milliseconds>(until - Clock::now());
         m_connection = co_await m_pool.connect(m_endpoint, std::clamp(remaining, Milliseconds(1), ConnectTimeout));
@@ -192,6 +193,10 @@
     const http::response_header<> &header = m_parser->get();
     if (!isFromOtherServer(header)) {
         result.notice = m_parseServerNotice(header);
+        if (!belongsToRequest(header)) {
+            // The pause may have begun earlier. A departure that was told earlier still holds.
+            result.notice.notice.pause = Milliseconds(0);
+        }
     }
     const std::string fault = checkAnswer(header);
     const bool isForwardable = !isRefusal(header) && fault.empty() && !promisesNotExecuted(header.result());
@@ -254,15 +259,31 @@
     return header.result() == http::status::misdirected_request && header[m_names.serverId] != m_serverId;
 }
 
+/// Whether the answer names a request. One that receiveHead() returns then names this request.
+bool UpstreamExchange::namesRequest(const http::response_header<> &header) const
+{
+    return !header[m_names.requestId].empty();
+}
+
+/// Whether the answer can only be one to this request. One that names no request may be a late one to an earlier
+/// request, unless the connection has carried none.
+bool UpstreamExchange::belongsToRequest(const http::response_header<> &header) const
+{
+    return namesRequest(header) || (!m_reusesConnection && !m_sawOtherAnswer);
+}
+
+/// Whether the server says that it did not run this request.
 bool UpstreamExchange::isRefusal(const http::response_header<> &header) const
 {
-    return header.find(m_names.notExecuted) != header.end() || header.result() == http::status::misdirected_request;
+    const bool saysNotExecuted =
+        header.find(m_names.notExecuted) != header.end() || header.result() == http::status::misdirected_request;
+    return saysNotExecuted && belongsToRequest(header);
 }
 
 /// @return why the answer is not a valid answer of the server to this request; empty when it is
 std::string UpstreamExchange::checkAnswer(const http::response_header<> &header) const
 {
-    if (header[m_names.requestId].empty()) {
+    if (!namesRequest(header)) {
         return "the answer names no request";
     }
     if (header.find(http::field::content_encoding) != header.end()) {
@@ -310,8 +331,8 @@
 
 void UpstreamExchange::returnConnection()
 {
-    const bool isReusable = !m_sendError && !m_sawOtherAnswer && m_parser->keep_alive() && !m_parser->need_eof()
-        && m_connection->buffer.size() == 0;
+    const bool isReusable = !m_sendError && !m_sawOtherAnswer && namesRequest(m_parser->get()) && m_parser->keep_alive()
+        && !m_parser->need_eof() && m_connection->buffer.size() == 0;
     if (isReusable) {
         m_pool.putBack(m_endpoint, std::move(m_connection), Clock::now());
     }
--- a/src/snipevalve/node/upstream_exchange.hpp
+++ b/src/snipevalve/node/upstream_exchange.hpp
@@ -43,9 +43,10 @@
 /// @brief Sends one request to one server and reads its answer.
 ///
 /// An answer is valid only if the server echoes the request's id, sends the body without a content encoding and ends it
-/// cleanly, and stamps it if it is a success. The connection returns to the pool only after such an answer or a
-/// refusal, and when nothing is left to send or to read on it. Bodies up to `bufferLimit` are read whole, so that the
-/// request can be retried if the answer breaks off. Longer ones are streamed, with the caller's speed as back pressure.
+/// cleanly, and stamps it if it is a success. A refusal without an id counts only if the connection has carried no
+/// other request. The connection returns to the pool only after an answer or a refusal with the id, and when nothing is
+/// left to send or to read on it. Bodies up to `bufferLimit` are read whole, so that the request can be retried if the
+/// answer breaks off. Longer ones are streamed, with the caller's speed as back pressure.
 class UpstreamExchange : public std::enable_shared_from_this<UpstreamExchange>
 {
 public:
@@ -81,6 +82,8 @@
     Awaitable<void> discardAnswer(ErrorCode &error);
     bool answersOtherRequest() const;
     bool isFromOtherServer(const http::response_header<> &header) const;
+    bool namesRequest(const http::response_header<> &header) const;
+    bool belongsToRequest(const http::response_header<> &header) const;
     bool isRefusal(const http::response_header<> &header) const;
     std::string checkAnswer(const http::response_header<> &header) const;
     void setOutcome(const ErrorCode &error, ExchangeResult &result);
@@ -99,6 +102,7 @@
     asio::steady_timer m_sendEnded;
     ErrorCode m_sendError;
     bool m_sendDone = false;
+    bool m_reusesConnection = false; ///< the connection has carried other requests
     bool m_sawOtherAnswer = false; ///< the connection delivered an answer to another request
     bool m_cancelled = false;
     bool m_gaveUp = false;
--- a/src/snipevalve/node/upstream_exchange_test.cpp
+++ b/src/snipevalve/node/upstream_exchange_test.cpp
@@ -13,6 +13,7 @@
 
 constexpr Milliseconds TimeLimit(2'000);
 constexpr Milliseconds Later(30); ///< long after the next request has been sent
+constexpr Milliseconds AskedPause(700);
 constexpr std::size_t BufferLimit = 64 << 10;
 const std::string Id = "this";
 
@@ -48,6 +49,15 @@
     return reply;
 }
 
+/// A pause is asked for by each 503, a departure told by a header.
+ParsedServerNotice parseNotice(const http::response_header<> &header)
+{
+    ParsedServerNotice result;
+    result.notice.isLeaving = header.find("Server-Leaving") != header.end();
+    result.notice.pause = header.result() == http::status::service_unavailable ? AskedPause : Milliseconds(0);
+    return result;
+}
+
 /// @brief Sends requests to a scripted server, one after the other and over the same pool of connections.
 class Exchanges
 {
@@ -74,12 +84,8 @@
         request.header.method(kind == RequestKind::Unsafe ? http::verb::post : http::verb::get);
         request.header.target("/");
         request.header.set(m_names.requestId, id);
-        const auto exchange = std::make_shared<UpstreamExchange>(
-            m_context.get_executor(), m_pool, m_names,
-            [](const http::response_header<> &) {
-                return ParsedServerNotice();
-            },
-            request);
+        const auto exchange =
+            std::make_shared<UpstreamExchange>(m_context.get_executor(), m_pool, m_names, parseNotice, request);
         UpstreamServer target;
         target.id = "scripted";
         target.endpoint = server.endpoint();
@@ -104,8 +110,93 @@
     HeaderNames m_names = headerNames();
 };
 
+/// @brief An answer that comes before that to the request, and what the request ends with.
+struct EarlierAnswer
+{
+    std::string name;
+    std::string bytes;
+    WorkEnd onKeptConnection;
+    WorkEnd onNewConnection;
+};
+
 } // namespace
 
+TEST_CASE("an answer without an id is a refusal only if the connection has carried no other request", "[promise-5]")
+{
+    const std::string other = "other";
+    const std::vector<EarlierAnswer> cases = {
+        {"503, not run", makeRefusal(""), WorkEnd::Lost, WorkEnd::Refused},
+        {"429, not run", makeRefusal("", "429 Busy"), WorkEnd::Lost, WorkEnd::Refused},
+        {"400, not run", makeRefusal("", "400 No id"), WorkEnd::Lost, WorkEnd::Refused},
+        {"421, not run", makeRefusal("", "421 Other"), WorkEnd::Lost, WorkEnd::Refused},
+        {"421", makeAnswer("421 Other", ""), WorkEnd::Lost, WorkEnd::Refused},
+        {"503", makeAnswer("503 Busy", ""), WorkEnd::Lost, WorkEnd::Lost},
+        {"500", makeAnswer("500 Failed", ""), WorkEnd::Lost, WorkEnd::Lost},
+        {"200", makeAnswer("200 OK", ""), WorkEnd::Lost, WorkEnd::Lost},
+        {"another's refusal", makeRefusal(other), WorkEnd::Done, WorkEnd::Done},
+        {"another's refusal, then one without an id", makeRefusal(other) + makeRefusal(""), WorkEnd::Lost,
+         WorkEnd::Lost},
+        {"another's 503", makeAnswer("503 Busy", other), WorkEnd::Done, WorkEnd::Done},
+        {"another's 500", makeAnswer("500 Failed", other), WorkEnd::Done, WorkEnd::Done},
+        {"another's 200", makeAnswer("200 OK", other), WorkEnd::Done, WorkEnd::Done},
+        {"an interim answer", "HTTP/1.1 100 Continue\r\n\r\n", WorkEnd::Done, WorkEnd::Done},
+        {"an interim answer, then a refusal without an id", "HTTP/1.1 100 Continue\r\n\r\n" + makeRefusal(""),
+         WorkEnd::Lost, WorkEnd::Refused},
+        {"its own refusal", makeRefusal(Id), WorkEnd::Refused, WorkEnd::Refused},
+    };
+    const std::string answer = makeAnswer("200 OK", Id);
+    for (const RequestKind kind : {RequestKind::Safe, RequestKind::Unsafe}) {
+        for (const EarlierAnswer &each : cases) {
+            INFO(each.name);
+            Exchanges onNew;
+            CHECK(onNew.send(Id, makeReply(each.bytes + answer), {}, kind).end == each.onNewConnection);
+            Exchanges onKept;
+            REQUIRE(onKept.send(other, makeReply(makeAnswer("200 OK", other), each.bytes), {}, kind).end
+                    == WorkEnd::Done);
+            const ExchangeResult result = onKept.send(Id, makeReply(answer), {}, kind);
+            CHECK(result.reusedConnection);
+            CHECK(result.end == each.onKeptConnection);
+        }
+    }
+}
+
+TEST_CASE("a connection is not kept after a refusal without an id", "[promise-5]")
+{
+    Exchanges exchanges;
+    CHECK(exchanges.send("first", makeReply(makeRefusal(""))).end == WorkEnd::Refused);
+    CHECK_FALSE(exchanges.send("second", makeReply(makeRefusal("second"))).reusedConnection);
+    CHECK(exchanges.send("third", makeReply(makeRefusal("third"))).reusedConnection);
+}
+
+TEST_CASE("a pause is taken only from an answer to the request", "[promise-3]")
+{
+    const std::string other = "other";
+    const std::string leaving = "Server-Leaving: 1\r\n";
+    struct Case
+    {
+        std::string name;
+        std::string bytes;
+        ServerNotice notice;
+    };
+    const std::vector<Case> cases = {
+        {"its own refusal", makeRefusal(Id), {false, AskedPause}},
+        {"its own answer", makeAnswer("503 Busy", Id, leaving), {true, AskedPause}},
+        {"a refusal without an id", makeRefusal(""), {false, Milliseconds(0)}},
+        {"an answer without an id", makeAnswer("503 Busy", "", leaving), {true, Milliseconds(0)}},
+        {"another's refusal", makeRefusal(other), {false, Milliseconds(0)}},
+    };
+    for (const Case &each : cases) {
+        INFO(each.name);
+        Exchanges exchanges;
+        exchanges.send(other, makeReply(makeAnswer("200 OK", other), each.bytes));
+        const ExchangeResult result = exchanges.send(Id, makeReply(makeAnswer("200 OK", Id)));
+        CHECK(result.reusedConnection);
+        CHECK(result.notice.notice == each.notice);
+    }
+    Exchanges onNew;
+    CHECK(onNew.send(Id, makeReply(makeRefusal(""))).notice.notice == ServerNotice{false, AskedPause});
+}
+
 TEST_CASE("a request is not sent again on a connection that has carried it, and others still use that connection",
           "[promise-5]")
 {
--- a/tests/process/hostile_server_test.cpp
+++ b/tests/process/hostile_server_test.cpp
@@ -405,6 +405,38 @@
     }
 }
 
+TEST_CASE("a late refusal that names no request is not taken for one of the request under way", "[promise-5]")
+{
+    constexpr Milliseconds Later(30); ///< long after the next request has been sent
+    HostileOwner deployment("node-unnamed", RefusalNetwork + 2);
+    for (const std::string method : {"GET", "POST"}) {
+        INFO(method);
+        std::map<std::string, int> runs; // by id of the request
+        constexpr int Rounds = 10;
+        for (int round = 0; round < Rounds; ++round) {
+            deployment.server.setScript([&runs, Later](const std::string &id) {
+                ++runs[id];
+                ScriptedReply reply = success(id);
+                reply.late = refusal("", "Retry-After: 2\r\n");
+                reply.lateAfter = Later;
+                return reply;
+            });
+            CHECK(deployment.send(method).status == 200);
+            deployment.server.setScript([&runs](const std::string &id) {
+                ++runs[id];
+                return success(id);
+            });
+            CHECK(deployment.send(method).status == (method == "GET" ? 200 : 502));
+        }
+        deployment.server.setScript(success); // `runs` is not used any more
+        CHECK(runs.size() == 2 * Rounds);
+        for (const auto &[id, count] : runs) {
+            CHECK(count <= (method == "GET" ? 2 : 1));
+        }
+    }
+    CHECK_FALSE(deployment.logContains(0, "server=scripted paused"));
+}
+
 TEST_CASE("a request that was refused at each send is answered as not run", "[promise-5]")
 {
     HostileOwner deployment("node-refused", RefusalNetwork + 1);
