--- /dev/null
+++ b/src/snipevalve/net/cut_reply_test.cpp
@@ -0,0 +1,89 @@
+#include <catch2/catch.hpp>
+
+#include "snipevalve/net/http_client.hpp"
+#include "standins/scripted_server.hpp"
+
+namespace snipevalve {
+
+namespace {
+
+using standins::ScriptedReply;
+using standins::ScriptedServer;
+
+/// @brief Calls a scripted server with a new client.
+absl::StatusOr<HttpReply> callScripted(ScriptedServer &server, const ScriptedReply &reply)
+{
+    server.setScript([&reply](const std::string &) {
+        return reply;
+    });
+    asio::io_context context{1};
+    HttpClient client(context.get_executor(), {});
+    HttpCall call;
+    call.endpoint = server.endpoint();
+    call.method = http::verb::post;
+    call.target = "/grant";
+    call.headers["X-Snipevalve-Request-Id"] = "call"; // so that the server replies with the script
+    call.timeout = Milliseconds(1'000);
+    absl::StatusOr<HttpReply> result = absl::InternalError("not ended");
+    asio::co_spawn(context, client.call(call),
+                   [&result](const std::exception_ptr &error, absl::StatusOr<HttpReply> value) {
+                       if (!error) {
+                           result = std::move(value);
+                       }
+                   });
+    context.run();
+    server.setScript({});
+    return result;
+}
+
+/// @brief A whole reply, of which the test cuts off the end.
+struct WholeReply
+{
+    std::string name;
+    std::string bytes;
+    bool hasLength = true; ///< false if the body ends with the connection
+};
+
+} // namespace
+
+TEST_CASE("a reply that is cut anywhere counts as none, and its call as one that may have been handled")
+{
+    using Finish = ScriptedReply::Finish;
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Snipevalve-Handover: 5c0e7a21\r\n";
+    const std::string emptyLine = "\r\n\r\n";
+    const std::vector<WholeReply> replies = {
+        {"with a length", head + "Content-Length: 12\r\n\r\n{\"items\":[]}"},
+        {"without a body", head + "Content-Length: 0\r\n\r\n"},
+        {"in chunks", head + "Transfer-Encoding: chunked\r\n\r\n6\r\n{\"item\r\n6\r\ns\":[]}\r\n0\r\nX-Sum: 1\r\n\r\n"},
+        {"ended by the connection", head + "\r\n{\"items\":[]}", false},
+        {"not found", "HTTP/1.1 404 None\r\nContent-Length: 2\r\n\r\n{}"},
+        {"a conflict", "HTTP/1.1 409 Higher\r\nContent-Length: 0\r\n\r\n"},
+        {"another server's", "HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n"},
+    };
+    ScriptedServer server({"127.0.0.1", 0});
+    for (const WholeReply &each : replies) {
+        const std::size_t bodyStart = each.bytes.find(emptyLine) + emptyLine.size();
+        for (std::size_t cut = 0; cut <= each.bytes.size(); ++cut) {
+            for (const bool inTwoReads : {false, true}) {
+                INFO(each.name << ", cut after " << cut << " of " << each.bytes.size()
+                               << (inTwoReads ? " bytes, in two reads" : " bytes, in one read"));
+                // The second part begins close to the cut, so that this is met in both reads.
+                const std::size_t split = inTwoReads ? cut - cut % 4 : cut;
+                ScriptedReply reply;
+                reply.start = each.bytes.substr(0, split);
+                reply.late = each.bytes.substr(split, cut - split);
+                reply.lateAfter = Milliseconds(2);
+                reply.finish = Finish::Close;
+                const bool isWhole = cut == each.bytes.size() || (!each.hasLength && cut >= bodyStart);
+                CHECK(callScripted(server, reply).status().code()
+                      == (isWhole ? absl::StatusCode::kOk : absl::StatusCode::kUnavailable));
+                if (cut < each.bytes.size() || !each.hasLength) {
+                    reply.finish = Finish::Reset;
+                    CHECK(callScripted(server, reply).status().code() == absl::StatusCode::kUnavailable);
+                }
+            }
+        }
+    }
+}
+
+} // namespace snipevalve
--- a/src/snipevalve/node/upstream_exchange_test.cpp
+++ b/src/snipevalve/node/upstream_exchange_test.cpp
@@ -58,6 +58,21 @@
     return result;
 }
 
+/// Reads the rest of a streamed answer. @param error set if the answer ended early
+Awaitable<ExchangeResult> runToEnd(std::shared_ptr<UpstreamExchange> exchange, UpstreamServer server, TimePoint until,
+                                   std::size_t bufferLimit, std::vector<std::uint64_t> usedConnections,
+                                   ErrorCode &error)
+{
+    ExchangeResult result = co_await exchange->run(server, until, bufferLimit, std::move(usedConnections));
+    bool hasMore = result.answer && !result.answer->isWhole;
+    while (hasMore) {
+        const std::string part = co_await exchange->readMore(error);
+        result.answer->body += part;
+        hasMore = !error && !part.empty();
+    }
+    co_return result;
+}
+
 /// @brief Sends requests to a scripted server, one after the other and over the same pool of connections.
 class Exchanges
 {
@@ -90,7 +105,9 @@
         target.id = "scripted";
         target.endpoint = server.endpoint();
         std::optional<ExchangeResult> result;
-        asio::co_spawn(m_context, exchange->run(target, request.deadline, BufferLimit, usedConnections),
+        streamError = {};
+        asio::co_spawn(m_context,
+                       runToEnd(exchange, target, request.deadline, bufferLimit, usedConnections, streamError),
                        [&result](const std::exception_ptr &error, ExchangeResult value) {
                            if (!error) {
                                result = std::move(value);
@@ -103,6 +120,8 @@
     }
 
     ScriptedServer server;
+    std::size_t bufferLimit = BufferLimit; ///< longer answers are streamed
+    ErrorCode streamError; ///< of the last answer, if it was streamed
 
 private:
     asio::io_context m_context{1};
@@ -110,6 +129,36 @@
     HeaderNames m_names = headerNames();
 };
 
+/// @brief A server's whole answer, of which the tests cut off the end.
+struct WholeAnswer
+{
+    std::string name;
+    std::string bytes;
+    WorkEnd end;
+    bool hasLength = true; ///< false if the body ends with the connection
+};
+
+std::vector<WholeAnswer> makeWholeAnswers()
+{
+    const std::string head = "X-Snipevalve-Request-Id: " + Id + "\r\nX-Snipevalve-Response-Stamp: s\r\n";
+    const std::string chunks = "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\nc;ext=1\r\n server body\r\n0\r\n";
+    const std::string bare = "Content-Length: 5\r\n\r\nwhole";
+    return {
+        {"with a length", "HTTP/1.1 200 OK\r\n" + head + bare, WorkEnd::Done},
+        {"with a length that comes first", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n" + head + "\r\nwhole",
+         WorkEnd::Done},
+        {"without a body", "HTTP/1.1 200 OK\r\n" + head + "Content-Length: 0\r\n\r\n", WorkEnd::Done},
+        {"with no content", "HTTP/1.1 204 None\r\n" + head + "\r\n", WorkEnd::Done},
+        {"in chunks", "HTTP/1.1 200 OK\r\n" + head + chunks + "\r\n", WorkEnd::Done},
+        {"in chunks with a trailer", "HTTP/1.1 200 OK\r\n" + head + chunks + "X-Sum: 1\r\nX-End: 2\r\n\r\n",
+         WorkEnd::Done},
+        {"ended by the connection", "HTTP/1.1 200 OK\r\n" + head + "\r\nwhole", WorkEnd::Done, false},
+        {"a failure", "HTTP/1.1 500 Failed\r\n" + head + bare, WorkEnd::Done},
+        {"a refusal", "HTTP/1.1 503 Busy\r\nX-Snipevalve-Not-Executed: 1\r\n" + head + bare, WorkEnd::Refused},
+        {"after an interim answer", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n" + head + bare, WorkEnd::Done},
+    };
+}
+
 /// @brief An answer that comes before that to the request, and what the request ends with.
 struct EarlierAnswer
 {
@@ -168,6 +217,39 @@
     CHECK(exchanges.send("third", makeReply(makeRefusal("third"))).reusedConnection);
 }
 
+TEST_CASE("an answer that is cut anywhere never counts as one", "[promise-3]")
+{
+    using Finish = ScriptedReply::Finish;
+    const std::string emptyLine = "\r\n\r\n";
+    for (const std::size_t bufferLimit : {BufferLimit, std::size_t(0)}) { // read whole, and streamed
+        for (const WholeAnswer &each : makeWholeAnswers()) {
+            const std::size_t bodyStart = each.bytes.rfind(emptyLine) + emptyLine.size();
+            for (std::size_t cut = 0; cut <= each.bytes.size(); ++cut) {
+                for (const bool inTwoReads : {false, true}) {
+                    INFO(each.name << ", cut after " << cut << " of " << each.bytes.size() << " bytes, buffer limit "
+                                   << bufferLimit << (inTwoReads ? ", in two reads" : ", in one read"));
+                    // The second part begins close to the cut, so that this is met in both reads.
+                    const std::size_t split = inTwoReads ? cut - std::min<std::size_t>(cut, cut % 4) : cut;
+                    ScriptedReply reply = makeReply(each.bytes.substr(0, split), each.bytes.substr(split, cut - split));
+                    reply.lateAfter = Milliseconds(2);
+                    const bool isWhole = cut == each.bytes.size() || (!each.hasLength && cut >= bodyStart);
+                    Exchanges exchanges;
+                    exchanges.bufferLimit = bufferLimit;
+                    reply.finish = Finish::Close;
+                    const ExchangeResult closed = exchanges.send(Id, reply);
+                    CHECK((closed.end == each.end && !exchanges.streamError) == isWhole);
+                    CHECK((closed.end == WorkEnd::Lost || exchanges.streamError) == !isWhole);
+                    if (cut < each.bytes.size() || !each.hasLength) {
+                        reply.finish = Finish::Reset;
+                        const ExchangeResult reset = exchanges.send(Id, reply);
+                        CHECK((reset.end == WorkEnd::Lost || exchanges.streamError));
+                    }
+                }
+            }
+        }
+    }
+}
+
 TEST_CASE("a pause is taken only from an answer to the request", "[promise-3]")
 {
     const std::string other = "other";
--- a/tests/process/hostile_server_test.cpp
+++ b/tests/process/hostile_server_test.cpp
@@ -276,6 +276,44 @@
     }
 }
 
+TEST_CASE("a response that ends in its head is no success for the caller", "[promise-3]")
+{
+    HostileDeployment deployment("node-head", RefusalNetwork + 3);
+    struct Case
+    {
+        std::string name;
+        std::string method;
+        std::string last; ///< the last bytes that the server sends
+    };
+    // Few, as the server is not used for some seconds after each; upstream_exchange_test cuts at each byte.
+    const std::vector<Case> cases = {
+        {"in the status line", "POST", "HTTP/1.1 20"},
+        {"at the end of the status line", "GET", "200 OK\r\n"},
+        {"in the name of a field", "POST", "Content-Le"},
+        {"in the value of a field", "GET", "Response-Stamp: s-"},
+        {"between fields", "POST", "s-1\r\n"},
+        {"in the empty line", "GET", "Content-Length: 2\r\n\r"},
+    };
+    for (const Case &each : cases) {
+        INFO(each.name);
+        deployment.server.setScript(success);
+        REQUIRE(deployment.waitUntil(
+            [&deployment]() {
+                return deployment.sendRequest(0, "GET", "/v1/x").status == 200;
+            },
+            StartTimeout));
+        deployment.server.setScript([&each](const std::string &) {
+            const std::string head = responseHead("1", "Content-Length: 2\r\n");
+            return makeReply(head.substr(0, head.find(each.last) + each.last.size()), Finish::Close);
+        });
+        const int before = deployment.server.requests();
+        const std::string path = each.method == "POST" ? "/p/x" : "/v1/x";
+        const Answer answer = deployment.sendRequest(0, each.method, path, -1, Milliseconds(500));
+        CHECK(deployment.server.requests() == before + 1);
+        CHECK((answer.status == 502 || answer.status == 504));
+    }
+}
+
 TEST_CASE("a long error response of a server is forwarded and logged with its own status", "[promise-3]")
 {
     const std::string part(PartBytes, 'f');
