--- a/src/snipevalve/node/upstream_exchange.cpp
+++ b/src/snipevalve/node/upstream_exchange.cpp
@@ -51,13 +51,14 @@
 {
 }
 
-Awaitable<ExchangeResult> UpstreamExchange::run(UpstreamServer server, TimePoint until, std::size_t bufferLimit)
+Awaitable<ExchangeResult> UpstreamExchange::run(UpstreamServer server, TimePoint until, std::size_t bufferLimit,
+                                                std::vector<std::uint64_t> usedConnections)
 {
     ExchangeResult result;
     const TimePoint startedAt = Clock::now();
     m_serverId = server.id;
     m_endpoint = server.endpoint;
-    co_await connect(server.endpoint, until, result);
+    co_await connect(until, usedConnections, result);
     if (m_cancelled || !m_connection) {
         result.end = m_cancelled ? WorkEnd::Abandoned : WorkEnd::Unreachable;
         result.took = Clock::now() - startedAt;
@@ -112,16 +113,19 @@
     }
 }
 
-Awaitable<void> UpstreamExchange::connect(const Endpoint &endpoint, TimePoint until, ExchangeResult &result)
+Awaitable<void> UpstreamExchange::connect(TimePoint until, const std::vector<std::uint64_t> &usedConnections,
+                                          ExchangeResult &result)
 {
     const Milliseconds maxIdleTime = m_request.isIdempotent() ? IdempotentReuseAge : NonIdempotentReuseAge;
-    m_connection = m_pool.takeIdle(endpoint, maxIdleTime, Clock::now());
-    result.reusedConnection = m_connection != nullptr;
+    m_connection = m_pool.takeIdle(m_endpoint, maxIdleTime, Clock::now(), usedConnections);
+    m_reusesConnection = m_connection != nullptr;
+    result.reusedConnection = m_reusesConnection;
     if (!m_connection) {
         const auto remaining = std::chrono::duration_cast<Milliseconds>(until - Clock::now());
-        m_connection = co_await m_pool.connect(endpoint, std::clamp(remaining, Milliseconds(1), ConnectTimeout));
+        m_connection = co_await m_pool.connect(m_endpoint, std::clamp(remaining, Milliseconds(1), ConnectTimeout));
         result.detail = m_connection ? "" : "no connection";
     }
+    result.connection = m_connection ? m_connection->number : 0;
 }
 
 Awaitable<void> UpstreamExchange::send()
@@ -189,6 +193,10 @@
     const http::response_header<> &header = m_parser->get();
     if (!isFromOtherServer(header)) {
         result.notice = m_parseServerNotice(header);
+        if (!belongsToRequest(header)) {
+            // The pause may have begun earlier. A departure that was told earlier still holds.
+            result.notice.notice.pause = Milliseconds(0);
+        }
     }
     const std::string fault = checkAnswer(header);
     const bool isForwardable = !isRefusal(header) && fault.empty() && !promisesNotExecuted(header.result());
@@ -251,15 +259,31 @@
     return header.result() == http::status::misdirected_request && header[m_names.serverId] != m_serverId;
 }
 
+/// Whether the answer names a request. One that receiveHead() returns then names this request.
+bool UpstreamExchange::namesRequest(const http::response_header<> &header) const
+{
+    return !header[m_names.requestId].empty();
+}
+
+/// Whether the answer can only be one to this request. One that names no request may be a late one to an earlier
+/// request, unless the connection has carried none.
+bool UpstreamExchange::belongsToRequest(const http::response_header<> &header) const
+{
+    return namesRequest(header) || (!m_reusesConnection && !m_sawOtherAnswer);
+}
+
+/// Whether the server says that it did not run this request.
 bool UpstreamExchange::isRefusal(const http::response_header<> &header) const
 {
-    return header.find(m_names.notExecuted) != header.end() || header.result() == http::status::misdirected_request;
+    const bool saysNotExecuted =
+        header.find(m_names.notExecuted) != header.end() || header.result() == http::status::misdirected_request;
+    return saysNotExecuted && belongsToRequest(header);
 }
 
 /// @return why the answer is not a valid answer of the server to this request; empty when it is
 std::string UpstreamExchange::checkAnswer(const http::response_header<> &header) const
 {
-    if (header[m_names.requestId].empty()) {
+    if (!namesRequest(header)) {
         return "the answer names no request";
     }
     if (header.find(http::field::content_encoding) != header.end()) {
@@ -307,8 +331,8 @@
 
 void UpstreamExchange::returnConnection()
 {
-    const bool isReusable = !m_sendError && !m_sawOtherAnswer && m_parser->keep_alive() && !m_parser->need_eof()
-        && m_connection->buffer.size() == 0;
+    const bool isReusable = !m_sendError && !m_sawOtherAnswer && namesRequest(m_parser->get()) && m_parser->keep_alive()
+        && !m_parser->need_eof() && m_connection->buffer.size() == 0;
     if (isReusable) {
         m_pool.putBack(m_endpoint, std::move(m_connection), Clock::now());
     }
--- a/src/snipevalve/node/upstream_exchange.hpp
+++ b/src/snipevalve/node/upstream_exchange.hpp
@@ -4,6 +4,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "snipevalve/dispatch/work.hpp"
 #include "snipevalve/gateway/server_notice.hpp"
@@ -31,6 +32,7 @@
     std::optional<UpstreamAnswer> answer; ///< set only when `end` is Done
     std::string detail; ///< why the send failed; logged, and sent to the caller when there is no retry
     bool reusedConnection = false;
+    std::uint64_t connection = 0; ///< number of the connection; 0 if there was none
     Duration took{}; ///< until the exchange ended or streaming began
     ParsedServerNotice notice; ///< of the server that the request was meant for
 };
@@ -41,9 +43,10 @@
 /// @brief Sends one request to one server and reads its answer.
 ///
 /// An answer is valid only if the server echoes the request's id, sends the body without a content encoding and ends it
-/// cleanly, and stamps it if it is a success. The connection returns to the pool only after such an answer or a
-/// refusal, and when nothing is left to send or to read on it. Bodies up to `bufferLimit` are read whole, so that the
-/// request can be retried if the answer breaks off. Longer ones are streamed, with the caller's speed as back pressure.
+/// cleanly, and stamps it if it is a success. A refusal without an id counts only if the connection has carried no
+/// other request. The connection returns to the pool only after an answer or a refusal with the id, and when nothing is
+/// left to send or to read on it. Bodies up to `bufferLimit` are read whole, so that the request can be retried if the
+/// answer breaks off. Longer ones are streamed, with the caller's speed as back pressure.
 class UpstreamExchange : public std::enable_shared_from_this<UpstreamExchange>
 {
 public:
@@ -54,7 +57,10 @@
     /// @param server where to send the request
     /// @param until time limit for the exchange
     /// @param bufferLimit longest body in bytes that is read whole; longer ones are streamed
-    Awaitable<ExchangeResult> run(UpstreamServer server, TimePoint until, std::size_t bufferLimit);
+    /// @param usedConnections numbers of the connections on which the request was sent before. It is not sent there
+    /// again: answers are told apart by the request's id, so a late copy of the earlier one would pass as the answer.
+    Awaitable<ExchangeResult> run(UpstreamServer server, TimePoint until, std::size_t bufferLimit,
+                                  std::vector<std::uint64_t> usedConnections);
 
     /// @brief Reads the next part of a streamed body.
     /// @param error set when the server's answer ended early; the caller's must then not look complete
@@ -68,7 +74,7 @@
     void giveUp();
 
 private:
-    Awaitable<void> connect(const Endpoint &endpoint, TimePoint until, ExchangeResult &result);
+    Awaitable<void> connect(TimePoint until, const std::vector<std::uint64_t> &usedConnections, ExchangeResult &result);
     Awaitable<void> send();
     Awaitable<void> waitForSend();
     Awaitable<void> receive(ExchangeResult &result, std::size_t bufferLimit);
@@ -76,6 +82,8 @@
     Awaitable<void> discardAnswer(ErrorCode &error);
     bool answersOtherRequest() const;
     bool isFromOtherServer(const http::response_header<> &header) const;
+    bool namesRequest(const http::response_header<> &header) const;
+    bool belongsToRequest(const http::response_header<> &header) const;
     bool isRefusal(const http::response_header<> &header) const;
     std::string checkAnswer(const http::response_header<> &header) const;
     void setOutcome(const ErrorCode &error, ExchangeResult &result);
@@ -94,6 +102,7 @@
     asio::steady_timer m_sendEnded;
     ErrorCode m_sendError;
     bool m_sendDone = false;
+    bool m_reusesConnection = false; ///< the connection has carried other requests
     bool m_sawOtherAnswer = false; ///< the connection delivered an answer to another request
     bool m_cancelled = false;
     bool m_gaveUp = false;
