--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -89,6 +89,12 @@
     put(key, absl::Base64Escape(value), 0);
 }
 
+void PlatformStandin::removeEntry(const std::string &key)
+{
+    const std::lock_guard lock(m_mutex);
+    erase(key);
+}
+
 Endpoint PlatformStandin::nextServerEndpoint() const
 {
     constexpr int FirstServerHost = 10;
--- a/tests/standins/platform_standin.hpp
+++ b/tests/standins/platform_standin.hpp
@@ -74,6 +74,9 @@
     /// @brief Writes a value unchecked, e.g. a damaged or forged entry.
     void putEntry(const std::string &key, const std::string &value);
 
+    /// @brief Removes an entry that putEntry() has written.
+    void removeEntry(const std::string &key);
+
     /// @brief Starts a server, which registers itself in the store and renews its entry periodically.
     /// @param serviceTime how long each request runs
     /// @param registeredAs the address in its entry, if it is reached through a proxy
