--- a/src/snipevalve/net/endpoint.cpp
+++ b/src/snipevalve/net/endpoint.cpp
@@ -22,7 +22,8 @@
     const bool isPortValid = !port.empty() && parsed.ec == std::errc() && parsed.ptr == port.data() + port.size();
     ErrorCode error;
     asio::ip::make_address_v4(endpoint.address, error);
-    if (!isPortValid || error || endpoint.port == 0) {
+    const bool isEndHidden = endpoint.address.find('\0') != std::string::npos; // make_address_v4 reads a C string
+    if (!isPortValid || error || isEndHidden || endpoint.port == 0) {
         return std::nullopt;
     }
     return endpoint;
