Read leader entries whose fields are of another type

Callers saw (unit tests): a leader entry whose address or host is no text made the watch of the leaders fail ("supervisor: leaders failed and is restarted: type must be string"), so the leaders listed after it were missing. With any entry that names no address the service never got a leader: each host tried to take it over every 120 ms, with a write to the store each time, and after eleven failures within 10 s the supervisor ends the process (by its limits; not played).

Cause: json.value() throws for a field of another type. A take-over expected the key to be absent, also when its entry names no leader.

Change: a field of another type counts as absent. The revision of an unreadable leader entry is kept, and the next leader replaces that entry. Hosts' names and servers' ids are escaped in the log lines concerned.

--- a/src/snipevalve/node/control/node_control.hpp
+++ b/src/snipevalve/node/control/node_control.hpp
@@ -262,6 +262,7 @@
         m_lease.drop();
         m_leaderKeyRevisions.clear();
         m_removedLeaderKeys.clear();
+        m_unreadableLeaders.clear();
         m_deputyOf.clear();
         m_deputyProbe = {};
         m_leaders.beginEra(era);
@@ -505,13 +506,23 @@
         announceLeaders();
     }
 
+    /// @return the text in a field; empty when there is none
+    static std::string textOf(const nlohmann::json &json, const char *field)
+    {
+        const auto found = json.is_object() ? json.find(field) : json.end();
+        return found != json.end() && found->is_string() ? found->get<std::string>() : std::string();
+    }
+
     void applyLeader(const StoredValue &value)
     {
         const auto key = parseEraKey(LeadersPrefix, value.key);
         const auto json = nlohmann::json::parse(value.value, nullptr, false);
-        const auto endpoint = json.is_object() ? parseEndpoint(json.value("address", std::string())) : std::nullopt;
+        const auto endpoint = parseEndpoint(textOf(json, "address"));
         if (!key || !endpoint) {
             spdlog::error("lead: event=unreadable key={} revision={}", escapeLogValue(value.key), value.revision);
+            if (key && key->era == m_store.era()) {
+                m_unreadableLeaders[key->service] = value.revision;
+            }
             return;
         }
         const std::string &service = key->service;
@@ -520,8 +531,9 @@
             return;
         }
         m_leaders.leaders[service] = {*endpoint, value.revision};
-        spdlog::info("lead: event=leader service={} host={} revision={}", service, json.value("host", std::string()),
-                     value.revision);
+        m_unreadableLeaders.erase(service);
+        spdlog::info("lead: event=leader service={} host={} revision={}", escapeLogValue(service),
+                     escapeLogValue(textOf(json, "host")), value.revision);
         const auto owned = m_leaderKeyRevisions.find(service);
         const bool isReplaced = owned != m_leaderKeyRevisions.end() && value.revision > owned->second;
         if (isReplaced) {
@@ -640,7 +652,7 @@
         handlers.onEvent = [this](const StoreEvent &event) {
             if (event.removed) {
                 m_directory.onRemoved(serverId(event.value.key), Clock::now());
-                spdlog::info("servers: event=removed server={} revision={}", serverId(event.value.key),
+                spdlog::info("servers: event=removed server={} revision={}", escapeLogValue(serverId(event.value.key)),
                              event.value.revision);
             } else {
                 applyServer(event.value);
@@ -836,8 +848,13 @@
         write.key = eraKey(LeadersPrefix, era, service);
         write.value = json.dump();
         write.lease = lease;
+        const auto unreadable = m_unreadableLeaders.find(service);
+        write.expectedRevision = unreadable == m_unreadableLeaders.end() ? 0 : unreadable->second;
         constexpr Milliseconds RetryTime(1'000);
         const auto result = co_await writeWithRetry(m_store, write, Clock::now() + RetryTime);
+        if (result.ok()) {
+            m_unreadableLeaders.erase(service); // noted again if the current one can't be read either
+        }
         if (m_store.era() != era) {
             co_return; // the lease and the key are lost
         }
@@ -973,6 +990,8 @@
     TimePoint m_leadersUpToDateAt; ///< when a leader last had the newest configuration and leaders
     TimePoint m_allLedAt; ///< when every service last had a reachable leader
     LeaderTable m_leaders;
+    /// By service: the revision of an entry of this era that names no leader; a new leader replaces it.
+    std::map<std::string, std::uint64_t> m_unreadableLeaders;
     bool m_leadersKnown = false;
     /// By service: the revision of the leader key that this host has written.
     std::map<std::string, std::uint64_t> m_leaderKeyRevisions;
--- a/src/snipevalve/node/control/node_control_test.cpp
+++ b/src/snipevalve/node/control/node_control_test.cpp
@@ -314,6 +314,50 @@
 
 } // namespace
 
+TEST_CASE("A leader entry that can't be read names no leader, and the host takes the service over in its place")
+{
+    const std::vector<std::string> entries = {
+        "",
+        "7",
+        std::string(100'000, '[') + std::string(100'000, ']'),
+        R"({"host":"other"})",
+        R"({"host":"other","address":7})",
+        R"({"host":"other","address":null})",
+        R"({"host":"other","address":{"a":[1e300]}})",
+        R"({"host":"other","address":"127.0.0.1:0"})",
+        R"({"host":"other","address":"127.0.0.1:65536"})",
+        R"({"host":"other","address":"127.0.0.1:-1"})",
+        R"({"host":"other","address":1e999})",
+    };
+    for (const std::string &entry : entries) {
+        INFO(entry.substr(0, 60));
+        Fixture &host = *new Fixture; // never destroyed, as suspended coroutines refer to each other
+        host.store.put("config", "a,b,");
+        host.store.put("snipevalve/leader/1/a", entry);
+        host.store.put("snipevalve/leader/1/b", leaderText("127.0.0.1:8"));
+        host.start();
+        host.runFor(Milliseconds(1'000));
+        CHECK(host.leaders["a"] == host.settings.control);
+        CHECK(host.leaders["b"] == *parseEndpoint("127.0.0.1:8"));
+        CHECK(host.store.leaderWrites <= 3);
+        CHECK(host.supervisor.restarts() == 0);
+    }
+}
+
+TEST_CASE("A leader entry whose host is no text still names the leader's address")
+{
+    for (const char *name : {"7", "null", "[]", R"("a\u0000b")"}) {
+        INFO(name);
+        Fixture &host = *new Fixture; // never destroyed, as suspended coroutines refer to each other
+        host.store.put("config", "a,");
+        host.store.put("snipevalve/leader/1/a", std::string(R"({"address":"127.0.0.1:8","host":)") + name + "}");
+        host.start();
+        host.runFor(Milliseconds(500));
+        CHECK(host.leaders["a"] == *parseEndpoint("127.0.0.1:8"));
+        CHECK(host.supervisor.restarts() == 0);
+    }
+}
+
 TEST_CASE("A host that is told once of the new era's leaders knows them after it has confirmed the era")
 {
     Fixture &host = *new Fixture; // never destroyed, as suspended coroutines refer to each other
