Take no address or keys from another host that can't be read

Callers saw (unit tests only; a leader sends only what it has checked, so this takes another version or a damaged frame): of a frame's port 65616 became port 80, of keys 65536 to 65540 keys 0 to 4, and an address that is none ended the request that was to be sent there with an exception, which closes its connection without an answer, or ended the link to a leader for good.

Cause: numbers of 32 bits were cut to 16, and toTcp() throws for an address that is none.

Change: makeEndpoint() checks address and port; a server without a sound endpoint gets none, and the pool opens no connection to it, which counts as unreachable; such a leader and such ranges of keys are left out. parseEndpoint() uses the same check.

Shown absent: texts that are no UTF-8 in frames (refused as unreadable).

--- a/include/snipevalve/net/endpoint.hpp
+++ b/include/snipevalve/net/endpoint.hpp
@@ -23,6 +23,10 @@
 /// @brief Formats the endpoint as `address:port`.
 std::string toString(const Endpoint &endpoint);
 
+/// @brief Makes an endpoint of an IPv4 address and a port as another process has sent them.
+/// @return empty when there is no such address or the port is not from 1 to 65535
+std::optional<Endpoint> makeEndpoint(const std::string &address, std::uint32_t port);
+
 /// @brief Parses `address:port` with an IPv4 address and a non-zero port.
 /// @return the endpoint, or empty when the text is not of this form
 std::optional<Endpoint> parseEndpoint(std::string_view text);
--- a/src/snipevalve/dispatch_link/messages.cpp
+++ b/src/snipevalve/dispatch_link/messages.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 
 namespace snipevalve {
 
@@ -26,12 +27,13 @@
     return message;
 }
 
+/// @return the server; without an endpoint when the other host's can't be read, so that no connection is opened to it
 UpstreamServer fromProto(const proto::Server &message, const std::string &service)
 {
     UpstreamServer server;
     server.id = message.id();
     server.service = service;
-    server.endpoint = {message.address(), static_cast<std::uint16_t>(message.port())};
+    server.endpoint = makeEndpoint(message.address(), message.port()).value_or(Endpoint());
     server.zone = message.zone();
     server.slots = message.slots();
     server.draining = message.draining();
@@ -40,6 +42,15 @@
     return server;
 }
 
+/// @return empty when there are no such keys
+std::optional<KeyRange> toKeys(std::uint32_t from, std::uint32_t to)
+{
+    if (from > to || to >= KeyCount) {
+        return std::nullopt;
+    }
+    return KeyRange{static_cast<std::uint16_t>(from), static_cast<std::uint16_t>(to)};
+}
+
 proto::Route toProto(const GatewayRoute &route)
 {
     proto::Route message;
@@ -191,9 +202,9 @@
     }
     std::vector<OwnedRange> ranges;
     for (const proto::OwnedRange &range : message.ranges()) {
-        if (range.server() < view.servers.size()) {
-            const KeyRange keys{static_cast<std::uint16_t>(range.from()), static_cast<std::uint16_t>(range.to())};
-            ranges.push_back({keys, view.servers[range.server()].id});
+        const auto keys = toKeys(range.from(), range.to());
+        if (keys && range.server() < view.servers.size()) {
+            ranges.push_back({*keys, view.servers[range.server()].id});
         }
     }
     view.owners = KeyOwners(std::move(ranges));
@@ -253,8 +264,11 @@
     change.removed.assign(message.removed().begin(), message.removed().end());
     for (const proto::OwnerChange &range : message.ranges()) {
         const bool hasOwner = range.owner() > 0 && range.owner() <= static_cast<std::uint32_t>(message.owners_size());
-        const KeyRange keys{static_cast<std::uint16_t>(range.from()), static_cast<std::uint16_t>(range.to())};
-        change.owners.push_back({keys, hasOwner ? message.owners(static_cast<int>(range.owner()) - 1) : std::string()});
+        const auto keys = toKeys(range.from(), range.to());
+        if (keys) {
+            change.owners.push_back(
+                {*keys, hasOwner ? message.owners(static_cast<int>(range.owner()) - 1) : std::string()});
+        }
     }
     return change;
 }
@@ -350,8 +364,10 @@
     table.revision = message.revision();
     table.era = message.era();
     for (const proto::Leader &leader : message.leaders()) {
-        table.leaders[leader.service()] = {{leader.address(), static_cast<std::uint16_t>(leader.port())},
-                                           leader.revision()};
+        auto endpoint = makeEndpoint(leader.address(), leader.port());
+        if (endpoint) {
+            table.leaders[leader.service()] = {*std::move(endpoint), leader.revision()};
+        }
     }
     return table;
 }
--- a/src/snipevalve/dispatch_link/messages_test.cpp
+++ b/src/snipevalve/dispatch_link/messages_test.cpp
@@ -132,6 +132,97 @@
     CHECK(parsed > Rounds / 10);
 }
 
+TEST_CASE("an address that can't be read is that of no server or leader, and the others hold")
+{
+    struct Case
+    {
+        std::string address;
+        std::uint32_t port;
+    };
+    const std::vector<Case> cases = {
+        {"10.0.0.1", 0}, {"10.0.0.1", 65'536}, {"10.0.0.1", 65'536 + 80},          {"10.0.0.1", 0xffff'ffff},
+        {"", 80},        {"host", 80},         {std::string("10.0.0.1\0", 9), 80}, {std::string(100'000, '1'), 80},
+    };
+    for (const Case &each : cases) {
+        INFO(each.address.substr(0, 20) << " " << each.port);
+        proto::View view = toProto(smallView());
+        view.mutable_servers(1)->set_address(each.address);
+        view.mutable_servers(1)->set_port(each.port);
+        const ServiceView received = fromProto(view);
+        REQUIRE(received.servers.size() == 3);
+        CHECK(received.servers[0].endpoint == smallView().servers[0].endpoint);
+        CHECK(received.servers[1].endpoint == Endpoint()); // no connection is opened to it
+        CHECK(received.servers[2].endpoint == smallView().servers[2].endpoint);
+        CHECK(received.owners == smallView().owners);
+
+        ServiceView renewed = smallView();
+        for (UpstreamServer &server : renewed.servers) {
+            server.slots = 3;
+        }
+        proto::ViewChange change = toProto(changeBetween(smallView(), renewed));
+        change.mutable_servers(1)->set_address(each.address);
+        change.mutable_servers(1)->set_port(each.port);
+        const ServiceView changed = applyChange(smallView(), fromProto(change));
+        REQUIRE(changed.servers.size() == 3);
+        CHECK(changed.servers[0] == renewed.servers[0]);
+        CHECK(changed.servers[1].endpoint == Endpoint());
+        CHECK(changed.servers[2] == renewed.servers[2]);
+
+        proto::Permit permit = toProto(Placement{7, smallView().servers.front(), Milliseconds(90)});
+        permit.mutable_server()->set_address(each.address);
+        permit.mutable_server()->set_port(each.port);
+        CHECK(fromProto(permit).server.endpoint == Endpoint());
+
+        proto::Leaders leaders =
+            toProto(LeaderTable{2, 5, {{"k", {{"10.0.0.2", 81}, 4}}, {"l", {{"10.0.0.3", 81}, 4}}}});
+        leaders.mutable_leaders(0)->set_address(each.address);
+        leaders.mutable_leaders(0)->set_port(each.port);
+        const LeaderTable table = fromProto(leaders);
+        CHECK(table.leaders.size() == 1);
+        CHECK(table.leaders.contains("l"));
+    }
+}
+
+TEST_CASE("ranges of keys that no service has are left out")
+{
+    struct Case
+    {
+        std::uint32_t from;
+        std::uint32_t to;
+    };
+    for (const Case &each : {Case{0, 65'536}, Case{65'536, 65'540}, Case{9, 8}, Case{0xffff'ffff, 0xffff'ffff}}) {
+        INFO(each.from << " to " << each.to);
+        proto::View view = toProto(smallView());
+        view.mutable_ranges(1)->set_from(each.from);
+        view.mutable_ranges(1)->set_to(each.to);
+        CHECK(fromProto(view).owners == KeyOwners({{{0, 99}, "a"}, {{30'001, 65'535}, "c"}}));
+        proto::ViewChange change;
+        change.add_owners("b");
+        proto::OwnerChange *range = change.add_ranges();
+        range->set_from(each.from);
+        range->set_to(each.to);
+        range->set_owner(1);
+        CHECK(fromProto(change).owners.empty());
+    }
+}
+
+TEST_CASE("frames with texts that are no UTF-8 are refused")
+{
+    google::protobuf::SetLogHandler(nullptr);
+    for (const char *text : {"\xff", "a\xe2\x82", "\xc0\xaf", "\xed\xa0\x80"}) {
+        proto::LeaderFrame views;
+        *views.add_views() = toProto(smallView());
+        views.mutable_views(0)->mutable_servers(0)->set_zone(text);
+        CHECK_FALSE(proto::LeaderFrame().ParseFromString(views.SerializeAsString()));
+        proto::LeaderFrame leaders;
+        leaders.mutable_leaders()->add_leaders()->set_service(text);
+        CHECK_FALSE(proto::LeaderFrame().ParseFromString(leaders.SerializeAsString()));
+        proto::HostFrame host;
+        host.add_wanted_views(text);
+        CHECK_FALSE(proto::HostFrame().ParseFromString(host.SerializeAsString()));
+    }
+}
+
 TEST_CASE("a departure reaches the leader with its time and with what told it", "[promise-6]")
 {
     const TimePoint now{std::chrono::hours(1)};
--- a/src/snipevalve/net/endpoint.cpp
+++ b/src/snipevalve/net/endpoint.cpp
@@ -9,24 +9,29 @@
     return endpoint.address + ":" + std::to_string(endpoint.port);
 }
 
+std::optional<Endpoint> makeEndpoint(const std::string &address, std::uint32_t port)
+{
+    constexpr std::uint32_t MaxPort = 65'535;
+    ErrorCode error;
+    asio::ip::make_address_v4(address, error);
+    const bool isEndHidden = address.find('\0') != std::string::npos; // make_address_v4 reads a C string
+    if (error || isEndHidden || port == 0 || port > MaxPort) {
+        return std::nullopt;
+    }
+    return Endpoint{address, static_cast<std::uint16_t>(port)};
+}
+
 std::optional<Endpoint> parseEndpoint(std::string_view text)
 {
     const auto colon = text.rfind(':');
     if (colon == std::string_view::npos) {
         return std::nullopt;
     }
-    Endpoint endpoint;
-    endpoint.address = std::string(text.substr(0, colon));
-    const std::string_view port = text.substr(colon + 1);
-    const auto parsed = std::from_chars(port.data(), port.data() + port.size(), endpoint.port);
-    const bool isPortValid = !port.empty() && parsed.ec == std::errc() && parsed.ptr == port.data() + port.size();
-    ErrorCode error;
-    asio::ip::make_address_v4(endpoint.address, error);
-    const bool isEndHidden = endpoint.address.find('\0') != std::string::npos; // make_address_v4 reads a C string
-    if (!isPortValid || error || isEndHidden || endpoint.port == 0) {
-        return std::nullopt;
-    }
-    return endpoint;
+    const std::string_view portText = text.substr(colon + 1);
+    std::uint32_t port = 0;
+    const auto parsed = std::from_chars(portText.data(), portText.data() + portText.size(), port);
+    const bool isNumber = parsed.ec == std::errc() && parsed.ptr == portText.data() + portText.size();
+    return isNumber ? makeEndpoint(std::string(text.substr(0, colon)), port) : std::nullopt;
 }
 
 Tcp::endpoint toTcp(const Endpoint &endpoint)
--- a/src/snipevalve/net/upstream_pool.cpp
+++ b/src/snipevalve/net/upstream_pool.cpp
@@ -34,6 +34,9 @@
 Awaitable<std::unique_ptr<UpstreamConnection>> UpstreamPool::connect(Endpoint endpoint, Milliseconds timeout)
 {
     constexpr Milliseconds TcpUserTimeout(5000);
+    if (!makeEndpoint(endpoint.address, endpoint.port)) {
+        co_return nullptr; // an address that another host has sent
+    }
     ErrorCode error;
     auto connection = std::make_unique<UpstreamConnection>(m_executor);
     beast::tcp_stream &stream = connection->stream;
