--- a/tests/standins/platform_standin.hpp
+++ b/tests/standins/platform_standin.hpp
@@ -53,6 +53,9 @@
     /// @brief Path of the store at which servers that are other processes renew their entries.
     static constexpr const char *HeartbeatPath = "/standin-heartbeat";
 
+    /// @brief Removes an entry that putEntry() has written.
+    void removeEntry(const std::string &key);
+
     /// @brief Starts a server, which registers itself in the store and renews its entry periodically.
     /// @param serviceTime how long each request runs
     /// @param registeredAs the address in its entry, if it is reached through a proxy
