Send repeats that a resigning leader hands back

What callers saw: a 502 right after their host's SIGTERM, for a request whose attempt had timed out and whose next attempt had not been sent.

Cause: on SIGTERM a host gives up the services that it leads. Requests that wait for a permit there, its own and those of other hosts, go to the local dispatcher of the host that asked. That one takes a token of its own for each repeat, although the leader had taken one; and as it counts only requests that it has dispatched itself and has no slack, it has none in the first moments. So it refuses each of them ("no repeated send left"), and the caller gets 502. The same goes for repeats that are asked for while the resignation is under way.

Change: a refusal for want of leadership tells whether the repeat is counted. Repeats queued at the leader are; for those that still arrive, the former leader keeps its window and takes from it. A repeat that is counted takes no second token. The bound on repeats stays: the test hands back nine where six are allowed.

--- a/include/snipevalve/dispatch/dispatcher.hpp
+++ b/include/snipevalve/dispatch/dispatcher.hpp
@@ -61,6 +61,9 @@
     /// @brief Counts a request that another dispatcher has already placed on this server.
     void adopt(const WorkItem &item, const std::string &server, TimePoint now);
 
+    /// @brief The repeats that are allowed and counted here.
+    const RepeatWindow &repeats() const;
+
     /// @brief The expected service time of the request on a server of normal speed.
     Seconds expectedWork(const WorkItem &item) const;
 
--- a/include/snipevalve/dispatch/work.hpp
+++ b/include/snipevalve/dispatch/work.hpp
@@ -22,6 +22,7 @@
     std::uint64_t workClass = 0; ///< requests of one class have similar service times
     int priority = 0; ///< 0 is the highest
     bool repeat = false; ///< the request was sent before; this send counts against the retry budget
+    bool isRepeatCounted = false; ///< another dispatcher's retry budget has allowed and counted this repeat
     std::optional<std::uint16_t> key; ///< for keyed services
     std::string zone; ///< of the requesting host
     std::uint32_t host = 0; ///< number of the requesting host, unique among the hosts
--- a/src/snipevalve/dispatch/dispatcher.cpp
+++ b/src/snipevalve/dispatch/dispatcher.cpp
@@ -153,7 +153,7 @@
 
 void Dispatcher::submit(WorkItem item, TimePoint now)
 {
-    if (item.repeat && !m_repeats.take(now)) {
+    if (item.repeat && !item.isRepeatCounted && !m_repeats.take(now)) {
         reject(item, RejectReason::RetryBudget, expectedWork(item));
         return;
     }
@@ -428,6 +428,11 @@
     return decisions;
 }
 
+const RepeatWindow &Dispatcher::repeats() const
+{
+    return m_repeats;
+}
+
 std::size_t Dispatcher::waiting() const
 {
     std::size_t count = 0;
--- a/src/snipevalve/node/leader_dispatcher.cpp
+++ b/src/snipevalve/node/leader_dispatcher.cpp
@@ -230,13 +230,11 @@
 {
     const auto led = m_ledServices.find(ask.service());
     if (led == m_ledServices.end()) {
-        proto::Refusal *refusal = host->pending.add_refusals();
-        refusal->set_ticket(ask.ticket());
-        refusal->set_not_leader(true);
+        refuseAsFollower(*host, ask, now);
         return;
     }
     const Ticket ticket = ++m_lastTicket;
-    m_origins[ticket] = {host, ask.ticket(), ask.service()};
+    m_origins[ticket] = {host, ask.ticket(), ask.service(), ask.repeat()};
     host->tickets[ask.ticket()] = ticket;
     WorkItem item = fromProto(ask, host->zone, now);
     item.ticket = ticket;
@@ -253,6 +251,17 @@
     collectDecisions(led->second);
 }
 
+/// A host that dispatches locally allows few repeats or none. Those that it has asked for before it learns that this
+/// host leads the service no more still get their share of the budget that was kept here.
+void LeaderDispatcher::refuseAsFollower(Host &host, const proto::Ask &ask, TimePoint now)
+{
+    const auto former = m_formerRepeats.find(ask.service());
+    proto::Refusal *refusal = host.pending.add_refusals();
+    refusal->set_ticket(ask.ticket());
+    refusal->set_not_leader(true);
+    refusal->set_repeat_counted(ask.repeat() && former != m_formerRepeats.end() && former->second.take(now));
+}
+
 void LeaderDispatcher::onDone(const std::shared_ptr<Host> &host, const proto::Done &done, TimePoint now)
 {
     const auto position = host->tickets.find(done.ticket());
@@ -375,9 +384,11 @@
         proto::Refusal *refusal = origin->second.host->pending.add_refusals();
         refusal->set_ticket(origin->second.ticket);
         refusal->set_not_leader(true);
+        refusal->set_repeat_counted(origin->second.isRepeat);
         origin->second.host->tickets.erase(origin->second.ticket);
         origin = m_origins.erase(origin);
     }
+    m_formerRepeats.insert_or_assign(service, led->second.dispatcher->repeats());
     m_ledServices.erase(led);
     flush();
 }
--- a/src/snipevalve/node/leader_dispatcher.hpp
+++ b/src/snipevalve/node/leader_dispatcher.hpp
@@ -119,6 +119,7 @@
         std::shared_ptr<Host> host;
         Ticket ticket = 0; ///< as numbered by the host
         std::string service;
+        bool isRepeat = false;
     };
 
     struct LedService
@@ -134,6 +135,7 @@
     Awaitable<void> serveHost(std::shared_ptr<FrameChannel> channel);
     void onFrame(const std::shared_ptr<Host> &host, const proto::HostFrame &frame);
     void onAsk(const std::shared_ptr<Host> &host, const proto::Ask &ask, TimePoint now);
+    void refuseAsFollower(Host &host, const proto::Ask &ask, TimePoint now);
     void onDone(const std::shared_ptr<Host> &host, const proto::Done &done, TimePoint now);
     void onWantedViews(const std::shared_ptr<Host> &host, const proto::HostFrame &frame);
     void onHostGone(const std::shared_ptr<Host> &host);
@@ -150,6 +152,7 @@
     std::uint64_t m_seed;
     std::set<std::shared_ptr<Host>> m_hosts;
     std::map<std::string, LedService> m_ledServices;
+    std::map<std::string, RepeatWindow> m_formerRepeats; ///< of services that were led here and are not any more
     LeavingServers m_leaving;
     std::map<Ticket, Origin> m_origins; ///< by the leader's ticket, for waiting and running requests
     Ticket m_lastTicket = 0;
--- a/src/snipevalve/node/placements.cpp
+++ b/src/snipevalve/node/placements.cpp
@@ -635,6 +635,7 @@
         }
         m_nextAskOfDenier.try_emplace(position->second.service, Clock::now());
         if (!position->second.decision) {
+            position->second.item.isRepeatCounted = refusal.repeat_counted();
             submitLocally(position->second);
         } else {
             position->second.link.reset();
--- a/src/snipevalve/node/placements_test.cpp
+++ b/src/snipevalve/node/placements_test.cpp
@@ -276,6 +276,28 @@
             asio::detached);
     }
 
+    /// Asks for another attempt of this many requests, each of which ends as soon as it is sent.
+    void repeat(int count)
+    {
+        for (int index = 0; index < count; ++index) {
+            Ticket &ticket = m_repeats.emplace_back();
+            WorkItem item = itemFor(Milliseconds(9'000));
+            item.repeat = true;
+            asio::co_spawn(
+                m_context,
+                [this, item, &ticket]() -> Awaitable<void> {
+                    const DispatchDecision end = co_await placements.acquire("service", item, ticket);
+                    if (const auto *rejection = std::get_if<Rejection>(&end)) {
+                        refusals.push_back(rejection->reason);
+                        co_return;
+                    }
+                    ++sentAgain;
+                    placements.finish(ticket, WorkEnd::Done, Milliseconds(1));
+                },
+                asio::detached);
+        }
+    }
+
     /// Delivers the notice after the request has been sent to the leader and before its permit arrives.
     void deliver(const std::string &id, ServerNotice notice)
     {
@@ -293,6 +315,7 @@
         static const NodeSettings settings = []() {
             NodeSettings result;
             result.address = HostAddress;
+            result.retrySlack = 10; // six for the leader
             return result;
         }();
         return settings;
@@ -321,11 +344,14 @@
     Ticket m_ticket = 0;
     std::deque<Ticket> m_fillers;
     std::deque<Probe> m_probes;
+    std::deque<Ticket> m_repeats;
 
 public:
     LeaderDispatcher desk;
     Placements placements;
     std::optional<DispatchDecision> decision;
+    int sentAgain = 0; ///< of the requests of repeat()
+    std::vector<RejectReason> refusals; ///< of the requests of repeat()
 };
 
 } // namespace
@@ -637,6 +663,46 @@
     }
 }
 
+/// The caller would get a failure, although a server may be at work on the attempt that has timed out.
+TEST_CASE("a request whose next attempt has not been sent when its leader resigns gets it", "[promise-7]")
+{
+    struct Case
+    {
+        std::string name;
+        bool isKeyed;
+        bool isQueued; ///< at the leader when it resigns; false: the request for a permit is still under way
+        int repeats;
+        int sent; ///< the leader's budget holds for those that it hands back
+    };
+    const std::vector<Case> cases = {
+        {"a key, queued", true, true, 1, 1},
+        {"a pool, queued", false, true, 1, 1},
+        {"a key, asked for as the leader resigns", true, false, 1, 1},
+        {"a pool, asked for as the leader resigns", false, false, 1, 1},
+        {"more than the budget allows, queued", true, true, 9, 6},
+        {"more than the budget allows, asked for as the leader resigns", true, false, 9, 6},
+    };
+    for (const Case &each : cases) {
+        INFO(each.name);
+        LedHost host(each.isKeyed);
+        host.fillSlots();
+        host.repeat(each.repeats);
+        if (each.isQueued) {
+            host.runFor(Milliseconds(50));
+        }
+        REQUIRE(host.sentAgain == 0);
+        host.desk.stopLeading("service");
+        for (int step = 0; step < 4; ++step) {
+            host.advance();
+        }
+        CHECK(host.sentAgain == each.sent);
+        CHECK(host.refusals == std::vector<RejectReason>(each.repeats - each.sent, RejectReason::RetryBudget));
+        host.freeSlots();
+        host.placements.refuseWaiting();
+        host.runFor(Milliseconds(50));
+    }
+}
+
 TEST_CASE("requests that wait for the end of a pause come back spread", "[promise-3]")
 {
     asio::io_context context;
