Count a hold on the slowest allowed clock in full

A server's clock may run 2 % slow: it then counts 0.98 s in a second, and a hold of 10 s lasts for 10/0.98 = 10.204 s. The leader counted 10.2 s, so the keys of a lost server could be given on up to 4 ms too early, less the time that it takes to save a plan.

Evidence: key_authority_test, "keys of a lost server wait until its hold has ended on a clock at the bound": 4080 ms where 4081.6 are needed, before.

--- a/include/snipevalve/ownership/detail/key_authority_impl.hpp
+++ b/include/snipevalve/ownership/detail/key_authority_impl.hpp
@@ -186,8 +186,7 @@
     if (!Rules::AllowForSlowClock) {
         return hold;
     }
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(hold)
-                                                * (1.0 + m_times.maxClockDrift));
+    return std::chrono::ceil<Duration>(std::chrono::duration<double, std::milli>(hold) / (1.0 - m_times.maxClockDrift));
 }
 
 template <typename Rules>
--- a/src/snipevalve/ownership/key_authority_test.cpp
+++ b/src/snipevalve/ownership/key_authority_test.cpp
@@ -465,6 +465,39 @@
     CHECK(*servedFrom <= example.servedFrom + Milliseconds(600)); // an unanswered call counts from its end
 }
 
+TEST_CASE("keys of a lost server wait until its hold has ended on a clock at the bound")
+{
+    const Milliseconds hold = GENERATE(Milliseconds(4'000), Milliseconds(10'000));
+    constexpr double SlowestRate = 0.98; // seconds that the clock counts in one second
+    UpstreamServer server;
+    server.id = "a";
+    server.slots = 2;
+    server.incarnation = 1;
+    KeyAuthorityTimes times;
+    times.hold = hold;
+    TimePoint now = Clock::now();
+    KeyAuthority authority(KeyPlan(), times, now);
+    authority.setServers({server}, now);
+    authority.setLeaderLease(now + Milliseconds(60'000), true);
+    TimePoint grantedAt;
+    while (grantedAt == TimePoint()) {
+        now += Milliseconds(1);
+        for (const KeyAction &action : authority.advance(now)) {
+            if (std::holds_alternative<SaveKeyPlan>(action)) {
+                authority.onPlanSaved(now);
+            } else if (const auto *grant = std::get_if<GrantKeys>(&action)) {
+                grantedAt = now;
+                authority.onCallOutcome(grant->call, KeyCallOutcome::Accepted, {}, now);
+            }
+        }
+    }
+    authority.setServers({}, now);
+    authority.advance(now);
+    const std::vector<OrphanedRange> orphaned = authority.orphanedRanges(now);
+    REQUIRE(orphaned.size() == 1);
+    CHECK(orphaned.front().until - grantedAt >= std::chrono::duration<double, std::milli>(hold) / SlowestRate);
+}
+
 TEST_CASE("two plans of which one is in force leave the owners unknown where they differ")
 {
     const ServerIncarnation a{"a", 1};
