--- /dev/null
+++ b/review/standins.cmake
@@ -0,0 +1,12 @@
+# Included by the project's own CMakeLists.txt through CMAKE_PROJECT_snipevalve_INCLUDE; adds the review's stand-ins.
+function(snipevalve_review_targets)
+  file(GLOB sources ${CMAKE_SOURCE_DIR}/review/standin/*.cpp)
+  foreach(source ${sources})
+    get_filename_component(name ${source} NAME_WE)
+    string(REPLACE "_" "-" name review-${name})
+    snipevalve_binary(${name} SOURCES ${source} DEPENDS snipevalve_harness snipevalve_platform_standin)
+    add_dependencies(review-standins ${name})
+  endforeach()
+endfunction()
+add_custom_target(review-standins)
+cmake_language(DEFER CALL snipevalve_review_targets)
