--- a/review/standin/endless_body.cpp
+++ b/review/standin/endless_body.cpp
@@ -63,8 +63,8 @@
             asio::io_context context;
             Tcp::socket socket(context);
             ErrorCode error;
-            socket.connect(
-                Tcp::endpoint(asio::ip::make_address(deployment.addressOf(0)), deployment.frontPort(0)), error);
+            socket.connect(Tcp::endpoint(asio::ip::make_address(deployment.addressOf(0)), deployment.frontPort(0)),
+                           error);
             const std::string request = "GET /d/x HTTP/1.1\r\nHost: h.example\r\nX-Snipevalve-Request-Id: " + id
                 + "\r\nX-Snipevalve-Request-Deadline: 3000\r\nConnection: close\r\n\r\n";
             record.add("caller sends id=" + id);
@@ -78,9 +78,8 @@
                     std::min(Clock::now() + Milliseconds(50), sentAt + Milliseconds(received / CallerBytesPerMs)));
             }
             const auto took = std::chrono::duration_cast<Milliseconds>(Clock::now() - sentAt);
-            record.add("caller id=" + id + (error ? " ended: " + error.message() : " has no end")
-                       + " after " + std::to_string(took.count()) + " ms, received " + std::to_string(received)
-                       + " bytes");
+            record.add("caller id=" + id + (error ? " ended: " + error.message() : " has no end") + " after "
+                       + std::to_string(took.count()) + " ms, received " + std::to_string(received) + " bytes");
             late += took > RouteTimeout;
             unended += took > RouteTimeout + Slack;
             ended += took <= RouteTimeout;
--- a/review/standin/endless_chunk.cpp
+++ b/review/standin/endless_chunk.cpp
@@ -66,8 +66,8 @@
             asio::write(socket, asio::buffer(part), error);
             sent += error ? 0 : PartBytes;
         }
-        record.add("server=debit-a stops id=" + id + " after " + std::to_string(sent >> 20) + " MB: "
-                   + error.message());
+        record.add("server=debit-a stops id=" + id + " after " + std::to_string(sent >> 20)
+                   + " MB: " + error.message());
         return false;
     };
 
--- a/review/standin/harness.hpp
+++ b/review/standin/harness.hpp
@@ -350,8 +350,8 @@
     std::atomic<std::uint64_t> m_lastConnection = 0;
     int m_running = 0;
     std::uint64_t m_seq = 0;
-    std::int64_t m_born = std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch())
-                              .count();
+    std::int64_t m_born =
+        std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
 };
 
 /// @brief What a caller got.
@@ -443,7 +443,8 @@
         const std::string path = m_folder / ("node-" + std::to_string(index) + ".toml");
         std::ofstream file(path);
         const std::string controlAddress = address + ":" + std::to_string(control);
-        file << "node = \"front-" << index << "\"\nrole = \"node\"\nclass = \"front\"\nserves = [\"front\",\"control\"]\n"
+        file << "node = \"front-" << index
+             << "\"\nrole = \"node\"\nclass = \"front\"\nserves = [\"front\",\"control\"]\n"
              << "ip = \"" << address << "\"\nzone = \"z\"\nregion = \"r\"\nephemeral_ports = [7620,7635]\nseeds = [\""
              << toString(seedOr(controlAddress)) << "\"]\nbootstrap = " << (bootstrap ? "true" : "false")
              << "\nloss_counts = false\ndiscovery = \"platform\"\nentry = \"vip\"\nheartbeat_ms = "
@@ -686,8 +687,8 @@
         asio::io_context context;
         Tcp::socket socket(context);
         ErrorCode error;
-        socket.connect(
-            Tcp::endpoint(asio::ip::make_address(deployment.addressOf(node)), deployment.frontPort(node)), error);
+        socket.connect(Tcp::endpoint(asio::ip::make_address(deployment.addressOf(node)), deployment.frontPort(node)),
+                       error);
         beast::flat_buffer buffer;
         while (!m_stopping && !error) {
             const std::string id = deployment.nextId();
@@ -743,25 +744,25 @@
                       {"max_attempts", 2}}}};
     };
     Json json{{"version", "r" + std::to_string(version)}, {"resources", Json::array()}};
-    json["resources"] = {route("lookup", "/k/", "safe", "ledger", 3000),
-                         route("post", "/u/", "upload", "ledger", 3000),
-                         route("read", "/d/", "safe", "debits", 1500),
-                         route("debit", "/p/", "unsafe", "debits", 2000),
-                         route("photo", "/f/", "upload", "debits", 4000),
-                         {{"type", "services"},
-                          {"metadata", {{"name", "ledger"}}},
-                          {"spec",
-                           {{"health_path", "/health"}, {"max_conns", 130}, {"sharded", true}, {"warm_s", 3.0}}}},
-                         {{"type", "services"},
-                          {"metadata", {{"name", "debits"}}},
-                          {"spec", {{"health_path", "/health"}, {"max_conns", 130}}}},
-                         {{"type", "limits"},
-                          {"metadata", Json::object()},
-                          {"spec",
-                           {{"max_header_bytes", 16384},
-                            {"max_body_bytes", 67108864},
-                            {"header_timeout_ms", 3000},
-                            {"idle_timeout_ms", 15000}}}}};
+    json["resources"] = {
+        route("lookup", "/k/", "safe", "ledger", 3000),
+        route("post", "/u/", "upload", "ledger", 3000),
+        route("read", "/d/", "safe", "debits", 1500),
+        route("debit", "/p/", "unsafe", "debits", 2000),
+        route("photo", "/f/", "upload", "debits", 4000),
+        {{"type", "services"},
+         {"metadata", {{"name", "ledger"}}},
+         {"spec", {{"health_path", "/health"}, {"max_conns", 130}, {"sharded", true}, {"warm_s", 3.0}}}},
+        {{"type", "services"},
+         {"metadata", {{"name", "debits"}}},
+         {"spec", {{"health_path", "/health"}, {"max_conns", 130}}}},
+        {{"type", "limits"},
+         {"metadata", Json::object()},
+         {"spec",
+          {{"max_header_bytes", 16384},
+           {"max_body_bytes", 67108864},
+           {"header_timeout_ms", 3000},
+           {"idle_timeout_ms", 15000}}}}};
     return json.dump();
 }
 
--- a/review/standin/late_duplicate.cpp
+++ b/review/standin/late_duplicate.cpp
@@ -44,7 +44,8 @@
     std::atomic<int> extras = 0;
     std::mutex mutex;
     std::map<std::uint64_t, std::string> copies; // by connection
-    first.onAnswer = [&](Server &, const Request &request, Response &response, Tcp::socket &, std::uint64_t connection) {
+    first.onAnswer = [&](Server &, const Request &request, Response &response, Tcp::socket &,
+                         std::uint64_t connection) {
         const std::lock_guard lock(mutex);
         if (request.target() == "/grant" && mayDuplicate) {
             std::ostringstream text;
@@ -149,8 +150,8 @@
         }
     }
     record.tell("extra answers=" + std::to_string(extras) + " of " + std::to_string(answersBefore)
-                + " breaches=" + std::to_string(breaches)
-                + " overlaps=" + std::to_string(overlaps) + " keys_moved=" + std::to_string(hasMoved));
+                + " breaches=" + std::to_string(breaches) + " overlaps=" + std::to_string(overlaps)
+                + " keys_moved=" + std::to_string(hasMoved));
     if (hasTrouble() && extras == 0) {
         return CouldNotRun;
     }
--- a/review/standin/upload_burst.cpp
+++ b/review/standin/upload_burst.cpp
@@ -57,9 +57,10 @@
         [&]() {
             const std::lock_guard lock(sound.mutex);
             const TimePoint now = Clock::now();
-            return std::count_if(sound.runs.begin(), sound.runs.end(), [now](const Run &run) {
-                       return !run.end && now - run.begin < Milliseconds(300);
-                   })
+            return std::count_if(sound.runs.begin(), sound.runs.end(),
+                                 [now](const Run &run) {
+                                     return !run.end && now - run.begin < Milliseconds(300);
+                                 })
                 >= KeptCallerCount / 2;
         },
         Milliseconds(5'000));
