net: report impossible sizes in a message as an error, not as an exception

Cause: Beast parses inside its read operation, and http::string_body reserves the whole Content-Length there. The std::bad_alloc leaves io_context::run on the thread instead of the coroutine that reads, and ends the process. The same holds for a trailer of over 65,533 bytes, which http::fields can't store (std::length_error).

Change: MessageParser allocates bodies as they arrive, refuses fields that can't be stored with an error code and discards trailers. The node's and the entry process's parsers, the control client and the control server use it.

--- a/include/snipevalve/net/http_server.hpp
+++ b/include/snipevalve/net/http_server.hpp
@@ -7,10 +7,11 @@
 
 #include "snipevalve/core/time.hpp"
 #include "snipevalve/net/endpoint.hpp"
+#include "snipevalve/net/message_parser.hpp"
 
 namespace snipevalve {
 
-using HttpRequest = http::request<http::string_body>;
+using HttpRequest = http::request<ReceivedBody>;
 using HttpResponse = http::response<http::string_body>;
 
 /// @brief Limits of a control server. A request that exceeds them gets no response, and its connection is closed.
--- a/src/snipevalve/entry/caller_request.hpp
+++ b/src/snipevalve/entry/caller_request.hpp
@@ -7,6 +7,7 @@
 #include "snipevalve/core/time.hpp"
 #include "snipevalve/entry/routing_state.hpp"
 #include "snipevalve/net/asio.hpp"
+#include "snipevalve/net/message_parser.hpp"
 
 namespace snipevalve {
 
@@ -24,7 +25,7 @@
 inline constexpr const char *Load = "snipevalve-load";
 } // namespace headers
 
-using RequestParser = http::request_parser<http::buffer_body>;
+using RequestParser = MessageParser<true, http::buffer_body>;
 
 /// @brief A caller's request whose header has been read.
 struct CallerRequest
--- a/src/snipevalve/entry/forwarder.hpp
+++ b/src/snipevalve/entry/forwarder.hpp
@@ -30,7 +30,7 @@
     virtual Awaitable<bool> next(std::string &part) = 0;
 };
 
-using ResponseParser = http::response_parser<http::buffer_body>;
+using ResponseParser = MessageParser<false, http::buffer_body>;
 
 /// @brief The result of one attempt. After Answered it holds the response header and the complete body or its
 /// beginning.
--- a/src/snipevalve/net/http_client.cpp
+++ b/src/snipevalve/net/http_client.cpp
@@ -1,6 +1,7 @@
 #include "snipevalve/net/http_client.hpp"
 
 #include "snipevalve/net/idle_connection.hpp"
+#include "snipevalve/net/message_parser.hpp"
 #include "snipevalve/net/tcp_options.hpp"
 
 namespace snipevalve {
@@ -82,7 +83,7 @@
     auto stream = std::make_unique<beast::tcp_stream>(m_executor);
     stream->expires_after(call.timeout);
     if (!m_sourceAddress.empty()) {
-        stream->socket().open(Tcp::v4());
+        stream->socket().open(Tcp::v4(), error);
         stream->socket().bind(Tcp::endpoint(asio::ip::make_address_v4(m_sourceAddress), 0), error);
     }
     co_await stream->async_connect(toTcp(call.endpoint), awaitInto(error));
@@ -120,9 +121,9 @@
         co_return absl::UnavailableError("no answer from " + toString(endpoint) + ": " + error.message());
     }
     beast::flat_buffer buffer;
-    http::response_parser<http::string_body> parser;
+    MessageParser<false, ReceivedBody> parser;
     parser.body_limit(MaxReplyBytes);
-    co_await http::async_read(*stream, buffer, parser, awaitInto(error));
+    co_await readMessage(*stream, buffer, parser, error);
     if (error) {
         co_return absl::UnavailableError("no answer from " + toString(endpoint) + ": " + error.message());
     }
--- a/src/snipevalve/net/http_server.cpp
+++ b/src/snipevalve/net/http_server.cpp
@@ -19,11 +19,11 @@
     ErrorCode error;
     stream.socket().set_option(Tcp::no_delay(true), error);
     while (true) {
-        http::request_parser<http::string_body> parser;
+        MessageParser<true, ReceivedBody> parser;
         parser.header_limit(limits.headerBytes);
         parser.body_limit(limits.bodyBytes);
         stream.expires_after(limits.idleTimeout);
-        co_await http::async_read(stream, buffer, parser, awaitInto(error));
+        co_await readMessage(stream, buffer, parser, error);
         if (error) {
             co_return;
         }
--- a/src/snipevalve/node/gateway_session.hpp
+++ b/src/snipevalve/node/gateway_session.hpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 
+#include "snipevalve/net/message_parser.hpp"
 #include "snipevalve/node/gateway_traffic.hpp"
 #include "snipevalve/node/request_runner.hpp"
 
@@ -27,7 +28,7 @@
     void closeIfIdle(TimePoint now, Duration idle);
 
 private:
-    using Parser = http::request_parser<http::string_body>;
+    using Parser = MessageParser<true, ReceivedBody>;
 
     /// @brief Reads and serves one request.
     /// @return false when the connection must be closed
--- a/src/snipevalve/node/upstream_exchange.cpp
+++ b/src/snipevalve/node/upstream_exchange.cpp
@@ -147,7 +147,7 @@
 Awaitable<void> UpstreamExchange::receiveHead(ErrorCode &error)
 {
     for (int skipped = 0; skipped <= MaxSkippedAnswers; ++skipped) {
-        m_parser = std::make_unique<http::response_parser<http::string_body>>();
+        m_parser = std::make_unique<MessageParser<false, ReceivedBody>>();
         m_parser->body_limit(UnlimitedBodyBytes); // receive() and discardAnswer() limit what is read
         m_parser->header_limit(MaxAnswerHeaderBytes);
         m_parser->skip(m_request.header.method() == http::verb::head);
--- a/src/snipevalve/node/upstream_exchange.hpp
+++ b/src/snipevalve/node/upstream_exchange.hpp
@@ -8,6 +8,7 @@
 
 #include "snipevalve/dispatch/work.hpp"
 #include "snipevalve/gateway/server_notice.hpp"
+#include "snipevalve/net/message_parser.hpp"
 #include "snipevalve/net/upstream_pool.hpp"
 #include "snipevalve/node/gateway_request.hpp"
 
@@ -98,7 +99,7 @@
     Endpoint m_endpoint;
     std::unique_ptr<UpstreamConnection> m_connection;
     http::request<http::string_body> m_message;
-    std::unique_ptr<http::response_parser<http::string_body>> m_parser;
+    std::unique_ptr<MessageParser<false, ReceivedBody>> m_parser;
     asio::steady_timer m_sendEnded;
     ErrorCode m_sendError;
     bool m_sendDone = false;
--- a/tests/process/hostile_server_test.cpp
+++ b/tests/process/hostile_server_test.cpp
@@ -215,6 +215,55 @@
         Milliseconds(5'000)));
 }
 
+/// @brief Waits until the scripted server, which is left out for a while after each fault, is used again.
+void waitUntilServed(HostileDeployment &deployment)
+{
+    deployment.server.setScript(success);
+    REQUIRE(deployment.waitUntil(
+        [&deployment]() {
+            return deployment.sendRequest(0, "GET", "/v1/x").status == 200;
+        },
+        StartTimeout));
+}
+
+// Guards against a node that one spoiled answer ends, with all requests of other callers.
+TEST_CASE("an answer with sizes that can't be held costs only its own request", "[promise-3]")
+{
+    struct Case
+    {
+        std::string name;
+        std::string fields; ///< of the head
+        std::string body;
+        std::set<unsigned> statuses;
+    };
+    const std::string longValue(70'000, 'v');
+    const std::string veryLongValue(1'000'000, 'v');
+    const std::string chunked = "Transfer-Encoding: chunked\r\n";
+    const std::set<unsigned> failures{502, 504};
+    const std::vector<Case> cases = {
+        {"a length of 10^15", "Content-Length: 1000000000000000\r\n", "ok", {Incomplete, 502, 504}},
+        {"a length of 2^63", "Content-Length: 9223372036854775808\r\n", "ok", {Incomplete, 502, 504}},
+        {"a length of 2^64 - 1", "Content-Length: 18446744073709551615\r\n", "ok", {Incomplete, 502, 504}},
+        {"a length of 2^64", "Content-Length: 18446744073709551616\r\n", "ok", failures},
+        {"a negative length", "Content-Length: -1\r\n", "ok", failures},
+        {"two lengths that differ", "Content-Length: 2\r\nContent-Length: 3\r\n", "ok", failures},
+        {"a trailer of 70 kB", chunked, "2\r\nok\r\n0\r\nX-A: " + longValue + "\r\n\r\n", {200, 502, 504}},
+        {"a trailer of 1 MB", chunked, "2\r\nok\r\n0\r\nX-A: " + veryLongValue + "\r\n\r\n", {200, 502, 504}},
+        {"a chunk size of 16 digits", chunked, "ffffffffffffffff\r\nok", {Incomplete, 502, 504}},
+    };
+    HostileDeployment deployment("node-sizes", RefusalNetwork + 4);
+    for (const Case &each : cases) {
+        INFO(each.name);
+        waitUntilServed(deployment);
+        deployment.server.setScript([&each](const std::string &id) {
+            return makeReply(responseHead(id, each.fields) + each.body);
+        });
+        const Answer answer = deployment.sendRequest(0, "POST", "/p/x", -1, Milliseconds(500));
+        CHECK(each.statuses.contains(answer.status));
+        REQUIRE(deployment.node(0).isRunning());
+    }
+}
+
 TEST_CASE("long responses are forwarded completely, and a truncated one never looks complete", "[promise-3]")
 {
     const std::string part(PartBytes, 'd');
--- a/tests/standins/upstream_standin.cpp
+++ b/tests/standins/upstream_standin.cpp
@@ -177,7 +177,7 @@
     beast::flat_buffer buffer;
     stream.socket().set_option(Tcp::no_delay(true), error);
     while (true) {
-        http::request_parser<http::string_body> parser;
+        MessageParser<true, ReceivedBody> parser;
         parser.body_limit(MaxBodyBytes);
         stream.expires_after(IdleTimeout);
         co_await http::async_read(stream, buffer, parser, awaitInto(error));
