net: bound the buffers for received bytes

Cause: a chunk's header and the trailers stay in the buffer until they are whole, and the buffer had no maximum. The node passed its memory limit within two seconds and was killed. Callers' bodies, replies to control calls, the readiness server and the entry process had the same buffer.

Evidence, on the node of: 819 MB after chunk extensions in answers to four callers, 504 MB after one caller's own (process_hostile_server_test); a control call keeps bytes until its time limit of 1.0 s (cut_reply_test, three cases fail).

Change: buffers for received bytes hold 64 kB, a caller's also a whole head; more is an error of that message alone.

--- a/include/snipevalve/net/http_client.hpp
+++ b/include/snipevalve/net/http_client.hpp
@@ -27,6 +27,7 @@
     std::map<std::string, std::string> headers; ///< additional headers, by name
     std::vector<std::string> replyHeaders; ///< names of the response headers to return in HttpReply::headers
     Milliseconds timeout{1000};
+    std::uint64_t maxReplyBytes = 16 << 20; ///< a longer body counts as no response
     /// Asked right before the request is written, since opening the connection takes time; any call may be sent if
     /// empty.
     std::function<bool()> maySend;
--- a/include/snipevalve/net/message_parser.hpp
+++ b/include/snipevalve/net/message_parser.hpp
@@ -8,6 +8,10 @@
 
 namespace snipevalve {
 
+/// @brief Maximum size of the buffer for received bytes that are not parsed yet. A chunk's header and the trailers have
+/// to fit; reading more ends with http::error::buffer_overflow.
+inline constexpr std::size_t MaxUnparsedBytes = 64 << 10;
+
 /// @brief A message body in memory that grows as it arrives. http::string_body instead allocates the whole
 /// Content-Length in advance, whatever the peer names there.
 struct ReceivedBody
--- a/include/snipevalve/net/upstream_pool.hpp
+++ b/include/snipevalve/net/upstream_pool.hpp
@@ -9,6 +9,7 @@
 
 #include "snipevalve/core/time.hpp"
 #include "snipevalve/net/endpoint.hpp"
+#include "snipevalve/net/message_parser.hpp"
 
 namespace snipevalve {
 
@@ -22,7 +23,7 @@
 
     std::uint64_t number = 0; ///< unique within its pool; 0 for none
     beast::tcp_stream stream;
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{MaxUnparsedBytes};
     TimePoint lastResponseAt; ///< when the last complete response ended
 };
 
--- a/src/snipevalve/entry/session.cpp
+++ b/src/snipevalve/entry/session.cpp
@@ -124,6 +124,7 @@
     m_parser = std::make_unique<RequestParser>();
     m_parser->header_limit(static_cast<std::uint32_t>(m_threadState.settings.entryMaxHeaderBytes));
     m_parser->body_limit(UINT64_MAX);
+    m_buffer.max_size(m_buffer.size() + m_threadState.settings.entryMaxHeaderBytes + MaxUnparsedBytes);
     m_stream.expires_after(m_threadState.settings.entryIdleTimeout);
     m_idleSince = Clock::now();
     co_await readUntilHeadEnd(m_stream, m_buffer, m_threadState.settings.entryMaxHeaderBytes, error);
--- a/src/snipevalve/net/cut_reply_test.cpp
+++ b/src/snipevalve/net/cut_reply_test.cpp
@@ -86,4 +86,44 @@
     }
 }
 
+// Guards against replies to calls to servers or the store that fill the memory or end the process.
+TEST_CASE("a reply that can't be held counts as none, and at once")
+{
+    struct Case
+    {
+        std::string name;
+        std::string start;
+        std::string part; ///< repeated
+    };
+    const std::string part(16 << 10, 'x');
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::vector<Case> cases = {
+        {"a head without end", "HTTP/1.1 200 OK\r\nX-A: ", part},
+        {"a chunk extension without end", chunked + "5;", part},
+        {"a trailer without end", chunked + "0\r\nX-A: ", part},
+        {"a body of zeros without end", "HTTP/1.1 200 OK\r\n\r\n", part},
+        {"a length of 10^15", "HTTP/1.1 200 OK\r\nContent-Length: 1000000000000000\r\n\r\n", part},
+        {"a length of 2^64", "HTTP/1.1 200 OK\r\nContent-Length: 18446744073709551616\r\n\r\n", part},
+    };
+    constexpr std::size_t Parts = (64 << 20) / (16 << 10);
+    ScriptedServer server({"127.0.0.1", 0});
+    for (const Case &each : cases) {
+        INFO(each.name);
+        ScriptedReply reply;
+        reply.start = each.start;
+        reply.repeated = each.part;
+        reply.times = Parts;
+        const TimePoint startedAt = Clock::now();
+        const auto result = callScripted(server, reply);
+        INFO(result.status().ToString());
+        CHECK(result.status().code() == absl::StatusCode::kUnavailable);
+        CHECK(Clock::now() - startedAt < Milliseconds(900)); // the call's time limit is 1,000 ms
+    }
+    ScriptedReply reply;
+    reply.start = chunked + "2\r\n{}\r\n0\r\nX-A: " + std::string(60'000, 'v') + "\r\n\r\n";
+    CHECK(callScripted(server, reply).status().code() == absl::StatusCode::kOk);
+    reply.start = chunked + "2\r\n{}\r\n0\r\nX-A: " + std::string(70'000, 'v') + "\r\n\r\n";
+    CHECK(callScripted(server, reply).status().code() == absl::StatusCode::kUnavailable);
+}
+
 } // namespace snipevalve
--- a/src/snipevalve/net/http_client.cpp
+++ b/src/snipevalve/net/http_client.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-constexpr std::uint64_t MaxReplyBytes = 16 << 20;
-
 http::request<http::string_body> toRequest(HttpCall &call)
 {
     http::request<http::string_body> request(call.method, call.target, 11);
@@ -120,9 +118,9 @@
     if (error) {
         co_return absl::UnavailableError("no answer from " + toString(endpoint) + ": " + error.message());
     }
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(MaxUnparsedBytes);
     MessageParser<false, ReceivedBody> parser;
-    parser.body_limit(MaxReplyBytes);
+    parser.body_limit(call.maxReplyBytes);
     co_await readMessage(*stream, buffer, parser, error);
     if (error) {
         co_return absl::UnavailableError("no answer from " + toString(endpoint) + ": " + error.message());
--- a/src/snipevalve/net/http_server.cpp
+++ b/src/snipevalve/net/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "snipevalve/net/log_failure.hpp"
 
+#include <algorithm>
 #include <cctype>
 #include <charconv>
 #include <memory>
@@ -15,7 +16,7 @@
 Awaitable<void> serveConnection(Tcp::socket socket, std::shared_ptr<HttpHandler> handler, HttpServerLimits limits)
 {
     beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer(std::max<std::size_t>(limits.headerBytes, MaxUnparsedBytes));
     ErrorCode error;
     stream.socket().set_option(Tcp::no_delay(true), error);
     while (true) {
--- a/src/snipevalve/node/control/node_process.hpp
+++ b/src/snipevalve/node/control/node_process.hpp
@@ -37,9 +37,12 @@
     {
         m_control.addTo(m_supervisor);
         m_supervisor.add("readiness", [this]() {
-            return serveHttp(m_readinessAcceptor, [this](const HttpRequest &request) {
-                return handleReadinessRequest(request);
-            });
+            return serveHttp(
+                m_readinessAcceptor,
+                [this](const HttpRequest &request) {
+                    return handleReadinessRequest(request);
+                },
+                HttpServerLimits{.bodyBytes = 0});
         });
         m_traffic.onStoreUpdate([this](StoreUpdate news) {
             asio::post(m_context, [this, news = std::move(news)]() {
--- a/src/snipevalve/node/gateway_session.cpp
+++ b/src/snipevalve/node/gateway_session.cpp
@@ -85,6 +85,7 @@
         m_buffer.commit(count);
     }
     m_config = m_traffic.config;
+    m_buffer.max_size(m_buffer.size() + limits().maxHeaderBytes + MaxUnparsedBytes);
     m_stream.expires_after(limits().headerTimeout);
     co_await readUntilHeadEnd(m_stream, m_buffer, limits().maxHeaderBytes, error);
     co_return !error;
--- a/tests/process/hostile_server_test.cpp
+++ b/tests/process/hostile_server_test.cpp
@@ -264,6 +264,80 @@
     }
 }
 
+// Guards against a node that keeps all that a server sends until the platform ends it for its memory.
+TEST_CASE("bytes without end that are no part of a body are not kept", "[promise-3]")
+{
+    struct Case
+    {
+        std::string name;
+        std::string start; ///< of the body
+        std::string part;
+    };
+    const std::vector<Case> cases = {
+        {"a chunk extension", "5;", std::string(PartBytes, 'x')},
+        {"a chunk extension after a chunk", "2\r\nok\r\n5;", std::string(PartBytes, 'x')},
+        {"a chunk size", "", std::string(PartBytes, '0')},
+        {"a trailer", "2\r\nok\r\n0\r\nX-A: ", std::string(PartBytes, 'x')},
+        {"trailers", "2\r\nok\r\n0\r\n", "X-A: " + std::string(PartBytes, 'x') + "\r\n"},
+    };
+    constexpr std::size_t Parts = (256 << 20) / PartBytes;
+    constexpr int Callers = 4;
+    constexpr std::size_t MaxMemoryMb = 80; ///< half of the memory that a process has on the smallest hosts
+    HostileDeployment deployment("node-endless-parts", RefusalNetwork + 5);
+    for (const Case &each : cases) {
+        for (const bool isOfOtherRequest : {false, true}) {
+            INFO(each.name << (isOfOtherRequest ? " of another request's answer" : ""));
+            waitUntilServed(deployment);
+            deployment.server.setScript([&](const std::string &id) {
+                const std::string head =
+                    responseHead(isOfOtherRequest ? "other" : id, "Transfer-Encoding: chunked\r\n");
+                return makeRepeatedReply(head + each.start, each.part, Parts);
+            });
+            std::vector<std::thread> callers;
+            for (int caller = 0; caller < Callers; ++caller) {
+                callers.emplace_back([&deployment]() {
+                    deployment.sendRequest(0, "POST", "/p/x", -1, Milliseconds(1'500));
+                });
+            }
+            for (std::thread &caller : callers) {
+                caller.join();
+            }
+            REQUIRE(deployment.node(0).isRunning());
+            REQUIRE(peakMemoryMb(deployment.node(0).pid()) < MaxMemoryMb);
+        }
+    }
+}
+
+// Guards against a caller whose request, which is no body, fills the memory of the node.
+TEST_CASE("a caller's chunk extension or trailer without end is refused and not kept", "[promise-4]")
+{
+    const std::vector<std::string> starts = {"5;", "2\r\nok\r\n0\r\nX-A: "};
+    const std::string part(PartBytes, 'x');
+    constexpr std::size_t Parts = (256 << 20) / PartBytes;
+    constexpr std::size_t MaxMemoryMb = 80; ///< half of the memory that a process has on the smallest hosts
+    HostileDeployment deployment("node-endless-request", RefusalNetwork + 6);
+    for (const std::string &start : starts) {
+        INFO(start);
+        asio::io_context context;
+        Tcp::socket caller(context);
+        caller.connect(toTcp({deployment.addressOf(0), NodeCallersPort}));
+        ErrorCode error;
+        asio::write(caller,
+                    asio::buffer("POST /p/x HTTP/1.1\r\nHost: h.example\r\nX-Snipevalve-Request-Id: endless\r\n"
+                                 "X-Snipevalve-Request-Deadline: 3000\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                 + start),
+                    error);
+        std::size_t sent = 0;
+        while (!error && sent < Parts) {
+            asio::write(caller, asio::buffer(part), error);
+            ++sent;
+        }
+        CHECK(sent < Parts);
+        REQUIRE(deployment.node(0).isRunning());
+        REQUIRE(peakMemoryMb(deployment.node(0).pid()) < MaxMemoryMb);
+    }
+}
+
 TEST_CASE("long responses are forwarded completely, and a truncated one never looks complete", "[promise-3]")
 {
     const std::string part(PartBytes, 'd');
