node: take no request in a stop that can't end before it

Cause: a placement was judged by the caller's deadline alone, and nothing compared it with the end of the stop. The sessions that still read a head or body were not told of the end.

Change: the end of the stop is the latest deadline that a dispatcher gets, and a placement that can't be expected to end by then is returned; the caller gets 503, not run. Requests that are still being read at the end get 503. Servers are given up 0.6 s before the end of the grace instead of 1.0 s. Waiting requests are refused once, since later ones have the capped deadline.

--- a/src/snipevalve/node/control/node_process.hpp
+++ b/src/snipevalve/node/control/node_process.hpp
@@ -85,8 +85,8 @@
     /// accepts connections.
     static constexpr Milliseconds ListenWhileStopping{2'500};
     /// The end of the grace time, reserved for the last answers and log lines; a host with 0.1 core needs 0.5 s for
-    /// these. By the users' requirements, requests still running on a server in the last sixth of the 6 s do not count.
-    static constexpr Milliseconds ShutdownReserve{1'000};
+    /// these.
+    static constexpr Milliseconds ShutdownReserve{600};
     /// Requests that are still queued this long before the reserve are refused, so that callers can retry elsewhere.
     static constexpr Milliseconds RefusalTime{500};
     /// Time to send the answers to requests that were given up at the end.
@@ -149,7 +149,8 @@
         const TimePoint startedAt = Clock::now();
         m_stopping = true;
         spdlog::info("node: event=stop_begins sessions={}", m_traffic.sessions());
-        m_traffic.beginStop();
+        const TimePoint end = startedAt + m_settings.stopGrace - ShutdownReserve;
+        m_traffic.beginStop(end);
         asio::co_spawn(m_context, m_control.resign(), asio::detached);
         asio::steady_timer timer(m_context);
         ErrorCode ignored;
@@ -158,10 +159,11 @@
         m_traffic.closeListener();
         timer.expires_after(StopPollInterval); // lets accepted connections become sessions
         co_await timer.async_wait(awaitInto(ignored));
-        const TimePoint end = startedAt + m_settings.stopGrace - ShutdownReserve;
+        bool hasRefusedWaiting = false;
         while (m_traffic.sessions() > 0 && Clock::now() < end) {
             m_traffic.closeIdle(StoppingIdleTimeout);
-            if (Clock::now() >= end - RefusalTime) {
+            if (!hasRefusedWaiting && Clock::now() >= end - RefusalTime) {
+                hasRefusedWaiting = true; // requests that came later are placed or refused by the time that is left
                 m_traffic.refuseWaiting();
             }
             timer.expires_after(StopPollInterval);
--- a/src/snipevalve/node/gateway_session.cpp
+++ b/src/snipevalve/node/gateway_session.cpp
@@ -56,6 +56,10 @@
     if (const auto runner = m_runner.lock()) {
         runner->onShutdown();
     }
+    m_isEnding = true;
+    if (m_isReading) {
+        m_stream.cancel();
+    }
 }
 
 bool GatewaySession::mayKeepConnection() const
@@ -87,7 +91,9 @@
     m_config = m_traffic.config;
     m_buffer.max_size(m_buffer.size() + limits().maxHeaderBytes + MaxUnparsedBytes);
     m_stream.expires_after(limits().headerTimeout);
+    m_isReading = true;
     co_await readUntilHeadEnd(m_stream, m_buffer, limits().maxHeaderBytes, error);
+    m_isReading = false;
     co_return !error;
 }
 
@@ -99,7 +105,9 @@
     }
     m_stream.expires_after(BodyTimeout);
     if (!error && !m_parser->is_done()) {
+        m_isReading = true;
         co_await http::async_read(m_stream, m_buffer, *m_parser, awaitInto(error));
+        m_isReading = false;
     }
     co_return !error;
 }
@@ -111,6 +119,9 @@
         if (error == http::error::header_limit) {
             co_return co_await refuse(http::status::request_header_fields_too_large, "the header is too long");
         }
+        if (m_isEnding && m_buffer.size() > 0) {
+            co_return co_await refuse(http::status::service_unavailable, "the host is stopping");
+        }
         co_return false;
     }
     const TimePoint arrivedAt = Clock::now();
@@ -146,6 +157,9 @@
         co_return co_await refuse(http::status::service_unavailable, "too many bodies are held", request.id);
     }
     if (!co_await readBody(error)) {
+        if (m_isEnding) {
+            co_return co_await refuse(http::status::service_unavailable, "the host is stopping", request.id);
+        }
         if (isParseError(error)) {
             const bool isTooLong = error == http::error::body_limit;
             const auto status = isTooLong ? http::status::payload_too_large : http::status::bad_request;
--- a/src/snipevalve/node/gateway_session.hpp
+++ b/src/snipevalve/node/gateway_session.hpp
@@ -21,7 +21,8 @@
     /// @brief Serves until the caller disconnects, an error makes the connection unusable, or the node stops.
     Awaitable<void> run();
 
-    /// @brief Makes the current request end with an answer now, because the process is about to end.
+    /// @brief Makes the current request end with an answer now, because the process is about to end. One that is still
+    /// being read is refused.
     void endRequest();
 
     /// @brief Closes the connection when it has waited for a request for at least `idle`.
@@ -50,6 +51,8 @@
     std::unique_ptr<Parser> m_parser;
     std::weak_ptr<RequestRunner> m_runner; ///< of the current request
     std::optional<TimePoint> m_idleSince; ///< set while waiting for a request
+    bool m_isReading = false; ///< a request has begun to arrive and is not whole yet
+    bool m_isEnding = false; ///< the process is about to end
     std::shared_ptr<const GatewayConfig> m_config; ///< of the current request; null before the first configuration
 };
 
--- a/src/snipevalve/node/gateway_thread.cpp
+++ b/src/snipevalve/node/gateway_thread.cpp
@@ -183,10 +183,11 @@
     return m_traffic.placements.needsStoreViews();
 }
 
-void GatewayThread::beginStop()
+void GatewayThread::beginStop(TimePoint lastAnswerAt)
 {
-    asio::post(m_context, [this]() {
+    asio::post(m_context, [this, lastAnswerAt]() {
         m_traffic.stopping = true;
+        m_traffic.lastAnswerAt = lastAnswerAt;
     });
 }
 
--- a/src/snipevalve/node/gateway_thread.hpp
+++ b/src/snipevalve/node/gateway_thread.hpp
@@ -38,8 +38,10 @@
     void readKnownViews(std::vector<std::string> services, std::function<void(std::vector<KnownView>)> reply);
     bool needsStoreViews() const;
 
-    /// @brief Closes each caller's connection after its next answer.
-    void beginStop();
+    /// @brief Closes each caller's connection after its next answer, and refuses requests that can't be expected to end
+    /// in time.
+    /// @param lastAnswerAt when endRequests() will be called
+    void beginStop(TimePoint lastAnswerAt);
 
     /// @brief Accepts no more connections.
     void closeListener();
@@ -47,7 +49,8 @@
     /// @brief Rejects the requests that wait for a server.
     void refuseWaiting();
 
-    /// @brief Gives up the servers that have not answered, so that the callers get an answer before the process ends.
+    /// @brief Gives up the servers that have not answered and refuses the requests that are still being read, so that
+    /// the callers get an answer before the process ends.
     void endRequests();
 
     /// @brief Stops and joins the thread. Pending operations are not completed, as the process is about to end.
--- a/src/snipevalve/node/gateway_traffic.hpp
+++ b/src/snipevalve/node/gateway_traffic.hpp
@@ -75,6 +75,8 @@
     std::size_t bodyBytes = 0; ///< total size of the bodies of current requests
     std::size_t bufferedAnswers = 0; ///< number of sends whose answers are being buffered
     bool stopping = false; ///< connections are closed after their next answer
+    /// When servers that have not answered are given up; in the far future unless the node is stopping.
+    TimePoint lastAnswerAt = TimePoint::max();
 };
 
 } // namespace snipevalve
--- a/src/snipevalve/node/request_runner.cpp
+++ b/src/snipevalve/node/request_runner.cpp
@@ -24,6 +24,10 @@
 constexpr std::size_t ReducedBufferedAnswerBytes = 16 << 10;
 /// Buffered answers may take the process's memory limit divided by this.
 constexpr std::size_t AnswerMemoryDivisor = 8;
+/// Nearly all requests take less than the expected time multiplied by this; one in a hundred takes as long.
+constexpr int LongWorkFactor = 3;
+/// Retry-After of a request that is refused because the node stops: another host can take it at once.
+constexpr Milliseconds StoppingRetryAfter(100);
 /// Minimum Retry-After for rejected callers; a caller that returned sooner would meet the same queue.
 constexpr Milliseconds MinRetryAfter(50);
 
@@ -79,8 +83,8 @@
     item.repeat = m_sendCount > 0;
     item.key = m_request.key;
     item.zone = m_traffic.settings.zone;
-    item.targetBy = m_request.targetBy - AnswerMargin;
-    item.deadline = m_request.deadline - AnswerMargin;
+    item.deadline = std::min(m_request.deadline, m_traffic.lastAnswerAt) - AnswerMargin;
+    item.targetBy = std::min(m_request.targetBy - AnswerMargin, item.deadline);
     item.avoid = m_failedServers;
     return item;
 }
@@ -106,6 +110,13 @@
             co_return response;
         }
         const Placement &placement = std::get<Placement>(decision);
+        if (!canEndBeforeStop(placement)) {
+            m_traffic.placements.finish(placement.ticket, WorkEnd::Abandoned, Duration::zero());
+            const std::string reason(describe(RejectReason::Stopping));
+            auto response = failure(StoppingRetryAfter, reason);
+            logEnd(response.header.result_int(), reason);
+            co_return response;
+        }
         ExchangeResult result = co_await sendTo(placement);
         if (result.answer) {
             auto response = toCallerAnswer(std::move(*result.answer));
@@ -131,6 +142,12 @@
     }
 }
 
+/// Whether the server can be expected to answer before the node gives up all servers and ends.
+bool RequestRunner::canEndBeforeStop(const Placement &placement) const
+{
+    return Clock::now() + placement.expected * LongWorkFactor + AnswerMargin <= m_traffic.lastAnswerAt;
+}
+
 bool RequestRunner::mayRepeat() const
 {
     return m_request.isIdempotent() && m_sendCount < m_request.route->maxAttempts;
--- a/src/snipevalve/node/request_runner.hpp
+++ b/src/snipevalve/node/request_runner.hpp
@@ -43,6 +43,7 @@
     WorkItem toWorkItem() const;
     Awaitable<ExchangeResult> sendTo(const Placement &placement);
     bool mayRepeat() const;
+    bool canEndBeforeStop(const Placement &placement) const;
     Awaitable<void> enforceAttemptTimeout(std::shared_ptr<asio::steady_timer> timer, int send);
     AttemptEnd toAttemptEnd(WorkEnd end) const;
     std::size_t bufferLimit() const;
--- /dev/null
+++ b/tests/process/stopping_node_test.cpp
@@ -0,0 +1,175 @@
+#include <catch2/catch.hpp>
+
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <list>
+#include <set>
+
+#include "process/node_deployment.hpp"
+
+namespace snipevalve::standins {
+
+namespace {
+
+constexpr std::uint8_t Network = 160;
+constexpr Milliseconds Grace(6'000); ///< from SIGTERM to SIGKILL
+
+/// @brief Sends a request in two parts over a connection of its own, and reads the response to its end.
+class TwoPartCaller
+{
+public:
+    /// @param rest empty if the request never becomes whole
+    TwoPartCaller(const Endpoint &node, const std::string &start, const std::string &rest, TimePoint restAt)
+        : m_thread([this, node, start, rest, restAt]() {
+            asio::io_context context;
+            Tcp::socket socket(context);
+            ErrorCode error;
+            socket.connect(toTcp(node), error);
+            asio::write(socket, asio::buffer(start), error);
+            if (!rest.empty()) {
+                std::this_thread::sleep_until(restAt);
+                asio::write(socket, asio::buffer(rest), error);
+            }
+            beast::flat_buffer buffer;
+            http::response_parser<http::string_body> parser;
+            http::read(socket, buffer, parser, error);
+            m_status = error ? 0 : parser.get().result_int();
+            m_isLast = !error && !parser.get().keep_alive();
+        })
+    {
+    }
+
+    ~TwoPartCaller()
+    {
+        join();
+    }
+
+    void join()
+    {
+        if (m_thread.joinable()) {
+            m_thread.join();
+        }
+    }
+
+    /// @return the status of the response; 0 if there was none
+    unsigned status() const
+    {
+        return m_status;
+    }
+
+    /// @return whether the response says that the connection will be closed
+    bool isLast() const
+    {
+        return m_isLast;
+    }
+
+private:
+    unsigned m_status = 0;
+    bool m_isLast = false;
+    std::thread m_thread;
+};
+
+std::string headOf(const std::string &id, std::size_t bodyBytes)
+{
+    return "POST /p/x HTTP/1.1\r\nHost: h.example\r\nX-Snipevalve-Request-Id: " + id
+        + "\r\nX-Snipevalve-Request-Deadline: 8000\r\nContent-Length: " + std::to_string(bodyBytes) + "\r\n\r\n";
+}
+
+/// @brief The small configuration with limits that let a request take longer than the node needs to stop.
+std::string patientConfig()
+{
+    const auto replaceAll = [](std::string text, const std::string &from, const std::string &to) {
+        for (auto at = text.find(from); at != std::string::npos; at = text.find(from, at + to.size())) {
+            text.replace(at, from.size(), to);
+        }
+        return text;
+    };
+    const std::string config = replaceAll(smallConfig(3), "\"timeout_ms\":3000", "\"timeout_ms\":8000");
+    return replaceAll(config, R"("metadata":{},"spec":{})", R"("metadata":{},"spec":{"header_timeout_ms":8000})");
+}
+
+std::set<std::string> idsOf(const std::vector<RequestArrival> &arrivals)
+{
+    std::set<std::string> ids;
+    for (const RequestArrival &arrival : arrivals) {
+        ids.insert(arrival.requestId);
+    }
+    return ids;
+}
+
+} // namespace
+
+// Guards against requests that come late in a planned stop and are passed on only to be cut at its end.
+TEST_CASE("requests that become whole late in a stop are served if they can end in time, else refused as not run",
+          "[promise-4]")
+{
+    struct Case
+    {
+        std::string name;
+        Milliseconds serviceTime;
+        Milliseconds servedUntil; ///< requests that are whole by then, counted from SIGTERM, can end in time
+    };
+    const std::vector<Case> cases = {
+        {"a server that takes 50 ms", Milliseconds(50), Milliseconds(5'000)},
+        {"a server that takes 800 ms", Milliseconds(800), Milliseconds(2'900)},
+    };
+    constexpr int Requests = 24;
+    constexpr Milliseconds FirstRest(2'800); ///< since SIGTERM
+    constexpr Milliseconds RestInterval(120);
+    int number = 0;
+    for (const Case &each : cases) {
+        INFO(each.name);
+        const auto network = static_cast<std::uint8_t>(Network + number++);
+        NodeDeployment deployment("node-stop-" + std::to_string(number), network, 1);
+        deployment.platform.putConfig(patientConfig());
+        deployment.platform.addServer("sound", "debits", false, each.serviceTime);
+        REQUIRE(deployment.waitUntil(
+            [&deployment]() {
+                return deployment.sendRequest(0, "POST", "/p/x").status == 200 && deployment.logContains(0, "config=3");
+            },
+            StartTimeout));
+        REQUIRE(deployment.sendRequest(0, "POST", "/p/x").status == 200);
+        const Endpoint node{deployment.addressOf(0), NodeCallersPort};
+        const TimePoint stoppedAt = Clock::now();
+        deployment.node(0).terminate();
+        std::list<TwoPartCaller> callers;
+        std::vector<Milliseconds> restAt;
+        for (int request = 0; request < Requests; ++request) {
+            const std::string id = "late-" + std::to_string(request);
+            const std::string whole = headOf(id, 4) + "body";
+            const bool isCutInHead = request % 2 == 0;
+            const std::size_t split = isCutInHead ? whole.size() / 2 : whole.size() - 2;
+            restAt.push_back(FirstRest + RestInterval * request);
+            callers.emplace_back(node, whole.substr(0, split), whole.substr(split), stoppedAt + restAt.back());
+        }
+        const std::string unfinished = headOf("unfinished", 100) + "bo";
+        TwoPartCaller cutInBody(node, unfinished, "", {});
+        TwoPartCaller cutInHead(node, unfinished.substr(0, 30), "", {});
+        for (TwoPartCaller &caller : callers) {
+            caller.join();
+        }
+        cutInBody.join();
+        cutInHead.join();
+        CHECK(Clock::now() - stoppedAt < Grace);
+        deployment.node(0).wait(Grace);
+        CHECK(Clock::now() - stoppedAt < Grace);
+        CHECK(cutInBody.status() == 503);
+        CHECK(cutInHead.status() == 503);
+        const std::set<std::string> arrived = idsOf(deployment.platform.arrivals());
+        int request = 0;
+        for (const TwoPartCaller &caller : callers) {
+            INFO("whole " << restAt[static_cast<std::size_t>(request)].count() << " ms after SIGTERM");
+            const bool isServed = caller.status() == 200;
+            CHECK((isServed || caller.status() == 503));
+            CHECK(isServed == arrived.contains("late-" + std::to_string(request)));
+            CHECK((isServed || restAt[static_cast<std::size_t>(request)] > each.servedUntil));
+            CHECK(caller.isLast());
+            ++request;
+        }
+    }
+}
+
+} // namespace snipevalve::standins
