node: read on after the last answer, so that no reset discards it

What callers saw: a caller that sent its whole body before it read got no answer when the node refused by the head (404, 413, 503).

Cause: the session closed its socket with received bytes unread. The kernel then resets the connection, and the peer's kernel discards the answer that the peer has not read (RFC 9112, section 9.6).

Change: after its last answer a session half-closes and discards what still arrives until the caller closes, for 1 s at most.

--- a/src/snipevalve/node/gateway_session.cpp
+++ b/src/snipevalve/node/gateway_session.cpp
@@ -16,6 +16,8 @@
 constexpr Milliseconds WriteTimeout(10'000);
 /// How long reading a request body may take. The caller's deadline is no bound here, as it may be longer.
 constexpr Milliseconds BodyTimeout(30'000);
+/// How long a caller may go on sending after its last answer before the connection is closed.
+constexpr Milliseconds DiscardTimeout(1'000);
 
 const CallerLimits DefaultLimits;
 
@@ -42,6 +44,23 @@
     while (co_await serveOne()) {
     }
     m_stream.socket().shutdown(Tcp::socket::shutdown_send, error);
+    if (m_hasAnswered && !error) {
+        co_await discardUntilClosed();
+    }
+}
+
+/// Reads on until the caller has closed the connection. Closing a socket with unread bytes resets the connection, which
+/// discards an answer that the caller has not read yet (RFC 9112, section 9.6).
+Awaitable<void> GatewaySession::discardUntilClosed()
+{
+    constexpr std::size_t ReadBytes = 16 << 10;
+    m_buffer.clear();
+    m_buffer.max_size(ReadBytes);
+    m_stream.expires_after(DiscardTimeout);
+    ErrorCode error;
+    while (!error) {
+        co_await m_stream.async_read_some(m_buffer.prepare(ReadBytes), awaitInto(error));
+    }
 }
 
 void GatewaySession::closeIfIdle(TimePoint now, Duration idle)
@@ -76,6 +95,7 @@
 {
     m_config = m_traffic.config;
     m_parser.reset();
+    m_hasAnswered = false;
     if (m_buffer.size() == 0) {
         constexpr std::size_t InitialReadBytes = 4 << 10;
         m_idleSince = Clock::now();
@@ -234,6 +254,7 @@
         abortConnection();
         co_return false;
     }
+    m_hasAnswered = true;
     co_return response.keep_alive();
 }
 
@@ -287,6 +308,7 @@
     m_stream.expires_after(WriteTimeout);
     ErrorCode error;
     co_await http::async_write(m_stream, response, awaitInto(error));
+    m_hasAnswered = !error;
     co_return !error && response.keep_alive();
 }
 
--- a/src/snipevalve/node/gateway_session.hpp
+++ b/src/snipevalve/node/gateway_session.hpp
@@ -41,6 +41,7 @@
     Awaitable<bool> refuse(http::status status, const std::string &reason, const std::string &id = {});
     Awaitable<bool> send(http::response<http::string_body> response);
     Awaitable<bool> stream(RequestRunner &runner, UpstreamAnswer answer);
+    Awaitable<void> discardUntilClosed();
     void abortConnection();
     bool mayKeepConnection() const;
     const CallerLimits &limits() const;
@@ -53,6 +54,7 @@
     std::optional<TimePoint> m_idleSince; ///< set while waiting for a request
     bool m_isReading = false; ///< a request has begun to arrive and is not whole yet
     bool m_isEnding = false; ///< the process is about to end
+    bool m_hasAnswered = false; ///< the current request
     std::shared_ptr<const GatewayConfig> m_config; ///< of the current request; null before the first configuration
 };
 
--- a/tests/process/stopping_node_test.cpp
+++ b/tests/process/stopping_node_test.cpp
@@ -172,4 +172,44 @@
     }
 }
 
+// Guards against a reset that discards an answer before the caller has read it.
+TEST_CASE("a caller that sends its whole body before it reads gets an early refusal", "[promise-4]")
+{
+    NodeDeployment deployment("node-early-refusal", Network + 5, 1);
+    deployment.platform.addServer("sound", "debits", false, Milliseconds(5));
+    REQUIRE(deployment.waitUntil(
+        [&deployment]() {
+            return deployment.sendRequest(0, "POST", "/p/x").status == 200;
+        },
+        StartTimeout));
+    struct Case
+    {
+        std::string path;
+        std::size_t bodyBytes;
+        unsigned status;
+    };
+    const std::vector<Case> cases = {
+        {"/nowhere/x", 8 << 20, 404}, {"/p/x", 512 << 20, 413}, // over the body limit; only a part of it is sent
+    };
+    for (const Case &each : cases) {
+        for (int time = 0; time < 5; ++time) {
+            INFO(each.path);
+            std::string head = headOf("early", each.bodyBytes);
+            head.replace(head.find("/p/x"), 4, each.path);
+            const std::string body(8 << 20, 'b');
+            asio::io_context context;
+            Tcp::socket socket(context);
+            socket.connect(toTcp({deployment.addressOf(0), NodeCallersPort}));
+            ErrorCode error;
+            asio::write(socket, asio::buffer(head + body), error);
+            CHECK_FALSE(error);
+            beast::flat_buffer buffer;
+            http::response_parser<http::string_body> parser;
+            http::read(socket, buffer, parser, error);
+            CHECK_FALSE(error);
+            CHECK(parser.get().result_int() == each.status);
+        }
+    }
+}
+
 } // namespace snipevalve::standins
