node: accept the backlog before the listener closes

What callers saw: connections that were established while a stopping node had no processor were reset, with their requests sent.

Cause: closing a listener resets the connections in its backlog; nothing accepted them first.

Change: closeListener() accepts without waiting until the backlog is empty, then closes.

--- a/src/snipevalve/node/gateway_thread.cpp
+++ b/src/snipevalve/node/gateway_thread.cpp
@@ -83,12 +83,17 @@
         ErrorCode error;
         Tcp::socket socket = co_await m_acceptor.async_accept(awaitInto(error));
         if (!error) {
-            auto session = std::make_shared<GatewaySession>(m_traffic, std::move(socket));
-            asio::co_spawn(m_context, runSession(std::move(session)), LogFailure("session"));
+            startSession(std::move(socket));
         }
     }
 }
 
+void GatewayThread::startSession(Tcp::socket socket)
+{
+    auto session = std::make_shared<GatewaySession>(m_traffic, std::move(socket));
+    asio::co_spawn(m_context, runSession(std::move(session)), LogFailure("session"));
+}
+
 Awaitable<void> GatewayThread::advance()
 {
     asio::steady_timer timer(m_context);
@@ -194,8 +199,17 @@
 void GatewayThread::closeListener()
 {
     asio::post(m_context, [this]() {
-        ErrorCode ignored;
-        m_acceptor.close(ignored);
+        // Closing the listener would reset the connections that wait to be accepted.
+        ErrorCode error;
+        m_acceptor.non_blocking(true, error);
+        while (!error) {
+            Tcp::socket socket(m_context);
+            m_acceptor.accept(socket, error);
+            if (!error) {
+                startSession(std::move(socket));
+            }
+        }
+        m_acceptor.close(error);
     });
 }
 
--- a/src/snipevalve/node/gateway_thread.hpp
+++ b/src/snipevalve/node/gateway_thread.hpp
@@ -65,6 +65,7 @@
 
 private:
     Awaitable<void> accept();
+    void startSession(Tcp::socket socket);
     Awaitable<void> advance();
 
     asio::io_context m_context{1};
--- a/tests/process/stopping_node_test.cpp
+++ b/tests/process/stopping_node_test.cpp
@@ -212,4 +212,32 @@
     }
 }
 
+// Guards against connections that wait to be accepted and are reset when the listener closes.
+TEST_CASE("a connection in the backlog is served although the listener closes", "[promise-4]")
+{
+    NodeDeployment deployment("node-backlog", Network + 6, 1);
+    deployment.platform.addServer("sound", "debits", false, Milliseconds(5));
+    REQUIRE(deployment.waitUntil(
+        [&deployment]() {
+            return deployment.sendRequest(0, "POST", "/p/x").status == 200;
+        },
+        StartTimeout));
+    constexpr Milliseconds ListenWhileStopping(2'500);
+    const TimePoint stoppedAt = Clock::now();
+    deployment.node(0).terminate();
+    std::this_thread::sleep_until(stoppedAt + ListenWhileStopping - Milliseconds(200));
+    deployment.node(0).freeze();
+    const Endpoint node{deployment.addressOf(0), NodeCallersPort};
+    std::list<TwoPartCaller> callers;
+    for (int caller = 0; caller < 40; ++caller) {
+        callers.emplace_back(node, headOf("backlog-" + std::to_string(caller), 4), "body", stoppedAt);
+    }
+    std::this_thread::sleep_until(stoppedAt + ListenWhileStopping + Milliseconds(100));
+    deployment.node(0).resume();
+    for (TwoPartCaller &caller : callers) {
+        caller.join();
+        CHECK((caller.status() == 200 || caller.status() == 503));
+    }
+}
+
 } // namespace snipevalve::standins
