--- a/tests/process/stopping_node_test.cpp
+++ b/tests/process/stopping_node_test.cpp
@@ -240,4 +240,52 @@
     }
 }
 
+// Guards against signals that end a node which has just started, since its handlers are not installed yet.
+TEST_CASE("a node that gets a SIGHUP while it starts goes on, and one that gets a SIGTERM stops in order",
+          "[promise-8]")
+{
+    const std::string folder = std::string(TEST_FOLDER) + "/node-early-signal";
+    const std::string address = "127." + std::to_string(Network + 7) + ".1.1";
+    const std::string settings = folder + "/settings.toml";
+    const std::string pipe = folder + "/settings.pipe"; // the node waits in main() for what it reads from here
+    std::filesystem::create_directories(folder);
+    for (const int signal : {SIGHUP, SIGTERM}) {
+        INFO("signal " << signal);
+        writeNodeSettings(settings, "node-0", address, {address, NodeCallersPort});
+        std::ifstream file(settings);
+        const std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+        std::filesystem::remove(pipe);
+        REQUIRE(::mkfifo(pipe.c_str(), S_IRUSR | S_IWUSR) == 0);
+        const std::string log = folder + "/node.log";
+        std::filesystem::remove(log);
+        Process node(std::string(BINARY_FOLDER) + "/snipevalve-node", {"--settings=" + pipe}, log);
+        const auto waitUntil = [](const std::function<bool()> &condition) {
+            const TimePoint end = Clock::now() + StartTimeout;
+            while (!condition() && Clock::now() < end) {
+                std::this_thread::sleep_for(Milliseconds(5));
+            }
+            return condition();
+        };
+        int writer = -1;
+        REQUIRE(waitUntil([&]() {
+            writer = writer < 0 ? ::open(pipe.c_str(), O_WRONLY | O_NONBLOCK) : writer; // fails until there is a reader
+            return writer >= 0;
+        }));
+        ::kill(node.pid(), signal);
+        std::filesystem::rename(settings, pipe); // for the reload
+        CHECK(::write(writer, text.data(), text.size()) == static_cast<ssize_t>(text.size()));
+        ::close(writer);
+        if (signal == SIGTERM) {
+            CHECK(node.wait(Grace) == 0);
+            continue;
+        }
+        CHECK(waitUntil([&log]() {
+            std::ifstream lines(log);
+            const std::string all((std::istreambuf_iterator<char>(lines)), std::istreambuf_iterator<char>());
+            return all.find("event=reload settings=valid") != std::string::npos;
+        }));
+        CHECK(node.isRunning());
+    }
+}
+
 } // namespace snipevalve::standins
