platform: release keys over a connection that carries no other call

Cause: answers to grants and releases name no call. A late copy of the answer to a renewal, on a kept connection, was taken for the answer to the release that followed, and the keys were granted on while their holder worked on them.

Change: HttpCall::usesOwnConnection: a release opens a connection and closes it after the answer, so that the first answer on it is its own. A connection with bytes left over after an answer is not used again.

--- a/include/snipevalve/net/http_client.hpp
+++ b/include/snipevalve/net/http_client.hpp
@@ -28,6 +28,9 @@
     std::vector<std::string> replyHeaders; ///< names of the response headers to return in HttpReply::headers
     Milliseconds timeout{1000};
     std::uint64_t maxReplyBytes = 16 << 20; ///< a longer body counts as no response
+    /// Sent on a connection that has carried no other call and carries none afterwards, so that a late copy of another
+    /// call's response can't pass for the response.
+    bool usesOwnConnection = false;
     /// Asked right before the request is written, since opening the connection takes time; any call may be sent if
     /// empty.
     std::function<bool()> maySend;
--- a/src/snipevalve/net/cut_reply_test.cpp
+++ b/src/snipevalve/net/cut_reply_test.cpp
@@ -126,4 +126,39 @@
     CHECK(callScripted(server, reply).status().code() == absl::StatusCode::kUnavailable);
 }
 
+// Guards against keys that are given on because an answer to an earlier call was taken for that to a release.
+TEST_CASE("a call with a connection of its own does not take a late copy of another call's reply")
+{
+    ScriptedServer server({"127.0.0.1", 0});
+    const auto replyWith = [](const std::string &body) {
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    };
+    server.setScript([&](const std::string &id) {
+        ScriptedReply reply;
+        reply.start = replyWith(id);
+        reply.late = replyWith(id);
+        reply.lateAfter = Milliseconds(30); // when the next call is under way
+        return reply;
+    });
+    asio::io_context context{1};
+    HttpClient client(context.get_executor(), {});
+    std::vector<std::string> bodies;
+    const auto callAll = [&]() -> Awaitable<void> {
+        for (const std::string id : {"grant", "release", "grant-2", "release-2"}) {
+            HttpCall call;
+            call.endpoint = server.endpoint();
+            call.method = http::verb::post;
+            call.headers["X-Snipevalve-Request-Id"] = id;
+            call.usesOwnConnection = id.starts_with("release");
+            const auto reply = co_await client.call(std::move(call));
+            bodies.push_back(reply.ok() ? reply->body : std::string(reply.status().message()));
+        }
+    };
+    asio::co_spawn(context, callAll(), asio::detached);
+    context.run();
+    REQUIRE(bodies.size() == 4);
+    CHECK(bodies[1] == "release");
+    CHECK(bodies[3] == "release-2");
+}
+
 } // namespace snipevalve
--- a/src/snipevalve/net/http_client.cpp
+++ b/src/snipevalve/net/http_client.cpp
@@ -99,7 +99,7 @@
     if (!maySend(call)) {
         co_return noLongerWanted(call);
     }
-    Stream stream = takeIdle(endpoint);
+    Stream stream = call.usesOwnConnection ? nullptr : takeIdle(endpoint);
     if (!stream) {
         auto connected = co_await connect(call);
         if (!connected.ok()) {
@@ -129,7 +129,8 @@
     reply.status = parser.get().result_int();
     reply.headers = selectHeaders(parser.get(), call.replyHeaders);
     reply.body = std::move(parser.get().body());
-    if (parser.get().keep_alive()) {
+    const bool hasExtraBytes = buffer.size() > 0;
+    if (parser.get().keep_alive() && !call.usesOwnConnection && !hasExtraBytes) {
         m_idle[endpoint].push_back(std::move(stream));
     }
     co_return reply;
