Soak: tell how a process ended, and what one that does not end is doing

Cause: the check kept neither exit status nor threads. Change: a finding names the exit code or signal, or lists state and system call of each thread of a process that outlives its grace time.

--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -332,7 +332,8 @@
         }
         if (now >= end) {
             m_processViolations.push_back(
-                {"stops in time", "node-" + std::to_string(number), "still ran after the grace period"});
+                {"stops in time", "node-" + std::to_string(number),
+                 "still ran after the grace period:\n" + standins::describeThreads(node.process->pid())});
             node.process->kill();
         }
         runAfter(PollInterval, [poll, end, now]() {
@@ -538,8 +539,9 @@
     for (std::size_t number = 0; number < m_nodes.size(); ++number) {
         Node &node = m_nodes[number];
         if (node.process && !node.isStopping && !node.process->isRunning()) {
-            m_processViolations.push_back({"no process exits unexpectedly", "node-" + std::to_string(number),
-                                           "start " + std::to_string(node.startCount - 1)});
+            m_processViolations.push_back(
+                {"no process exits unexpectedly", "node-" + std::to_string(number),
+                 "start " + std::to_string(node.startCount - 1) + ", " + node.process->endOf()});
             recordDisturbance(number, StartupTime, false);
             startNode(number);
         }
--- a/tests/standins/process.cpp
+++ b/tests/standins/process.cpp
@@ -6,6 +6,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <filesystem>
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
@@ -120,6 +121,16 @@
     return result == 0 && ended.si_pid == 0;
 }
 
+std::string Process::endOf() const
+{
+    siginfo_t ended{};
+    ::waitid(P_PID, static_cast<id_t>(m_pid), &ended, WEXITED | WNOHANG | WNOWAIT);
+    if (ended.si_pid == 0) {
+        return {};
+    }
+    return (ended.si_code == CLD_EXITED ? "exit code " : "signal ") + std::to_string(ended.si_status);
+}
+
 bool Process::isFrozen() const
 {
     return m_frozen;
@@ -130,6 +141,22 @@
     return m_pid;
 }
 
+std::string describeThreads(pid_t pid)
+{
+    std::ostringstream text;
+    std::error_code error;
+    for (const auto &task : std::filesystem::directory_iterator("/proc/" + std::to_string(pid) + "/task", error)) {
+        for (const char *name : {"stat", "wchan", "syscall"}) {
+            std::ifstream file(task.path() / name);
+            std::string line;
+            std::getline(file, line);
+            text << name << ": " << line << "; ";
+        }
+        text << "\n";
+    }
+    return text.str();
+}
+
 MemoryUse memoryOf(pid_t pid)
 {
     std::ifstream file("/proc/" + std::to_string(pid) + "/smaps_rollup");
--- a/tests/standins/process.hpp
+++ b/tests/standins/process.hpp
@@ -39,6 +39,9 @@
     int wait(Milliseconds timeout);
     bool isRunning() const;
 
+    /// @return how the process has ended, e.g. "signal 9"; empty while it is running
+    std::string endOf() const;
+
     /// @return whether `freeze` has suspended the process
     bool isFrozen() const;
 
@@ -49,6 +52,9 @@
     bool m_frozen = false;
 };
 
+/// @brief What the threads of a process are doing, a line each: name, state, system call and time used, as in proc(5).
+std::string describeThreads(pid_t pid);
+
 /// @brief Memory of a process in kB.
 struct MemoryUse
 {
