Soak: callers that pause, upload in parts and download, and a check of requests that are broken off

What we saw: the soak finds none of the losses that a planned stop causes. Cause: its callers pause for 60 ms at most, so no connection is idle when a node stops; all work takes 15 or 25 ms; no answer is large; a 502 in a stop counts as an answer. Change: as many callers again that pause for up to 0.9 s, uploads in two parts, answers of up to 540 kB, work of 0.7 s for one request in a hundred; a request that is answered 502 in a stop, before the node may give servers up, is a finding (the planted breach is in soak_checks_test).

--- a/tests/soak/checks.cpp
+++ b/tests/soak/checks.cpp
@@ -169,6 +169,16 @@
     }
 }
 
+/// Whether the node was stopped while the caller waited, and had not come to the end of its grace time.
+bool isStopping(const SoakRecords &records, const CallerRecord &request)
+{
+    constexpr Milliseconds LastAnswer(5'000); ///< since SIGTERM; servers may be given up then
+    return std::any_of(records.disturbances.begin(), records.disturbances.end(), [&](const Disturbance &each) {
+        return each.planned && each.node == request.node && each.from <= request.endedAt
+            && request.endedAt < each.from + LastAnswer;
+    });
+}
+
 void checkLostRequests(const SoakRecords &records, const SoakBounds &bounds, Violations &violations)
 {
     constexpr Milliseconds LossSlack(200);
@@ -186,6 +196,10 @@
         if (wasCut && !isExcused) {
             violations.push_back({"planned work loses no request", request.id, "ended without a response"});
         }
+        constexpr unsigned BadGateway = 502;
+        if (request.status == BadGateway && !isExcused && isStopping(records, request)) {
+            violations.push_back({"planned work loses no request", request.id, "its server was given up"});
+        }
     }
 }
 
--- a/tests/soak/checks_test.cpp
+++ b/tests/soak/checks_test.cpp
@@ -103,6 +103,11 @@
              records.disturbances.push_back({0, at(10'000), at(16'000), true});
              records.requests[3].status = 0;
          }},
+        {"a request broken off during planned work", "planned work loses no request",
+         [](SoakRecords &records) {
+             records.disturbances.push_back({0, at(9'990), at(16'000), true});
+             records.requests[0].status = 502;
+         }},
         {"a route unknown after the propagation bound", "configuration propagates in time",
          [](SoakRecords &records) {
              records.requests.push_back(request("probe", 9'000, 404));
--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -3,12 +3,15 @@
 #include <optional>
 
 #include "standins/thread_time.hpp"
+#include "standins/upstream_standin.hpp"
 
 namespace snipevalve::soak {
 
 namespace {
 
-constexpr Milliseconds MaxPause(60); ///< upper limit of the pause between two requests of one caller
+/// Upper limits of the pause between two requests of one caller. The long one leaves connections idle through a stop.
+constexpr Milliseconds MaxPause(60);
+constexpr Milliseconds LongMaxPause(900);
 constexpr Milliseconds ConnectTimeout(1'000);
 constexpr Milliseconds Deadline(2'000);
 /// A caller waits this much longer than the deadline that it sends.
@@ -17,6 +20,14 @@
     64 * 8; ///< gives 128 keys, all among those whose owners the stand-in for the servers counts
 constexpr unsigned KeySpaceSize = 65'536;
 constexpr std::size_t UploadBytes = 20'000;
+constexpr std::size_t MaxDownloadBytes = 540'000;
+constexpr Milliseconds MaxUploadPause(400); ///< between the two parts of a slow upload
+constexpr Milliseconds LongWork(700); ///< of one request in a hundred
+
+bool oneIn(std::mt19937_64 &random, std::uint64_t number)
+{
+    return random() % number == 0;
+}
 
 } // namespace
 
@@ -37,7 +48,8 @@
 {
     for (std::size_t node = 0; node < m_nodes.size(); ++node) {
         for (unsigned caller = 0; caller < m_connectionsPerNode; ++caller) {
-            asio::co_spawn(m_context, call(node), asio::detached);
+            asio::co_spawn(m_context, call(node, MaxPause), asio::detached);
+            asio::co_spawn(m_context, call(node, LongMaxPause), asio::detached);
         }
     }
     m_thread = std::thread([this]() {
@@ -108,11 +120,19 @@
         line = "POST /p/photo";
         prepared.record.idempotent = false;
         body.assign(UploadBytes, 'u');
+        prepared.firstPart = oneIn(m_random, 2) ? UploadBytes / 2 : 0;
     } else {
         prepared.record.probesConfig = true;
         prepared.record.needsVersion = version;
         line = "GET /v" + std::to_string(version) + "/x";
     }
+    if (prepared.record.idempotent && oneIn(m_random, 20)) {
+        prepared.answerBytes = m_random() % MaxDownloadBytes;
+        extra += standins::UpstreamStandin::AnswerBytesHeader + (": " + std::to_string(prepared.answerBytes)) + "\r\n";
+    }
+    if (oneIn(m_random, 100)) {
+        extra += standins::UpstreamStandin::WorkHeader + (": " + std::to_string(LongWork.count())) + "\r\n";
+    }
     if (!prepared.record.idempotent) {
         extra += "Content-Length: " + std::to_string(body.size()) + "\r\n";
     }
@@ -121,14 +141,31 @@
     return prepared;
 }
 
-Awaitable<void> SoakCallers::sendOne(beast::tcp_stream &stream, CallerRecord &record, const std::string &bytes)
+Awaitable<void> SoakCallers::write(beast::tcp_stream &stream, const PreparedRequest &prepared, ErrorCode &error)
+{
+    const asio::const_buffer all = asio::buffer(prepared.bytes);
+    if (prepared.firstPart > 0) {
+        co_await asio::async_write(stream, asio::buffer(all, prepared.firstPart), awaitInto(error));
+        asio::steady_timer timer(m_context,
+                                 Milliseconds(m_random() % static_cast<std::uint64_t>(MaxUploadPause.count())));
+        ErrorCode ignored;
+        co_await timer.async_wait(awaitInto(ignored));
+    }
+    if (!error) {
+        co_await asio::async_write(stream, all + prepared.firstPart, awaitInto(error));
+    }
+}
+
+Awaitable<void> SoakCallers::sendOne(beast::tcp_stream &stream, PreparedRequest &prepared)
 {
+    CallerRecord &record = prepared.record;
     ErrorCode error;
     stream.expires_after(Deadline + DeadlineMargin);
-    co_await asio::async_write(stream, asio::buffer(bytes), awaitInto(error));
+    co_await write(stream, prepared, error);
     record.wasSent = !error;
     beast::flat_buffer buffer;
     http::response_parser<http::string_body> parser;
+    parser.body_limit(2 * MaxDownloadBytes);
     if (!error) {
         co_await http::async_read(stream, buffer, parser, awaitInto(error));
     }
@@ -138,19 +175,21 @@
         co_return;
     }
     record.status = parser.get().result_int();
-    record.bodyMatches = parser.get().body() == "answer to " + record.id;
+    const std::string text = "answer to " + record.id;
+    const std::string &body = parser.get().body();
+    record.bodyMatches = body.starts_with(text) && body.size() == text.size() + prepared.answerBytes;
     if (!parser.get().keep_alive()) {
         stream.close();
     }
 }
 
-Awaitable<void> SoakCallers::call(std::size_t node)
+Awaitable<void> SoakCallers::call(std::size_t node, Milliseconds maxPause)
 {
     std::optional<beast::tcp_stream> stream;
     asio::steady_timer timer(m_context);
     while (!m_stopping) {
         ErrorCode error;
-        timer.expires_after(Milliseconds(m_random() % static_cast<std::uint64_t>(MaxPause.count())));
+        timer.expires_after(Milliseconds(m_random() % static_cast<std::uint64_t>(maxPause.count())));
         co_await timer.async_wait(awaitInto(error));
         if (!stream || !stream->socket().is_open()) {
             stream.emplace(m_context);
@@ -163,7 +202,7 @@
         }
         PreparedRequest prepared = prepareRequest(node);
         prepared.record.sentAt = Clock::now();
-        co_await sendOne(*stream, prepared.record, prepared.bytes);
+        co_await sendOne(*stream, prepared);
         prepared.record.endedAt = Clock::now();
         addRecord(std::move(prepared.record));
     }
--- a/tests/soak/soak_callers.hpp
+++ b/tests/soak/soak_callers.hpp
@@ -45,10 +45,13 @@
     {
         CallerRecord record;
         std::string bytes; ///< the serialized request
+        std::size_t firstPart = 0; ///< how many of the bytes are sent before a pause; 0 for all
+        std::size_t answerBytes = 0; ///< expected after the text of the answer
     };
 
-    Awaitable<void> call(std::size_t node);
-    Awaitable<void> sendOne(beast::tcp_stream &stream, CallerRecord &record, const std::string &bytes);
+    Awaitable<void> call(std::size_t node, Milliseconds maxPause);
+    Awaitable<void> sendOne(beast::tcp_stream &stream, PreparedRequest &prepared);
+    Awaitable<void> write(beast::tcp_stream &stream, const PreparedRequest &prepared, ErrorCode &error);
     PreparedRequest prepareRequest(std::size_t node);
     void addRecord(CallerRecord record);
 
--- a/tests/standins/upstream_standin.cpp
+++ b/tests/standins/upstream_standin.cpp
@@ -28,6 +28,13 @@
     return HttpResponse(http::status::unknown, 11);
 }
 
+/// A number that a test sends to the server in a header of its own.
+std::uint64_t numberIn(const HttpRequest &request, const char *header, std::uint64_t fallback)
+{
+    const std::string text(request[header]);
+    return text.empty() ? fallback : std::stoull(text);
+}
+
 } // namespace
 
 UpstreamStandin::UpstreamStandin(asio::io_context &context, std::mutex &mutex, UpstreamOptions options,
@@ -377,7 +384,8 @@
                               m_announcesLeaving, Milliseconds(0), key});
         m_keysInProgress.insert(key);
     }
-    co_await sleepFor(m_options.serviceTime);
+    const auto usual = static_cast<std::uint64_t>(m_options.serviceTime.count());
+    co_await sleepFor(Milliseconds(numberIn(request, WorkHeader, usual)));
     {
         const std::lock_guard lock(m_mutex);
         --m_running;
@@ -402,6 +410,7 @@
         response.result(http::status::service_unavailable);
     }
     response.body() = "answer to " + id;
+    response.body().append(numberIn(request, AnswerBytesHeader, 0), '.');
     if (fault == ServerFault::CutShort) {
         co_return noAnswer(); // closes the connection
     }
--- a/tests/standins/upstream_standin.hpp
+++ b/tests/standins/upstream_standin.hpp
@@ -54,6 +54,10 @@
     static constexpr Milliseconds SilenceTimeout = 3 * EntryRenewalInterval;
     /// The server decides by these keys only: the multiples of it. Tests send requests only for them.
     static constexpr std::uint32_t SampleStep = 64;
+    /// Request header: how long this request runs, in ms, instead of the server's usual time.
+    static constexpr const char *WorkHeader = "Standin-Work-Ms";
+    /// Request header: how many bytes follow the text of the answer.
+    static constexpr const char *AnswerBytesHeader = "Standin-Answer-Bytes";
 
     struct Handlers
     {
