Cut an attempt only with the permit for its repeat at hand (LOST)

What callers saw: an answer of their own host, 502 or 504, in place of that of a sound server which was at work; a loss when a SIGTERM lies between. Cause: an attempt was given up at its usual time limit before anybody had said that the request may be sent again. The leader then refuses the repeat (too late, no budget, no other server), and the work is thrown away. Class: a resource is released before its replacement is held. Ruled out: the cut while the node stops; it was not made before either. Change: the repeat is asked for while the server works on; the attempt is given up when the permit comes, and goes on if none does. An answer that comes first returns the permit. A request that may have run is not refused for want of time in a stop, which told its caller nothing.

--- a/src/snipevalve/node/request_runner.cpp
+++ b/src/snipevalve/node/request_runner.cpp
@@ -99,9 +99,13 @@
 Awaitable<UpstreamAnswer> RequestRunner::run()
 {
     while (true) {
-        const DispatchDecision decision =
-            co_await m_traffic.placements.acquire(m_request.service, toWorkItem(), m_waitingTicket);
-        m_waitingTicket = 0;
+        DispatchDecision decision;
+        if (m_repeat) {
+            decision = *std::exchange(m_repeat, std::nullopt);
+        } else {
+            decision = co_await m_traffic.placements.acquire(m_request.service, toWorkItem(), m_waitingTicket);
+            m_waitingTicket = 0;
+        }
         if (const auto *rejection = std::get_if<Rejection>(&decision)) {
             const std::string reason(describe(rejection->reason));
             auto response = failure(rejection->retryAfter, reason);
@@ -110,7 +114,8 @@
             co_return response;
         }
         const Placement &placement = std::get<Placement>(decision);
-        if (!canEndBeforeStop(placement)) {
+        const bool mayHaveRun = m_life.failure() != Outcome::NotRun;
+        if (!mayHaveRun && !canEndBeforeStop(placement)) {
             m_traffic.placements.finish(placement.ticket, WorkEnd::Abandoned, Duration::zero());
             const std::string reason(describe(RejectReason::Stopping));
             auto response = failure(StoppingRetryAfter, reason);
@@ -129,6 +134,7 @@
         m_failedServers.push_back(placement.server.id);
         const NextStep step = m_life.onAttemptEnd(toAttemptEnd(result.end), Clock::now(), m_attemptBudget);
         if (std::holds_alternative<Finish>(step) || m_request.isCallerGone || m_isShuttingDown) {
+            returnRepeat();
             auto response = failure(placement.expected, result.detail);
             logEnd(response.header.result_int(), result.detail);
             co_return response;
@@ -153,15 +159,46 @@
     return m_request.isIdempotent() && m_sendCount < m_request.route->maxAttempts;
 }
 
-/// Gives up a server that has not answered when the timer expires, so that the request can be retried. Does nothing
-/// while the node is stopping: the server may be about to answer, and there may be no time for another attempt.
-Awaitable<void> RequestRunner::enforceAttemptTimeout(std::shared_ptr<asio::steady_timer> timer, int send)
+bool RequestRunner::isWaitingForAnswer(int send) const
+{
+    return m_exchange != nullptr && m_sendCount == send && !m_isAnswered;
+}
+
+/// Asks for a repeat once the server takes longer than usual, and gives it up only when the repeat is permitted: until
+/// then its answer is the only one that can come. Does nothing while the node is stopping, as there may be no time for
+/// another attempt.
+Awaitable<void> RequestRunner::repeatWhenLate(std::shared_ptr<asio::steady_timer> timer, int send)
 {
     ErrorCode error;
     co_await timer->async_wait(awaitInto(error));
-    const bool isOver = error || m_exchange == nullptr || m_sendCount != send;
-    if (!isOver && !m_traffic.stopping) {
-        m_exchange->giveUp();
+    if (error || !isWaitingForAnswer(send) || m_traffic.stopping) {
+        co_return;
+    }
+    WorkItem item = toWorkItem();
+    item.avoid.push_back(m_server.id);
+    const DispatchDecision decision =
+        co_await m_traffic.placements.acquire(m_request.service, std::move(item), m_repeatTicket);
+    m_repeatTicket = 0;
+    const auto *placement = std::get_if<Placement>(&decision);
+    if (placement == nullptr) {
+        spdlog::info("request: event=not_repeated id={} server={} send={} reason=\"{}\"", escapeLogValue(m_request.id),
+                     m_server.id, send, describe(std::get<Rejection>(decision).reason));
+        co_return;
+    }
+    if (!isWaitingForAnswer(send) || m_traffic.stopping) {
+        m_traffic.placements.finish(placement->ticket, WorkEnd::Abandoned, Duration::zero());
+        co_return;
+    }
+    m_repeat = *placement;
+    m_exchange->giveUp();
+}
+
+/// Gives back the permit of a repeat that is not sent.
+void RequestRunner::returnRepeat()
+{
+    if (m_repeat) {
+        m_traffic.placements.finish(m_repeat->ticket, WorkEnd::Abandoned, Duration::zero());
+        m_repeat.reset();
     }
 }
 
@@ -172,10 +209,12 @@
                                                              m_traffic.parseServerNotice, m_request);
     m_exchange = exchange;
     const auto timer = std::make_shared<asio::steady_timer>(
+    m_server = placement.server;
+    m_isAnswered = false;
         m_traffic.executor,
         attemptTimeout(placement.expected, m_request.deadline - Clock::now(), m_request.key.has_value()));
     if (mayRepeat()) {
-        spawnMember(m_traffic.executor, shared_from_this(), &RequestRunner::enforceAttemptTimeout, timer, m_sendCount);
+        spawnMember(m_traffic.executor, shared_from_this(), &RequestRunner::repeatWhenLate, timer, m_sendCount);
     }
     const ScopedAddition buffered(m_traffic.bufferedAnswers, 1);
     ExchangeResult result =
@@ -184,8 +223,14 @@
     timer->cancel();
     const bool isStreamed = result.answer && !result.answer->isWhole;
     m_exchange = isStreamed ? exchange : nullptr;
-    m_server = placement.server;
     countBytes(placement.server, m_request.body.size() + (result.answer ? result.answer->body.size() : 0));
+    m_isAnswered = true;
+    if (m_repeatTicket != 0) {
+        m_traffic.placements.abandon(m_repeatTicket);
+    }
+    if (result.answer) {
+        returnRepeat();
+    }
     m_traffic.placements.onServerNotice(m_request.service, placement.server, result.notice.notice);
     m_traffic.placements.finish(placement.ticket, result.end, result.took);
     m_traffic.metrics.count(std::string("send_") + std::string(describe(result.end)));
--- a/src/snipevalve/node/request_runner.hpp
+++ b/src/snipevalve/node/request_runner.hpp
@@ -2,6 +2,7 @@
 #define SNIPEVALVE_NODE_REQUEST_RUNNER_HPP
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "snipevalve/node/gateway_traffic.hpp"
@@ -44,7 +45,9 @@
     Awaitable<ExchangeResult> sendTo(const Placement &placement);
     bool mayRepeat() const;
     bool canEndBeforeStop(const Placement &placement) const;
-    Awaitable<void> enforceAttemptTimeout(std::shared_ptr<asio::steady_timer> timer, int send);
+    bool isWaitingForAnswer(int send) const;
+    Awaitable<void> repeatWhenLate(std::shared_ptr<asio::steady_timer> timer, int send);
+    void returnRepeat();
     AttemptEnd toAttemptEnd(WorkEnd end) const;
     std::size_t bufferLimit() const;
     void countBytes(const UpstreamServer &server, std::size_t bytes) const;
@@ -61,6 +64,9 @@
     RetryBudget m_attemptBudget; ///< of this request alone, from the route's `maxAttempts`
     std::shared_ptr<UpstreamExchange> m_exchange; ///< set during a send and while its answer is streamed
     UpstreamServer m_server; ///< of the last send
+    bool m_isAnswered = false; ///< the last send has ended, or its answer has begun
+    Ticket m_repeatTicket = 0; ///< while a repeat is asked for during a send, else 0
+    std::optional<Placement> m_repeat; ///< for which the last send was given up
     unsigned m_streamedStatus = 0; ///< status of the streamed answer
     std::uint64_t m_streamedBytes = 0;
     Ticket m_waitingTicket = 0; ///< while waiting for a placement, else 0
--- /dev/null
+++ b/tests/process/planned_stop_test.cpp
@@ -0,0 +1,118 @@
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <list>
+#include <set>
+
+#include "process/kept_connection_callers.hpp"
+#include "process/node_deployment.hpp"
+
+namespace snipevalve::standins {
+
+namespace {
+
+constexpr std::uint8_t Network = 170;
+constexpr Milliseconds Grace(6'000); ///< from SIGTERM to SIGKILL
+/// A node may end from then on; requests may cross the close of their connection.
+constexpr Milliseconds EarliestEnd(4'900);
+
+std::string headOf(const std::string &line)
+{
+    return line + " HTTP/1.1\r\nHost: h.example\r\nX-Snipevalve-Request-Deadline: 3000\r\n";
+}
+
+/// @brief A request whose server works for the given time, over a connection of its own. Its head comes in two parts.
+class WorkRequest
+{
+public:
+    /// @param wholeAt when the second part is sent
+    WorkRequest(const Endpoint &node, const std::string &head, Milliseconds work, TimePoint wholeAt = {})
+        : m_thread([this, node, head, work, wholeAt]() {
+            asio::io_context context;
+            Tcp::socket socket(context);
+            ErrorCode error;
+            socket.connect(toTcp(node), error);
+            asio::write(socket, asio::buffer(head), error);
+            std::this_thread::sleep_until(wholeAt);
+            const std::string rest = UpstreamStandin::WorkHeader + (": " + std::to_string(work.count())) + "\r\n\r\n";
+            asio::write(socket, asio::buffer(rest), error);
+            beast::flat_buffer buffer;
+            http::response_parser<http::string_body> parser;
+            http::read(socket, buffer, parser, error);
+            m_status = error ? 0 : parser.get().result_int();
+        })
+    {
+    }
+
+    ~WorkRequest()
+    {
+        join();
+    }
+
+    /// @return the status of the response; 0 if there was none
+    unsigned join()
+    {
+        if (m_thread.joinable()) {
+            m_thread.join();
+        }
+        return m_status;
+    }
+
+private:
+    unsigned m_status = 0;
+    std::thread m_thread;
+};
+
+/// @brief The small configuration with a time limit of the safe route to `debits`, and time for slow heads.
+std::string configWithTimeout(Milliseconds timeout)
+{
+    std::string config = smallConfig(3, 1);
+    const std::string usual = "\"timeout_ms\":3000";
+    for (auto at = config.find(usual); at != std::string::npos; at = config.find(usual, at)) {
+        config.replace(at, usual.size(), "\"timeout_ms\":" + std::to_string(timeout.count()));
+    }
+    const std::string limits = R"("metadata":{},"spec":{})";
+    return config.replace(config.find(limits), limits.size(), R"("metadata":{},"spec":{"header_timeout_ms":8000})");
+}
+
+} // namespace
+
+// Guards against an attempt that is cut at its time limit although no other server may be asked.
+TEST_CASE("a slow answer is passed on when the request can't be sent again", "[promise-4]")
+{
+    struct Case
+    {
+        std::string name;
+        std::optional<Milliseconds> stopAfter; ///< SIGTERM, counted from the request
+    };
+    const std::vector<Case> cases = {
+        {"no stop", std::nullopt},
+        {"a stop before the usual time limit", Milliseconds(200)},
+        {"a stop after the usual time limit", Milliseconds(600)},
+    };
+    std::uint8_t network = Network + 1;
+    for (const Case &each : cases) {
+        INFO(each.name);
+        NodeDeployment deployment("slow-answer-" + std::to_string(network), network, 1);
+        ++network;
+        deployment.platform.putConfig(smallConfig(3, 1));
+        deployment.platform.addServer("only", "debits", false, Milliseconds(20));
+        REQUIRE(deployment.waitUntil(
+            [&deployment]() {
+                return deployment.sendRequest(0, "GET", "/v1/x").status == 200;
+            },
+            StartTimeout));
+        for (int time = 0; time < 20; ++time) {
+            REQUIRE(deployment.sendRequest(0, "GET", "/v1/x").status == 200);
+        }
+        const Endpoint node{deployment.addressOf(0), NodeCallersPort};
+        WorkRequest slow(node, headOf("GET /v1/x") + "X-Snipevalve-Request-Id: slow\r\n", Milliseconds(1'200));
+        if (each.stopAfter) {
+            std::this_thread::sleep_for(*each.stopAfter);
+            deployment.node(0).terminate();
+        }
+        CHECK(slow.join() == 200);
+    }
+}
+
+} // namespace snipevalve::standins
