--- a/src/snipevalve/node/control/node_process.hpp
+++ b/src/snipevalve/node/control/node_process.hpp
@@ -150,7 +150,7 @@
         m_stopping = true;
         spdlog::info("node: event=stop_begins sessions={}", m_traffic.sessions());
         const TimePoint end = startedAt + m_settings.stopGrace - ShutdownReserve;
-        m_traffic.beginStop(end);
+        m_traffic.beginStop({.lastAnswerAt = end, .lastUnboundedAt = startedAt + m_settings.stopGrace / 2});
         asio::co_spawn(m_context, m_control.resign(), asio::detached);
         asio::steady_timer timer(m_context);
         ErrorCode ignored;
--- a/src/snipevalve/node/gateway_thread.cpp
+++ b/src/snipevalve/node/gateway_thread.cpp
@@ -188,11 +188,11 @@
     return m_traffic.placements.needsStoreViews();
 }
 
-void GatewayThread::beginStop(TimePoint lastAnswerAt)
+void GatewayThread::beginStop(StopTimes times)
 {
-    asio::post(m_context, [this, lastAnswerAt]() {
+    asio::post(m_context, [this, times]() {
         m_traffic.stopping = true;
-        m_traffic.lastAnswerAt = lastAnswerAt;
+        m_traffic.stopTimes = times;
     });
 }
 
--- a/src/snipevalve/node/gateway_thread.hpp
+++ b/src/snipevalve/node/gateway_thread.hpp
@@ -38,10 +38,8 @@
     void readKnownViews(std::vector<std::string> services, std::function<void(std::vector<KnownView>)> reply);
     bool needsStoreViews() const;
 
-    /// @brief Closes each caller's connection after its next answer, and refuses requests that can't be expected to end
-    /// in time.
-    /// @param lastAnswerAt when endRequests() will be called
-    void beginStop(TimePoint lastAnswerAt);
+    /// @brief Closes each caller's connection after its next answer, and refuses requests that may not end in time.
+    void beginStop(StopTimes times);
 
     /// @brief Accepts no more connections.
     void closeListener();
--- a/src/snipevalve/node/gateway_traffic.hpp
+++ b/src/snipevalve/node/gateway_traffic.hpp
@@ -41,6 +41,14 @@
     std::size_t m_amount;
 };
 
+/// @brief The times of a planned stop; in the far future unless the node is stopping.
+struct StopTimes
+{
+    TimePoint lastAnswerAt = TimePoint::max(); ///< when servers that have not answered are given up
+    /// Requests that come later are only sent if their own time limit ends before `lastAnswerAt`.
+    TimePoint lastUnboundedAt = TimePoint::max();
+};
+
 /// @brief State that all connections of the traffic thread share. Only that thread may access it, except for the
 /// metrics, `sessionCount` and Placements::needsStoreViews().
 struct GatewayTraffic
@@ -75,8 +83,7 @@
     std::size_t bodyBytes = 0; ///< total size of the bodies of current requests
     std::size_t bufferedAnswers = 0; ///< number of sends whose answers are being buffered
     bool stopping = false; ///< connections are closed after their next answer
-    /// When servers that have not answered are given up; in the far future unless the node is stopping.
-    TimePoint lastAnswerAt = TimePoint::max();
+    StopTimes stopTimes;
 };
 
 } // namespace snipevalve
--- a/src/snipevalve/node/request_runner.cpp
+++ b/src/snipevalve/node/request_runner.cpp
@@ -83,7 +83,7 @@
     item.repeat = m_sendCount > 0;
     item.key = m_request.key;
     item.zone = m_traffic.settings.zone;
-    item.deadline = std::min(m_request.deadline, m_traffic.lastAnswerAt) - AnswerMargin;
+    item.deadline = std::min(m_request.deadline, m_traffic.stopTimes.lastAnswerAt) - AnswerMargin;
     item.targetBy = std::min(m_request.targetBy - AnswerMargin, item.deadline);
     item.avoid = m_failedServers;
     return item;
@@ -148,10 +148,14 @@
     }
 }
 
-/// Whether the server can be expected to answer before the node gives up all servers and ends.
+/// Whether the request ends before the node gives up all servers: by its own time limit or, early in the stop, by its
+/// expected time.
 bool RequestRunner::canEndBeforeStop(const Placement &placement) const
 {
-    return Clock::now() + placement.expected * LongWorkFactor + AnswerMargin <= m_traffic.lastAnswerAt;
+    const StopTimes &stop = m_traffic.stopTimes;
+    const TimePoint now = Clock::now();
+    const bool isExpectedToEnd = now + placement.expected * LongWorkFactor + AnswerMargin <= stop.lastAnswerAt;
+    return m_request.deadline <= stop.lastAnswerAt || (now <= stop.lastUnboundedAt && isExpectedToEnd);
 }
 
 bool RequestRunner::mayRepeat() const
--- a/tests/process/planned_stop_test.cpp
+++ b/tests/process/planned_stop_test.cpp
@@ -77,6 +77,70 @@
 
 } // namespace
 
+// Guards against requests that outlast their usual time late in a stop: they were run and then answered 502.
+TEST_CASE("a request that comes late in a stop is answered by its server or not run", "[promise-4]")
+{
+    struct Case
+    {
+        std::string name;
+        Milliseconds timeout; ///< of the route
+        Milliseconds work;
+    };
+    const std::vector<Case> cases = {
+        {"a second of work, 8 s of time", Milliseconds(8'000), Milliseconds(1'100)},
+        {"two seconds of work, 8 s of time", Milliseconds(8'000), Milliseconds(2'000)},
+        {"short work, 1 s of time", Milliseconds(1'000), Milliseconds(50)},
+    };
+    constexpr Milliseconds FirstWhole(3'100); ///< since SIGTERM
+    constexpr Milliseconds Interval(150);
+    constexpr int Requests = 13;
+    constexpr Milliseconds LatestServed(3'800); ///< for requests whose own time limit is a second
+    std::uint8_t network = Network + 10;
+    for (const Case &each : cases) {
+        INFO(each.name);
+        NodeDeployment deployment("late-work-" + std::to_string(network), network, 1);
+        ++network;
+        deployment.platform.putConfig(configWithTimeout(each.timeout));
+        deployment.platform.addServer("sound", "debits", false, Milliseconds(10));
+        REQUIRE(deployment.waitUntil(
+            [&deployment]() {
+                return deployment.sendRequest(0, "GET", "/v1/x").status == 200;
+            },
+            StartTimeout));
+        for (int time = 0; time < 20; ++time) {
+            REQUIRE(deployment.sendRequest(0, "GET", "/v1/x").status == 200);
+        }
+        const Endpoint node{deployment.addressOf(0), NodeCallersPort};
+        const TimePoint stoppedAt = Clock::now();
+        deployment.node(0).terminate();
+        std::list<WorkRequest> requests;
+        for (int request = 0; request < Requests; ++request) {
+            const std::string id = "late-" + std::to_string(request);
+            requests.emplace_back(node,
+                                  "GET /v1/x HTTP/1.1\r\nHost: h.example\r\nX-Snipevalve-Request-Deadline: 8000\r\n"
+                                  "X-Snipevalve-Request-Id: "
+                                      + id + "\r\n",
+                                  each.work, stoppedAt + FirstWhole + Interval * request);
+        }
+        std::set<std::string> arrived;
+        std::vector<unsigned> statuses;
+        for (WorkRequest &request : requests) {
+            statuses.push_back(request.join());
+        }
+        for (const RequestArrival &arrival : deployment.platform.arrivals()) {
+            arrived.insert(arrival.requestId);
+        }
+        for (int request = 0; request < Requests; ++request) {
+            const Milliseconds wholeAt = FirstWhole + Interval * request;
+            INFO("whole " << wholeAt.count() << " ms after SIGTERM");
+            const unsigned status = statuses[static_cast<std::size_t>(request)];
+            const bool hasArrived = arrived.contains("late-" + std::to_string(request));
+            CHECK(((status == 200 && hasArrived) || (status == 503 && !hasArrived)));
+            CHECK((status == 200 || each.timeout > Milliseconds(1'000) || wholeAt > LatestServed));
+        }
+    }
+}
+
 // Guards against an attempt that is cut at its time limit although no other server may be asked.
 TEST_CASE("a slow answer is passed on when the request can't be sent again", "[promise-4]")
 {
