--- a/src/snipevalve/node/control/node_process.hpp
+++ b/src/snipevalve/node/control/node_process.hpp
@@ -92,9 +92,6 @@
     /// Time to send the answers to requests that were given up at the end.
     static constexpr Milliseconds FinalAnswersTime{400};
     static constexpr Milliseconds StopPollInterval{50};
-    /// While the node stops, connections that have been idle for this long are closed: their callers are not about to
-    /// send.
-    static constexpr Milliseconds StoppingIdleTimeout{300};
 
     typename NodeControl<Platform>::Outputs outputs()
     {
@@ -161,7 +158,6 @@
         co_await timer.async_wait(awaitInto(ignored));
         bool hasRefusedWaiting = false;
         while (m_traffic.sessions() > 0 && Clock::now() < end) {
-            m_traffic.closeIdle(StoppingIdleTimeout);
             if (!hasRefusedWaiting && Clock::now() >= end - RefusalTime) {
                 hasRefusedWaiting = true; // requests that came later are placed or refused by the time that is left
                 m_traffic.refuseWaiting();
--- a/src/snipevalve/node/gateway_session.cpp
+++ b/src/snipevalve/node/gateway_session.cpp
@@ -66,20 +66,15 @@
     }
 }
 
-void GatewaySession::closeIfIdle(TimePoint now, Duration idle)
-{
-    if (m_idleSince && now - *m_idleSince >= idle && m_buffer.size() == 0) {
-        m_stream.close();
-    }
-}
-
 void GatewaySession::endRequest()
 {
     if (const auto runner = m_runner.lock()) {
         runner->onShutdown();
     }
     m_isEnding = true;
-    if (m_isReading) {
+    ErrorCode error;
+    const bool hasArrived = m_stream.socket().available(error) > 0; // to be read, and answered, as usual
+    if (m_isReading || (m_isIdle && !hasArrived)) {
         m_stream.cancel();
     }
 }
@@ -101,11 +96,11 @@
     m_hasAnswered = false;
     if (m_buffer.size() == 0) {
         constexpr std::size_t InitialReadBytes = 4 << 10;
-        m_idleSince = Clock::now();
+        m_isIdle = true;
         m_stream.expires_after(limits().idleTimeout);
         const std::size_t count =
             co_await m_stream.async_read_some(m_buffer.prepare(InitialReadBytes), awaitInto(error));
-        m_idleSince.reset();
+        m_isIdle = false;
         if (error) {
             co_return false;
         }
--- a/src/snipevalve/node/gateway_session.hpp
+++ b/src/snipevalve/node/gateway_session.hpp
@@ -2,7 +2,6 @@
 #define SNIPEVALVE_NODE_GATEWAY_SESSION_HPP
 
 #include <memory>
-#include <optional>
 #include <string>
 
 #include "snipevalve/net/message_parser.hpp"
@@ -22,12 +21,9 @@
     Awaitable<void> run();
 
     /// @brief Makes the current request end with an answer now, because the process is about to end. One that is still
-    /// being read is refused.
+    /// being read is refused, and a connection without one is closed.
     void endRequest();
 
-    /// @brief Closes the connection when it has waited for a request for at least `idle`.
-    void closeIfIdle(TimePoint now, Duration idle);
-
 private:
     using Parser = MessageParser<true, ReceivedBody>;
 
@@ -51,7 +47,7 @@
     beast::flat_buffer m_buffer;
     std::unique_ptr<Parser> m_parser;
     std::weak_ptr<RequestRunner> m_runner; ///< of the current request
-    std::optional<TimePoint> m_idleSince; ///< set while waiting for a request
+    bool m_isIdle = false; ///< waiting for a request
     bool m_isReading = false; ///< a request has begun to arrive and is not whole yet
     bool m_isEnding = false; ///< the process is about to end
     bool m_hasAnswered = false; ///< the current request
--- a/src/snipevalve/node/gateway_thread.cpp
+++ b/src/snipevalve/node/gateway_thread.cpp
@@ -213,17 +213,6 @@
     });
 }
 
-void GatewayThread::closeIdle(Duration idle)
-{
-    asio::post(m_context, [this, idle]() {
-        const TimePoint now = Clock::now();
-        const std::vector<GatewaySession *> sessions(m_traffic.sessions.begin(), m_traffic.sessions.end());
-        for (GatewaySession *session : sessions) {
-            session->closeIfIdle(now, idle);
-        }
-    });
-}
-
 std::size_t GatewayThread::sessions() const
 {
     return m_traffic.sessionCount;
--- a/src/snipevalve/node/gateway_thread.hpp
+++ b/src/snipevalve/node/gateway_thread.hpp
@@ -48,15 +48,12 @@
     void refuseWaiting();
 
     /// @brief Gives up the servers that have not answered and refuses the requests that are still being read, so that
-    /// the callers get an answer before the process ends.
+    /// the callers get an answer before the process ends. Closes the connections without a request.
     void endRequests();
 
     /// @brief Stops and joins the thread. Pending operations are not completed, as the process is about to end.
     void stop();
 
-    /// @brief Closes the connections that have been idle for at least `idle`.
-    void closeIdle(Duration idle);
-
     /// @return number of open connections of callers
     std::size_t sessions() const;
     const NodeMetrics &metrics() const;
--- a/tests/process/planned_stop_test.cpp
+++ b/tests/process/planned_stop_test.cpp
@@ -77,6 +77,37 @@
 
 } // namespace
 
+// Guards against idle connections that a stopping node closes although their callers were never told.
+TEST_CASE("callers that keep their connections get an answer to each request while the node stops", "[promise-4]")
+{
+    NodeDeployment deployment("kept-connections", Network, 1);
+    deployment.platform.addServer("sound", "debits", false, Milliseconds(10));
+    REQUIRE(deployment.waitUntil(
+        [&deployment]() {
+            return deployment.sendRequest(0, "POST", "/p/x").status == 200;
+        },
+        StartTimeout));
+    KeptConnectionCallers::Options options;
+    options.node = {deployment.addressOf(0), NodeCallersPort};
+    options.head = headOf("POST /p/x") + "Content-Length: 0\r\n";
+    KeptConnectionCallers callers(options);
+    std::this_thread::sleep_for(Milliseconds(1'500));
+    const TimePoint stoppedAt = Clock::now();
+    for (const int signal : {SIGHUP, SIGTERM, SIGHUP, SIGTERM}) {
+        ::kill(deployment.node(0).pid(), signal);
+        std::this_thread::sleep_for(Milliseconds(100));
+    }
+    CHECK(deployment.node(0).wait(Grace) == 0);
+    const auto &requests = callers.join();
+    const auto isUnanswered = [stoppedAt](const KeptConnectionRequest &request) {
+        return request.status == 0 && request.sentAt < stoppedAt + EarliestEnd;
+    };
+    const auto count = std::count_if(requests.begin(), requests.end(), isUnanswered);
+    INFO(count << " of " << requests.size() << " requests without an answer");
+    CHECK(requests.size() > 500);
+    CHECK(count == 0);
+}
+
 // Guards against requests that outlast their usual time late in a stop: they were run and then answered 502.
 TEST_CASE("a request that comes late in a stop is answered by its server or not run", "[promise-4]")
 {
