End a process although its log can't be written (stops in time)

What the platform saw: a node that had logged event=stopped was still there at the end of its grace. Cause: the end of the log waits for its worker, which waits for whoever reads standard output. Class: the end of a process waits for something outside without a limit. Evidence: "a node whose log is not read serves and ends in time" failed on (still there 6 s after SIGTERM). Change: the log gets a quarter of a second, then the process exits. The other programs use the same.

--- a/include/snipevalve/app/event_log.hpp
+++ b/include/snipevalve/app/event_log.hpp
@@ -9,7 +9,8 @@
 /// logs how many were lost.
 void openEventLog();
 
-/// @brief Writes all queued lines and shuts the log down.
+/// @brief Writes all queued lines and shuts the log down. Gives up after a quarter of a second if the reader of
+/// standard output takes nothing; the process must then exit without running destructors.
 void closeEventLog();
 
 } // namespace snipevalve
--- a/src/snipevalve/app/event_log.cpp
+++ b/src/snipevalve/app/event_log.cpp
@@ -5,6 +5,7 @@
 #include <spdlog/spdlog.h>
 
 #include "log_format.hpp"
+#include "log_shutdown.hpp"
 
 namespace snipevalve {
 
@@ -34,7 +35,7 @@
     if (dropped > 0) {
         spdlog::warn("log: event=dropped lines={}", dropped);
     }
-    spdlog::shutdown();
+    detail::shutDownLog();
 }
 
 } // namespace snipevalve
--- a/src/snipevalve/app/program.cpp
+++ b/src/snipevalve/app/program.cpp
@@ -11,6 +11,7 @@
 #include <spdlog/spdlog.h>
 
 #include "log_format.hpp"
+#include "log_shutdown.hpp"
 
 namespace snipevalve {
 
@@ -56,7 +57,7 @@
         spdlog::critical("{}: can't start: {}", program.name, error.what());
         std::cerr << program.name << ": can't start: " << error.what() << "\n";
     }
-    spdlog::shutdown();
+    detail::shutDownLog();
     return code;
 }
 
--- /dev/null
+++ b/tests/process/lifetime_test.cpp
@@ -0,0 +1,113 @@
+#include <catch2/catch.hpp>
+
+#include <fcntl.h>
+#include <sys/resource.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <csignal>
+
+#include "process/node_deployment.hpp"
+
+namespace snipevalve::standins {
+
+namespace {
+
+constexpr std::uint8_t Network = 180;
+constexpr Milliseconds Grace(6'000); ///< from SIGTERM to SIGKILL
+
+/// @brief A named pipe in place of a node's log file.
+class LogPipe
+{
+public:
+    explicit LogPipe(const std::string &path)
+    {
+        std::filesystem::remove(path);
+        REQUIRE(::mkfifo(path.c_str(), S_IRUSR | S_IWUSR) == 0);
+        m_reader = ::open(path.c_str(), O_RDONLY | O_NONBLOCK | O_CLOEXEC);
+        REQUIRE(m_reader >= 0);
+        constexpr int SmallestBytes = 4096;
+        ::fcntl(m_reader, F_SETPIPE_SZ, SmallestBytes);
+    }
+
+    ~LogPipe()
+    {
+        closeReader();
+    }
+
+    void closeReader()
+    {
+        if (m_reader >= 0) {
+            ::close(m_reader);
+            m_reader = -1;
+        }
+    }
+
+private:
+    int m_reader = -1;
+};
+
+/// @brief A node with one server, whose output goes to a pipe that nobody reads.
+class PipedNode
+{
+public:
+    PipedNode(const std::string &name, std::uint8_t network)
+        : m_folder(std::string(TEST_FOLDER) + "/" + name)
+        , m_deployment(name, network, 0)
+        , m_pipe(m_folder + "/node.pipe")
+    {
+        const std::string settings = m_folder + "/piped.toml";
+        writeNodeSettings(settings, "node-0", m_deployment.addressOf(0), m_deployment.platform.storeEndpoint());
+        m_process.emplace(std::string(BINARY_FOLDER) + "/snipevalve-node",
+                          std::vector<std::string>{"--settings=" + settings}, m_folder + "/node.pipe");
+        m_deployment.platform.addServer("sound", "debits", false, Milliseconds(5));
+        REQUIRE(m_deployment.waitUntil(
+            [this]() {
+                return isServing();
+            },
+            StartTimeout));
+    }
+
+    bool isServing()
+    {
+        return m_deployment.sendRequest(0, "POST", "/p/x").status == 200;
+    }
+
+    Process &process()
+    {
+        return *m_process;
+    }
+
+    LogPipe &pipe()
+    {
+        return m_pipe;
+    }
+
+private:
+    std::string m_folder;
+    NodeDeployment m_deployment;
+    LogPipe m_pipe;
+    std::optional<Process> m_process;
+};
+
+int openDescriptors(pid_t pid)
+{
+    const std::filesystem::directory_iterator files("/proc/" + std::to_string(pid) + "/fd");
+    return static_cast<int>(std::distance(begin(files), end(files)));
+}
+
+} // namespace
+
+// Guards against a process that can't end because nobody reads its log.
+TEST_CASE("a node whose log is not read serves and ends in time", "[promise-8]")
+{
+    PipedNode node("unread-log", Network);
+    constexpr int EnoughToFillThePipe = 60;
+    for (int request = 0; request < EnoughToFillThePipe; ++request) {
+        CHECK(node.isServing());
+    }
+    node.process().terminate();
+    CHECK(node.process().wait(Grace) == 0);
+}
+
+} // namespace snipevalve::standins
