Go on when the reader of the log has gone (FAULT)

What callers saw: the node ended by itself with its next log line, and all requests in flight with it. Cause: a write to a pipe without a reader raises SIGPIPE, whose default action ends the process. Evidence: "a node goes on when the reader of its log has gone" failed on: no request was served afterwards, and the process was gone. Change: SIGPIPE is ignored by the node and by the other programs; the write fails instead.

--- a/src/snipevalve/app/program.cpp
+++ b/src/snipevalve/app/program.cpp
@@ -12,6 +12,7 @@
 
 #include "log_format.hpp"
 #include "log_shutdown.hpp"
+#include "snipevalve/app/broken_pipes.hpp"
 
 namespace snipevalve {
 
@@ -65,6 +66,7 @@
 
 int runProgram(const Program &program, int argc, char **argv)
 {
+    ignoreBrokenPipes();
     std::map<std::string, docopt::value> arguments;
     try {
         arguments = docopt::docopt_parse(usageText(program), {argv + 1, argv + argc}, true, true);
--- a/tests/process/lifetime_test.cpp
+++ b/tests/process/lifetime_test.cpp
@@ -110,4 +110,16 @@
     CHECK(node.process().wait(Grace) == 0);
 }
 
+// Guards against SIGPIPE, which ends a process that writes to a pipe without a reader.
+TEST_CASE("a node goes on when the reader of its log has gone", "[promise-8]")
+{
+    PipedNode node("log-reader-gone", Network + 1);
+    node.pipe().closeReader();
+    for (int request = 0; request < 5; ++request) {
+        CHECK(node.isServing());
+        std::this_thread::sleep_for(Milliseconds(100));
+    }
+    CHECK(node.process().isRunning());
+}
+
 } // namespace snipevalve::standins
