--- a/tests/process/lifetime_test.cpp
+++ b/tests/process/lifetime_test.cpp
@@ -122,4 +122,29 @@
     CHECK(node.process().isRunning());
 }
 
+// Guards against a node that gives up since its settings file is being written when it starts.
+TEST_CASE("a node that starts while its settings file is written waits for the rest", "[promise-8]")
+{
+    NodeDeployment deployment("settings-in-parts", Network + 2, 0);
+    deployment.platform.addServer("sound", "debits", false, Milliseconds(5));
+    const std::string folder = std::string(TEST_FOLDER) + "/settings-in-parts";
+    const std::string path = folder + "/piecemeal.toml";
+    writeNodeSettings(path, "node-0", deployment.addressOf(0), deployment.platform.storeEndpoint());
+    std::ifstream file(path);
+    const std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+    for (const std::size_t written : {std::size_t(0), text.size() / 3, text.size() * 3 / 4}) {
+        INFO(written << " of " << text.size() << " bytes are there at first");
+        std::ofstream(path) << text.substr(0, written);
+        Process node(std::string(BINARY_FOLDER) + "/snipevalve-node", {"--settings=" + path}, folder + "/node.log");
+        std::this_thread::sleep_for(Milliseconds(300));
+        std::ofstream(path) << text;
+        CHECK(deployment.waitUntil(
+            [&deployment]() {
+                return deployment.sendRequest(0, "POST", "/p/x").status == 200;
+            },
+            Milliseconds(5'000)));
+        CHECK(node.isRunning());
+    }
+}
+
 } // namespace snipevalve::standins
