--- a/src/snipevalve/entry/entry_process.cpp
+++ b/src/snipevalve/entry/entry_process.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 #include <spdlog/spdlog.h>
 
+#include "snipevalve/net/accept.hpp"
 #include "snipevalve/routing/slot_load.hpp"
 
 namespace snipevalve {
@@ -49,22 +50,18 @@
 
 void TrafficThread::start()
 {
-    asio::co_spawn(m_context, accept(), asio::detached);
+    const auto onConnection = [this](Tcp::socket socket) {
+        startSession(std::move(socket));
+    };
+    asio::co_spawn(m_context, acceptConnections(m_acceptor, onConnection), asio::detached);
     m_thread = std::thread([this]() {
         m_context.run();
     });
 }
 
-Awaitable<void> TrafficThread::accept()
+void TrafficThread::startSession(Tcp::socket socket)
 {
-    while (m_acceptor.is_open()) {
-        ErrorCode error;
-        Tcp::socket socket = co_await m_acceptor.async_accept(awaitInto(error));
-        if (!error) {
-            asio::co_spawn(m_context, runSession(std::make_unique<Session>(m_threadState, std::move(socket))),
-                           asio::detached);
-        }
-    }
+    asio::co_spawn(m_context, runSession(std::make_unique<Session>(m_threadState, std::move(socket))), asio::detached);
 }
 
 void TrafficThread::setRouting(std::shared_ptr<const RoutingState> routing)
@@ -84,7 +81,9 @@
 void TrafficThread::closeListener()
 {
     asio::post(m_context, [this]() {
-        m_acceptor.close();
+        closeAfterBacklog(m_acceptor, [this](Tcp::socket socket) {
+            startSession(std::move(socket));
+        });
     });
 }
 
--- a/src/snipevalve/entry/entry_process.hpp
+++ b/src/snipevalve/entry/entry_process.hpp
@@ -36,7 +36,7 @@
     const EntryMetrics &metrics() const;
 
 private:
-    Awaitable<void> accept();
+    void startSession(Tcp::socket socket);
 
     asio::io_context m_context{1};
     TrafficThreadState m_threadState;
--- a/src/snipevalve/net/http_server.cpp
+++ b/src/snipevalve/net/http_server.cpp
@@ -1,5 +1,6 @@
 #include "snipevalve/net/http_server.hpp"
 
+#include "snipevalve/net/accept.hpp"
 #include "snipevalve/net/log_failure.hpp"
 
 #include <algorithm>
@@ -66,13 +67,10 @@
 {
     const auto sharedHandler = std::make_shared<HttpHandler>(std::move(handler));
     const auto executor = co_await asio::this_coro::executor;
-    while (acceptor.is_open()) {
-        ErrorCode error;
-        Tcp::socket socket = co_await acceptor.async_accept(awaitInto(error));
-        if (!error) {
-            asio::co_spawn(executor, serveConnection(std::move(socket), sharedHandler, limits), LogFailure("http"));
-        }
-    }
+    const auto onConnection = [executor, sharedHandler, limits](Tcp::socket socket) {
+        asio::co_spawn(executor, serveConnection(std::move(socket), sharedHandler, limits), LogFailure("http"));
+    };
+    co_await acceptConnections(acceptor, onConnection);
 }
 
 HttpResponse jsonResponse(http::status status, std::string body)
--- a/src/snipevalve/node/gateway_thread.cpp
+++ b/src/snipevalve/node/gateway_thread.cpp
@@ -4,6 +4,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include "snipevalve/net/accept.hpp"
 #include "snipevalve/net/log_failure.hpp"
 #include "snipevalve/node/gateway_session.hpp"
 
@@ -70,24 +71,16 @@
     asio::post(m_context, [this]() {
         m_traffic.placements.connectToSeeds(otherSeeds(m_traffic.settings));
     });
-    asio::co_spawn(m_context, accept(), asio::detached);
+    const auto onConnection = [this](Tcp::socket socket) {
+        startSession(std::move(socket));
+    };
+    asio::co_spawn(m_context, acceptConnections(m_acceptor, onConnection), asio::detached);
     asio::co_spawn(m_context, advance(), asio::detached);
     m_thread = std::thread([this]() {
         m_context.run();
     });
 }
 
-Awaitable<void> GatewayThread::accept()
-{
-    while (m_acceptor.is_open()) {
-        ErrorCode error;
-        Tcp::socket socket = co_await m_acceptor.async_accept(awaitInto(error));
-        if (!error) {
-            startSession(std::move(socket));
-        }
-    }
-}
-
 void GatewayThread::startSession(Tcp::socket socket)
 {
     auto session = std::make_shared<GatewaySession>(m_traffic, std::move(socket));
@@ -199,17 +192,9 @@
 void GatewayThread::closeListener()
 {
     asio::post(m_context, [this]() {
-        // Closing the listener would reset the connections that wait to be accepted.
-        ErrorCode error;
-        m_acceptor.non_blocking(true, error);
-        while (!error) {
-            Tcp::socket socket(m_context);
-            m_acceptor.accept(socket, error);
-            if (!error) {
-                startSession(std::move(socket));
-            }
-        }
-        m_acceptor.close(error);
+        closeAfterBacklog(m_acceptor, [this](Tcp::socket socket) {
+            startSession(std::move(socket));
+        });
     });
 }
 
--- a/src/snipevalve/node/gateway_thread.hpp
+++ b/src/snipevalve/node/gateway_thread.hpp
@@ -59,7 +59,6 @@
     const NodeMetrics &metrics() const;
 
 private:
-    Awaitable<void> accept();
     void startSession(Tcp::socket socket);
     Awaitable<void> advance();
 
--- a/src/snipevalve/node/leader_dispatcher.cpp
+++ b/src/snipevalve/node/leader_dispatcher.cpp
@@ -4,6 +4,7 @@
 
 #include "snipevalve/core/log_text.hpp"
 #include "snipevalve/gateway/server_notice_log.hpp"
+#include "snipevalve/net/accept.hpp"
 #include "snipevalve/net/log_failure.hpp"
 
 namespace snipevalve {
@@ -45,14 +46,10 @@
 
 Awaitable<void> LeaderDispatcher::serve(Tcp::acceptor &acceptor)
 {
-    while (acceptor.is_open()) {
-        ErrorCode error;
-        Tcp::socket socket = co_await acceptor.async_accept(awaitInto(error));
-        if (!error) {
-            asio::co_spawn(m_executor, serveHost(std::make_shared<FrameChannel>(std::move(socket))),
-                           LogFailure("link"));
-        }
-    }
+    const auto onConnection = [this](Tcp::socket socket) {
+        asio::co_spawn(m_executor, serveHost(std::make_shared<FrameChannel>(std::move(socket))), LogFailure("link"));
+    };
+    co_await acceptConnections(acceptor, onConnection);
 }
 
 Awaitable<void> LeaderDispatcher::serveHost(std::shared_ptr<FrameChannel> channel)
--- a/tests/process/lifetime_test.cpp
+++ b/tests/process/lifetime_test.cpp
@@ -147,4 +147,32 @@
     }
 }
 
+// Guards against an accept loop that takes the processor while no descriptor is free.
+TEST_CASE("a node without free descriptors stays idle and serves again once there are some", "[promise-8]")
+{
+    NodeDeployment deployment("no-descriptors", Network + 3, 1);
+    deployment.platform.addServer("sound", "debits", false, Milliseconds(5));
+    const auto isServing = [&deployment]() {
+        return deployment.sendRequest(0, "POST", "/p/x").status == 200;
+    };
+    REQUIRE(deployment.waitUntil(isServing, StartTimeout));
+    const pid_t pid = deployment.node(0).pid();
+    const auto limit = static_cast<rlim_t>(openDescriptors(pid));
+    const rlimit limits{limit, limit};
+    REQUIRE(::prlimit(pid, RLIMIT_NOFILE, &limits, nullptr) == 0);
+    {
+        asio::io_context context;
+        std::vector<Tcp::socket> callers;
+        for (int caller = 0; caller < 30; ++caller) {
+            callers.emplace_back(context).connect(toTcp({deployment.addressOf(0), NodeCallersPort}));
+        }
+        std::this_thread::sleep_for(Milliseconds(200));
+        const Milliseconds before = processorTimeOf(pid);
+        std::this_thread::sleep_for(Milliseconds(1'000));
+        CHECK(processorTimeOf(pid) - before < Milliseconds(300));
+    }
+    CHECK(deployment.waitUntil(isServing, Milliseconds(5'000)));
+    CHECK(deployment.node(0).isRunning());
+}
+
 } // namespace snipevalve::standins
--- a/tests/process/requests_test.cpp
+++ b/tests/process/requests_test.cpp
@@ -1,3 +1,5 @@
+#include <list>
+
 #include "process/small_deployment.hpp"
 
 namespace snipevalve::standins {
@@ -107,6 +109,60 @@
     WARN("rolling stop: answered " << countEnds(report, CallEnd::Answered) << ", p99 " << report.p99Ms << " ms");
 }
 
+namespace {
+
+/// @brief A connection over which a request is sent first and the response read later.
+class SlowReader
+{
+public:
+    SlowReader(asio::io_context &context, const Endpoint &endpoint, const std::string &bytes)
+        : m_socket(context)
+    {
+        m_socket.connect(toTcp(endpoint), m_error);
+        asio::write(m_socket, asio::buffer(bytes), m_error);
+    }
+
+    /// @return the status of the response; 0 if there was none
+    unsigned readStatus()
+    {
+        beast::flat_buffer buffer;
+        http::response_parser<http::string_body> parser;
+        if (!m_error) {
+            http::read(m_socket, buffer, parser, m_error);
+        }
+        return m_error ? 0 : parser.get().result_int();
+    }
+
+private:
+    Tcp::socket m_socket;
+    ErrorCode m_error;
+};
+
+} // namespace
+
+// Guards against connections that wait to be accepted and are reset when the listener closes.
+TEST_CASE("a connection in the backlog of an entry process is served although its listener closes", "[promise-7]")
+{
+    DeploymentOptions options = optionsFor("entry-backlog", Network);
+    options.extraSettings = "[entry]\ndrain_delay_ms = 500\n";
+    Deployment deployment(smallDeployment(1), options);
+    REQUIRE(deployment.start(StartTimeout));
+    HostProcesses &host = deployment.hosts()[0];
+    host.entry->terminate();
+    sleepFor(Milliseconds(400));
+    host.entry->freeze();
+    asio::io_context context;
+    std::list<SlowReader> callers;
+    for (int caller = 0; caller < 20; ++caller) {
+        callers.emplace_back(context, deployment.entryOf(host), "GET /nowhere HTTP/1.1\r\nHost: h\r\n\r\n");
+    }
+    sleepFor(Milliseconds(200));
+    host.entry->resume();
+    for (SlowReader &caller : callers) {
+        CHECK(caller.readStatus() == 404);
+    }
+}
+
 TEST_CASE("a stopping entry process stays unready when the configuration changes", "[promise-7]")
 {
     DeploymentOptions options = optionsFor("stop-ready", Network);
