Entry process: discard what a caller still sends after its last answer (LOST)

Cause: the two sessions don't share the end of a connection. Change: closeLingering, taken out of the node's session, serves both.

--- a/src/snipevalve/entry/session.cpp
+++ b/src/snipevalve/entry/session.cpp
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include "snipevalve/net/lingering_close.hpp"
 #include "snipevalve/net/message_head.hpp"
 
 namespace snipevalve {
@@ -105,6 +106,9 @@
     m_stream.socket().set_option(Tcp::no_delay(true), error);
     while (co_await serveRequest()) {
     }
+    if (m_hasAnswered) {
+        co_await closeLingering(m_stream);
+    }
 }
 
 void Session::closeIfIdle(TimePoint now, Duration idle)
@@ -121,6 +125,7 @@
 
 Awaitable<bool> Session::readHead(ErrorCode &error)
 {
+    m_hasAnswered = false;
     m_parser = std::make_unique<RequestParser>();
     m_parser->header_limit(static_cast<std::uint32_t>(m_threadState.settings.entryMaxHeaderBytes));
     m_parser->body_limit(UINT64_MAX);
@@ -278,6 +283,7 @@
     } else {
         co_await http::async_write(m_stream, serializer, awaitInto(error));
     }
+    m_hasAnswered = !error;
     co_return !error && message.keep_alive();
 }
 
@@ -319,6 +325,7 @@
             co_return false;
         }
     }
+    m_hasAnswered = !error;
     co_return !error && message.keep_alive();
 }
 
@@ -350,6 +357,7 @@
     m_stream.expires_after(m_threadState.settings.entryIdleTimeout);
     ErrorCode error;
     co_await http::async_write(m_stream, response, awaitInto(error));
+    m_hasAnswered = !error;
     co_return !error && response.keep_alive();
 }
 
--- a/src/snipevalve/entry/session.hpp
+++ b/src/snipevalve/entry/session.hpp
@@ -44,6 +44,7 @@
     std::unique_ptr<RequestParser> m_parser;
     std::optional<std::string> m_headFault; ///< why the last message head is malformed
     std::optional<TimePoint> m_idleSince; ///< set while waiting for a request
+    bool m_hasAnswered = false; ///< the current request
 };
 
 } // namespace snipevalve
--- a/src/snipevalve/node/gateway_session.cpp
+++ b/src/snipevalve/node/gateway_session.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include "snipevalve/core/log_text.hpp"
+#include "snipevalve/net/lingering_close.hpp"
 #include "snipevalve/net/message_head.hpp"
 #include "snipevalve/net/spawn.hpp"
 
@@ -16,10 +17,6 @@
 constexpr Milliseconds WriteTimeout(10'000);
 /// How long reading a request body may take. The caller's deadline is no bound here, as it may be longer.
 constexpr Milliseconds BodyTimeout(30'000);
-/// How long a caller may go on sending after its last answer before the connection is closed.
-constexpr Milliseconds DiscardTimeout(1'000);
-/// How much it may send in this time.
-constexpr std::size_t MaxDiscardedBytes = 32 << 20;
 
 const CallerLimits DefaultLimits;
 
@@ -45,24 +42,8 @@
     m_stream.socket().set_option(Tcp::no_delay(true), error);
     while (co_await serveOne()) {
     }
-    m_stream.socket().shutdown(Tcp::socket::shutdown_send, error);
-    if (m_hasAnswered && !error) {
-        co_await discardUntilClosed();
-    }
-}
-
-/// Reads on until the caller has closed the connection. Closing a socket with unread bytes resets the connection, which
-/// discards an answer that the caller has not read yet (RFC 9112, section 9.6).
-Awaitable<void> GatewaySession::discardUntilClosed()
-{
-    constexpr std::size_t ReadBytes = 16 << 10;
-    m_buffer.clear();
-    m_buffer.max_size(ReadBytes);
-    m_stream.expires_after(DiscardTimeout);
-    ErrorCode error;
-    std::size_t discarded = 0;
-    while (!error && discarded < MaxDiscardedBytes) {
-        discarded += co_await m_stream.async_read_some(m_buffer.prepare(ReadBytes), awaitInto(error));
+    if (m_hasAnswered) {
+        co_await closeLingering(m_stream);
     }
 }
 
--- a/src/snipevalve/node/request_runner.cpp
+++ b/src/snipevalve/node/request_runner.cpp
@@ -209,12 +209,12 @@
 Awaitable<ExchangeResult> RequestRunner::sendTo(const Placement &placement)
 {
     ++m_sendCount;
+    m_server = placement.server;
+    m_isAnswered = false;
     const auto exchange = std::make_shared<UpstreamExchange>(m_traffic.executor, m_traffic.pool, m_traffic.names,
                                                              m_traffic.parseServerNotice, m_request);
     m_exchange = exchange;
     const auto timer = std::make_shared<asio::steady_timer>(
-    m_server = placement.server;
-    m_isAnswered = false;
         m_traffic.executor,
         attemptTimeout(placement.expected, m_request.deadline - Clock::now(), m_request.key.has_value()));
     if (mayRepeat()) {
@@ -225,9 +225,6 @@
         co_await exchange->run(placement.server, m_request.deadline - AnswerMargin, bufferLimit(), m_usedConnections);
     m_usedConnections.push_back(result.connection);
     timer->cancel();
-    const bool isStreamed = result.answer && !result.answer->isWhole;
-    m_exchange = isStreamed ? exchange : nullptr;
-    countBytes(placement.server, m_request.body.size() + (result.answer ? result.answer->body.size() : 0));
     m_isAnswered = true;
     if (m_repeatTicket != 0) {
         m_traffic.placements.abandon(m_repeatTicket);
@@ -235,6 +232,9 @@
     if (result.answer) {
         returnRepeat();
     }
+    const bool isStreamed = result.answer && !result.answer->isWhole;
+    m_exchange = isStreamed ? exchange : nullptr;
+    countBytes(placement.server, m_request.body.size() + (result.answer ? result.answer->body.size() : 0));
     m_traffic.placements.onServerNotice(m_request.service, placement.server, result.notice.notice);
     m_traffic.placements.finish(placement.ticket, result.end, result.took);
     m_traffic.metrics.count(std::string("send_") + std::string(describe(result.end)));
--- a/tests/process/requests_test.cpp
+++ b/tests/process/requests_test.cpp
@@ -163,6 +163,21 @@
     }
 }
 
+// Guards against a reset that discards an answer before the caller has read it.
+TEST_CASE("a caller of an entry process that sends its whole body before it reads gets an early refusal", "[promise-4]")
+{
+    Deployment deployment(smallDeployment(1), optionsFor("entry-refusal", Network));
+    REQUIRE(deployment.start(StartTimeout));
+    asio::io_context context;
+    const std::string body(8 << 20, 'b');
+    for (int time = 0; time < 5; ++time) {
+        SlowReader caller(context, deployment.entryOf(deployment.hosts()[0]),
+                          "POST /nowhere HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(body.size())
+                              + "\r\n\r\n" + body);
+        CHECK(caller.readStatus() == 404);
+    }
+}
+
 TEST_CASE("a stopping entry process stays unready when the configuration changes", "[promise-7]")
 {
     DeploymentOptions options = optionsFor("stop-ready", Network);
