Soak: pair the ends of work with its beginnings when a request runs twice at once

Cause: the check's own. A repeat at the same owner began while the first run was at work; the second beginning replaced the first, whose end was then taken for the other's, so one run never ended. Evidence: the record of ledger-3 has both runs and both ends (1780288 to 1780988 ms, 1780739 to 1781439 ms); the grants are at 1792839 and 1793404 ms. Work was 15 ms before, too short to overlap. Change: an end closes the first open run of its request.

--- a/tests/soak/hold_checks.cpp
+++ b/tests/soak/hold_checks.cpp
@@ -90,15 +90,16 @@
 
     void collectWork(const ServerRun &run)
     {
-        std::map<std::string, std::size_t> open;
+        std::multimap<std::string, std::size_t> open; // a request that is sent again may run twice at a time
         for (const auto &event : run.record.events) {
             if (const auto *arrival = std::get_if<RequestArrival>(&event); arrival != nullptr && arrival->ran) {
-                open[arrival->requestId] = m_work.size();
+                open.emplace(arrival->requestId, m_work.size());
                 m_work.push_back({&run, arrival->requestId, arrival->key, arrival->at, run.endedAt});
             } else if (const auto *end = std::get_if<WorkEndEvent>(&event)) {
-                const auto work = open.find(end->requestId);
-                if (work != open.end()) {
+                const auto work = open.lower_bound(end->requestId); // the first that has begun
+                if (work != open.end() && work->first == end->requestId) {
                     m_work[work->second].end = std::min(end->at, run.endedAt);
+                    open.erase(work);
                 }
             }
         }
