--- a/tests/process/planned_stop_test.cpp
+++ b/tests/process/planned_stop_test.cpp
@@ -75,6 +75,18 @@
     return config.replace(config.find(limits), limits.size(), R"("metadata":{},"spec":{"header_timeout_ms":8000})");
 }
 
+/// @brief Waits until the node serves the safe route to `debits`, and lets it learn how long its server takes.
+void learnUsualTime(NodeDeployment &deployment)
+{
+    const auto isServed = [&deployment]() {
+        return deployment.sendRequest(0, "GET", "/v1/x").status == 200;
+    };
+    REQUIRE(deployment.waitUntil(isServed, StartTimeout));
+    for (int time = 0; time < 20; ++time) {
+        REQUIRE(isServed());
+    }
+}
+
 } // namespace
 
 // Guards against idle connections that a stopping node closes although their callers were never told.
@@ -133,14 +145,7 @@
         ++network;
         deployment.platform.putConfig(configWithTimeout(each.timeout));
         deployment.platform.addServer("sound", "debits", false, Milliseconds(10));
-        REQUIRE(deployment.waitUntil(
-            [&deployment]() {
-                return deployment.sendRequest(0, "GET", "/v1/x").status == 200;
-            },
-            StartTimeout));
-        for (int time = 0; time < 20; ++time) {
-            REQUIRE(deployment.sendRequest(0, "GET", "/v1/x").status == 200);
-        }
+        learnUsualTime(deployment);
         const Endpoint node{deployment.addressOf(0), NodeCallersPort};
         const TimePoint stoppedAt = Clock::now();
         deployment.node(0).terminate();
@@ -192,14 +197,7 @@
         ++network;
         deployment.platform.putConfig(smallConfig(3, 1));
         deployment.platform.addServer("only", "debits", false, Milliseconds(20));
-        REQUIRE(deployment.waitUntil(
-            [&deployment]() {
-                return deployment.sendRequest(0, "GET", "/v1/x").status == 200;
-            },
-            StartTimeout));
-        for (int time = 0; time < 20; ++time) {
-            REQUIRE(deployment.sendRequest(0, "GET", "/v1/x").status == 200);
-        }
+        learnUsualTime(deployment);
         const Endpoint node{deployment.addressOf(0), NodeCallersPort};
         WorkRequest slow(node, headOf("GET /v1/x") + "X-Snipevalve-Request-Id: slow\r\n", Milliseconds(1'200));
         if (each.stopAfter) {
