Say exactly when a send counts as answered

What the review saw: the comment says that the answer has begun, but the flag is set when the whole answer is there or when it is passed on in parts. Cause: loose words. Evidence: sendTo(). Change: the comment only. Result: no code is changed.

--- a/src/snipevalve/node/request_runner.hpp
+++ b/src/snipevalve/node/request_runner.hpp
@@ -64,7 +64,7 @@
     RetryBudget m_attemptBudget; ///< of this request alone, from the route's `maxAttempts`
     std::shared_ptr<UpstreamExchange> m_exchange; ///< set during a send and while its answer is streamed
     UpstreamServer m_server; ///< of the last send
-    bool m_isAnswered = false; ///< the last send has ended, or its answer has begun
+    bool m_isAnswered = false; ///< the last send has ended, or its answer is passed on in parts
     Ticket m_repeatTicket = 0; ///< while a repeat is asked for during a send, else 0
     std::optional<Placement> m_repeat; ///< for which the last send was given up
     unsigned m_streamedStatus = 0; ///< status of the streamed answer
