--- a/src/snipevalve/entry/entry_process.cpp
+++ b/src/snipevalve/entry/entry_process.cpp
@@ -84,6 +84,7 @@
         closeAfterBacklog(m_acceptor, [this](Tcp::socket socket) {
             startSession(std::move(socket));
         });
+        m_isListening = false;
     });
 }
 
@@ -96,6 +97,11 @@
     });
 }
 
+bool TrafficThread::isListening() const
+{
+    return m_isListening;
+}
+
 std::size_t TrafficThread::sessions() const
 {
     return m_threadState.sessionCount;
@@ -237,7 +243,7 @@
     }
     const TimePoint deadline = Clock::now() + m_settings.entryStopTimeout;
     const auto isBusy = [](const TrafficThread &thread) {
-        return thread.sessions() > 0;
+        return thread.isListening() || thread.sessions() > 0;
     };
     while (std::any_of(m_threads.begin(), m_threads.end(), isBusy) && Clock::now() < deadline) {
         for (TrafficThread &thread : m_threads) {
--- a/src/snipevalve/entry/entry_process.hpp
+++ b/src/snipevalve/entry/entry_process.hpp
@@ -1,6 +1,7 @@
 #ifndef SNIPEVALVE_ENTRY_ENTRY_PROCESS_HPP
 #define SNIPEVALVE_ENTRY_ENTRY_PROCESS_HPP
 
+#include <atomic>
 #include <deque>
 #include <memory>
 #include <thread>
@@ -27,8 +28,9 @@
     /// @brief Begins a graceful shutdown: every response from now on closes its connection.
     void beginStop();
 
-    /// @brief Stops accepting connections.
+    /// @brief Stops accepting connections, once those in the backlog are sessions. Takes effect asynchronously.
     void closeListener();
+    bool isListening() const;
 
     /// @brief Closes the connections that have been idle, waiting for a request, for at least `idle`.
     void closeIdle(Duration idle);
@@ -41,6 +43,7 @@
     asio::io_context m_context{1};
     TrafficThreadState m_threadState;
     Tcp::acceptor m_acceptor;
+    std::atomic<bool> m_isListening = true;
     std::thread m_thread;
 };
 
--- a/tests/process/requests_test.cpp
+++ b/tests/process/requests_test.cpp
@@ -122,6 +122,11 @@
         asio::write(m_socket, asio::buffer(bytes), m_error);
     }
 
+    bool isConnected() const
+    {
+        return m_socket.is_open() && !m_error;
+    }
+
     /// @return the status of the response; 0 if there was none
     unsigned readStatus()
     {
@@ -144,21 +149,22 @@
 TEST_CASE("a connection in the backlog of an entry process is served although its listener closes", "[promise-7]")
 {
     DeploymentOptions options = optionsFor("entry-backlog", Network);
-    options.extraSettings = "[entry]\ndrain_delay_ms = 500\n";
+    options.extraSettings = "[entry]\ndrain_delay_ms = 2000\n";
     Deployment deployment(smallDeployment(1), options);
     REQUIRE(deployment.start(StartTimeout));
     HostProcesses &host = deployment.hosts()[0];
     host.entry->terminate();
-    sleepFor(Milliseconds(400));
+    sleepFor(Milliseconds(1'000));
     host.entry->freeze();
     asio::io_context context;
     std::list<SlowReader> callers;
     for (int caller = 0; caller < 20; ++caller) {
         callers.emplace_back(context, deployment.entryOf(host), "GET /nowhere HTTP/1.1\r\nHost: h\r\n\r\n");
     }
-    sleepFor(Milliseconds(200));
+    sleepFor(Milliseconds(1'200));
     host.entry->resume();
     for (SlowReader &caller : callers) {
+        CHECK(caller.isConnected());
         CHECK(caller.readStatus() == 404);
     }
 }
