Test: leave descriptors to a node that is to serve again

Cause: the test's. It set the node's limit to the number of its open descriptors. Change: ten callers that have been accepted hold descriptors; the limit is the lowest free number, so that none can be opened; when the callers go, theirs are free. As strict: the time on the processor and the 5 s until the node serves are the same, and the state in which it is measured no longer depends on who started the test.

--- a/tests/process/lifetime_test.cpp
+++ b/tests/process/lifetime_test.cpp
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <set>
 
 #include "process/node_deployment.hpp"
 
@@ -90,10 +91,25 @@
     std::optional<Process> m_process;
 };
 
-int openDescriptors(pid_t pid)
+std::set<rlim_t> openDescriptors(pid_t pid)
 {
-    const std::filesystem::directory_iterator files("/proc/" + std::to_string(pid) + "/fd");
-    return static_cast<int>(std::distance(begin(files), end(files)));
+    std::set<rlim_t> descriptors;
+    for (const auto &file : std::filesystem::directory_iterator("/proc/" + std::to_string(pid) + "/fd")) {
+        descriptors.insert(std::stoul(file.path().filename()));
+    }
+    return descriptors;
+}
+
+/// @brief Lets the process open no descriptor until it closes one of those that are open now.
+void takeFreeDescriptors(pid_t pid)
+{
+    const std::set<rlim_t> open = openDescriptors(pid);
+    rlim_t lowestFree = 0;
+    while (open.contains(lowestFree)) {
+        ++lowestFree;
+    }
+    const rlimit limits{lowestFree, lowestFree};
+    REQUIRE(::prlimit(pid, RLIMIT_NOFILE, &limits, nullptr) == 0);
 }
 
 } // namespace
@@ -157,19 +173,28 @@
     };
     REQUIRE(deployment.waitUntil(isServing, StartTimeout));
     const pid_t pid = deployment.node(0).pid();
-    const auto limit = static_cast<rlim_t>(openDescriptors(pid));
-    const rlimit limits{limit, limit};
-    REQUIRE(::prlimit(pid, RLIMIT_NOFILE, &limits, nullptr) == 0);
     {
         asio::io_context context;
         std::vector<Tcp::socket> callers;
-        for (int caller = 0; caller < 30; ++caller) {
-            callers.emplace_back(context).connect(toTcp({deployment.addressOf(0), NodeCallersPort}));
-        }
+        const auto connectCallers = [&](std::size_t count) {
+            for (std::size_t caller = 0; caller < count; ++caller) {
+                callers.emplace_back(context).connect(toTcp({deployment.addressOf(0), NodeCallersPort}));
+            }
+        };
+        constexpr std::size_t Accepted = 10;
+        const std::size_t before = openDescriptors(pid).size();
+        connectCallers(Accepted);
+        REQUIRE(deployment.waitUntil(
+            [&]() {
+                return openDescriptors(pid).size() > before + Accepted / 2;
+            },
+            Milliseconds(5'000)));
+        takeFreeDescriptors(pid);
+        connectCallers(30);
         std::this_thread::sleep_for(Milliseconds(200));
-        const Milliseconds before = processorTimeOf(pid);
+        const Milliseconds usedBefore = processorTimeOf(pid);
         std::this_thread::sleep_for(Milliseconds(1'000));
-        CHECK(processorTimeOf(pid) - before < Milliseconds(300));
+        CHECK(processorTimeOf(pid) - usedBefore < Milliseconds(300));
     }
     CHECK(deployment.waitUntil(isServing, Milliseconds(5'000)));
     CHECK(deployment.node(0).isRunning());
