Send nothing once a server has been given up while connecting (LOST)

What callers saw: 502 or 504 for a request that a server went on to run, or a second run of it, where "not run" and another server were possible. Cause: giveUp() during the connect only set a flag, which run() did not look at: the request was sent, the answer that came was discarded and counted as lost, and the permit of the repeat was held until then. Evidence: the new test failed: end Lost, one request at the server. Change: run() ends as Unreachable, as nothing was sent, so that the repeat goes on and, at the end of a stop, the caller gets 503 "not run".

--- a/src/snipevalve/node/upstream_exchange.cpp
+++ b/src/snipevalve/node/upstream_exchange.cpp
@@ -59,7 +59,7 @@
     m_serverId = server.id;
     m_endpoint = server.endpoint;
     co_await connect(until, usedConnections, result);
-    if (m_cancelled || !m_connection) {
+    if (m_cancelled || m_gaveUp || !m_connection) { // nothing has been sent
         result.end = m_cancelled ? WorkEnd::Abandoned : WorkEnd::Unreachable;
         result.took = Clock::now() - startedAt;
         co_return result;
@@ -123,7 +123,7 @@
     if (!m_connection) {
         const auto remaining = std::chrono::duration_cast<Milliseconds>(until - Clock::now());
         m_connection = co_await m_pool.connect(m_endpoint, std::clamp(remaining, Milliseconds(1), ConnectTimeout));
-        result.detail = m_connection ? "" : "no connection";
+        result.detail = m_connection && !m_gaveUp ? "" : "no connection";
     }
     result.connection = m_connection ? m_connection->number : 0;
 }
--- a/src/snipevalve/node/upstream_exchange.hpp
+++ b/src/snipevalve/node/upstream_exchange.hpp
@@ -71,7 +71,8 @@
     /// @brief Closes the connection, which makes the server stop working; run() then ends as Abandoned.
     void cancel();
 
-    /// @brief Closes the connection because the server takes too long; run() then ends as Lost.
+    /// @brief Closes the connection because the server takes too long; run() then ends as Lost, or as Unreachable
+    /// without having sent anything if there was no connection yet.
     void giveUp();
 
 private:
--- a/src/snipevalve/node/upstream_exchange_test.cpp
+++ b/src/snipevalve/node/upstream_exchange_test.cpp
@@ -73,6 +73,9 @@
     co_return result;
 }
 
+/// Ends an exchange early, by UpstreamExchange::cancel() or giveUp().
+using EndExchange = void (UpstreamExchange::*)();
+
 /// @brief Sends requests to a scripted server, one after the other and over the same pool of connections.
 class Exchanges
 {
@@ -114,6 +117,10 @@
                            }
                        });
         m_context.restart();
+        if (endWhileConnecting != nullptr) {
+            m_context.run_one(); // begins to connect
+            ((*exchange).*endWhileConnecting)();
+        }
         m_context.run();
         server.setScript({});
         return result.value();
@@ -122,6 +129,7 @@
     ScriptedServer server;
     std::size_t bufferLimit = BufferLimit; ///< longer answers are streamed
     ErrorCode streamError; ///< of the last answer, if it was streamed
+    EndExchange endWhileConnecting = nullptr; ///< called before there is a connection, unless null
 
 private:
     asio::io_context m_context{1};
@@ -209,6 +217,29 @@
     }
 }
 
+// Guards against a request that is sent although its server was given up before there was a connection: its answer was
+// then discarded, and the request counted as one that may have run.
+TEST_CASE("a request is not sent if its exchange ends while the connection opens", "[promise-5]")
+{
+    struct Case
+    {
+        std::string name;
+        EndExchange end;
+        WorkEnd expected;
+    };
+    const std::vector<Case> cases = {
+        {"given up", &UpstreamExchange::giveUp, WorkEnd::Unreachable},
+        {"cancelled", &UpstreamExchange::cancel, WorkEnd::Abandoned},
+    };
+    for (const Case &each : cases) {
+        INFO(each.name);
+        Exchanges exchanges;
+        exchanges.endWhileConnecting = each.end;
+        CHECK(exchanges.send(Id, makeReply(makeAnswer("200 OK", Id))).end == each.expected);
+        CHECK(exchanges.server.requests() == 0);
+    }
+}
+
 TEST_CASE("a connection is not kept after a refusal without an id", "[promise-5]")
 {
     Exchanges exchanges;
