Cut an answer that is passed on in parts at its time limit (CONFIG)

Cause: the limit was the expiry of the server's stream, which only ends reads that wait; with bytes at hand none waits. A second: a write to a slow caller waits until a third of the kernel's buffer is free, half a second at 2 MB/s. A third: such a write that runs out of time (10 s) closed the connection in order, so that a body without a length, as in HTTP/1.0, looked whole. Change: readMore() looks at the limit, a write has it while the server has more to send, and until the last part is written any end of the connection, the process's end too, resets it. A body that the server has sent whole is still written after the limit. Result: three kinds of bodies, each in HTTP/1.1 and 1.0, end within 0.5 s by a reset.

--- a/include/snipevalve/net/tcp_options.hpp
+++ b/include/snipevalve/net/tcp_options.hpp
@@ -16,6 +16,9 @@
 /// reached, so a call that its caller has given up would arrive later.
 void resetOnClose(Tcp::socket &socket);
 
+/// @brief Makes closing the socket send what was written before, as it is by default; undoes resetOnClose().
+void sendRestOnClose(Tcp::socket &socket);
+
 } // namespace snipevalve
 
 #endif // SNIPEVALVE_NET_TCP_OPTIONS_HPP
--- a/src/snipevalve/net/tcp_options.cpp
+++ b/src/snipevalve/net/tcp_options.cpp
@@ -16,4 +16,10 @@
     socket.set_option(asio::socket_base::linger(true, 0), ignored);
 }
 
+void sendRestOnClose(Tcp::socket &socket)
+{
+    ErrorCode ignored;
+    socket.set_option(asio::socket_base::linger(false, 0), ignored);
+}
+
 } // namespace snipevalve
--- a/src/snipevalve/node/gateway_session.cpp
+++ b/src/snipevalve/node/gateway_session.cpp
@@ -1,11 +1,14 @@
 #include "snipevalve/node/gateway_session.hpp"
 
+#include <algorithm>
+
 #include <spdlog/spdlog.h>
 
 #include "snipevalve/core/log_text.hpp"
 #include "snipevalve/net/lingering_close.hpp"
 #include "snipevalve/net/message_head.hpp"
 #include "snipevalve/net/spawn.hpp"
+#include "snipevalve/net/tcp_options.hpp"
 
 namespace snipevalve {
 
@@ -198,7 +201,9 @@
     co_return co_await send(std::move(response));
 }
 
-/// Streams a long answer; each part is read from the server only after the caller has taken the previous one.
+/// Streams a long answer; each part is read from the server only after the caller has taken the previous one. Until the
+/// last one is written, any end of the connection resets it, so that the caller can't take a truncated answer, even one
+/// without a length, for a whole one.
 Awaitable<bool> GatewaySession::stream(RequestRunner &runner, UpstreamAnswer answer)
 {
     http::response<http::buffer_body> response;
@@ -214,11 +219,13 @@
     std::string part = std::move(answer.body);
     ErrorCode error;
     bool isLast = false;
+    resetOnClose(m_stream.socket());
     while (!error && !serializer.is_done()) {
         response.body().data = part.empty() ? nullptr : part.data();
         response.body().size = part.size();
         response.body().more = !isLast;
-        m_stream.expires_after(WriteTimeout);
+        const TimePoint longestWrite = Clock::now() + WriteTimeout;
+        m_stream.expires_at(runner.hasMore() ? std::min(longestWrite, runner.request().deadline) : longestWrite);
         co_await http::async_write(m_stream, serializer, awaitInto(error));
         if (error == http::error::need_buffer) {
             error = {};
@@ -230,21 +237,14 @@
     }
     if (error) {
         runner.abandonAnswer();
-        abortConnection();
+        m_stream.close();
         co_return false;
     }
+    sendRestOnClose(m_stream.socket());
     m_hasAnswered = true;
     co_return response.keep_alive();
 }
 
-/// Resets the connection, so that the caller can't take a truncated answer, even one without a length, for a whole one.
-void GatewaySession::abortConnection()
-{
-    ErrorCode ignored;
-    m_stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
-    m_stream.close();
-}
-
 /// Waits until the connection becomes readable, and tells the runner if the caller has closed it. Data that arrives
 /// instead belongs to the next request and stays in the socket.
 Awaitable<void> GatewaySession::watchCaller(std::shared_ptr<RequestRunner> runner)
--- a/src/snipevalve/node/gateway_session.hpp
+++ b/src/snipevalve/node/gateway_session.hpp
@@ -37,7 +37,6 @@
     Awaitable<bool> refuse(http::status status, const std::string &reason, const std::string &id = {});
     Awaitable<bool> send(http::response<http::string_body> response);
     Awaitable<bool> stream(RequestRunner &runner, UpstreamAnswer answer);
-    void abortConnection();
     bool mayKeepConnection() const;
     const CallerLimits &limits() const;
 
--- a/src/snipevalve/node/request_runner.cpp
+++ b/src/snipevalve/node/request_runner.cpp
@@ -307,12 +307,17 @@
     co_return part;
 }
 
+bool RequestRunner::hasMore() const
+{
+    return m_exchange != nullptr && m_exchange->hasMore();
+}
+
 void RequestRunner::abandonAnswer()
 {
     if (m_exchange != nullptr) {
         m_exchange->cancel();
         m_exchange = nullptr;
-        logEnd(0, "the caller stopped reading the answer of " + m_server.id);
+        logEnd(0, "the caller did not take the whole answer of " + m_server.id);
     }
 }
 
--- a/src/snipevalve/node/request_runner.hpp
+++ b/src/snipevalve/node/request_runner.hpp
@@ -28,6 +28,9 @@
     /// @return the part; empty after the last one
     Awaitable<std::string> readMore(ErrorCode &error);
 
+    /// @return whether the server has to send more of a streamed answer
+    bool hasMore() const;
+
     /// @brief Stops reading a streamed answer.
     void abandonAnswer();
 
--- a/src/snipevalve/node/upstream_exchange.cpp
+++ b/src/snipevalve/node/upstream_exchange.cpp
@@ -58,6 +58,7 @@
     const TimePoint startedAt = Clock::now();
     m_serverId = server.id;
     m_endpoint = server.endpoint;
+    m_until = until;
     co_await connect(until, usedConnections, result);
     if (m_cancelled || m_gaveUp || !m_connection) { // nothing has been sent
         result.end = m_cancelled ? WorkEnd::Abandoned : WorkEnd::Unreachable;
@@ -220,11 +221,20 @@
     setOutcome(error, result);
 }
 
+bool UpstreamExchange::hasMore() const
+{
+    return !m_parser->is_done();
+}
+
 Awaitable<std::string> UpstreamExchange::readMore(ErrorCode &error)
 {
     std::string part;
     while (part.empty() && !m_parser->is_done()) {
-        co_await http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser, awaitInto(error));
+        if (Clock::now() >= m_until) {
+            error = beast::error::timeout; // the stream's own limit only ends reads that wait for bytes
+        } else {
+            co_await http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser, awaitInto(error));
+        }
         if (m_cancelled) {
             error = asio::error::operation_aborted;
         }
--- a/src/snipevalve/node/upstream_exchange.hpp
+++ b/src/snipevalve/node/upstream_exchange.hpp
@@ -56,7 +56,7 @@
 
     /// @brief Sends the request and reads the answer, or the beginning of a long one.
     /// @param server where to send the request
-    /// @param until time limit for the exchange
+    /// @param until time limit for the exchange, including a streamed body
     /// @param bufferLimit longest body in bytes that is read whole; longer ones are streamed
     /// @param usedConnections numbers of the connections on which the request was sent before. It is not sent there
     /// again: answers are told apart by the request's id, so a late copy of the earlier one would pass as the answer.
@@ -68,6 +68,9 @@
     /// @return the part; empty after the last one
     Awaitable<std::string> readMore(ErrorCode &error);
 
+    /// @return whether the server has to send more of a streamed body
+    bool hasMore() const;
+
     /// @brief Closes the connection, which makes the server stop working; run() then ends as Abandoned.
     void cancel();
 
@@ -98,6 +101,7 @@
     const GatewayRequest &m_request;
     std::string m_serverId;
     Endpoint m_endpoint;
+    TimePoint m_until; ///< time limit for the exchange
     std::unique_ptr<UpstreamConnection> m_connection;
     http::request<http::string_body> m_message;
     std::unique_ptr<MessageParser<false, ReceivedBody>> m_parser;
--- a/tests/process/hostile_server_test.cpp
+++ b/tests/process/hostile_server_test.cpp
@@ -226,6 +226,73 @@
         StartTimeout));
 }
 
+/// @brief How a slow caller's answer ended.
+struct SlowReading
+{
+    Milliseconds duration{0};
+    ErrorCode end; ///< none if the caller stopped reading by itself
+};
+
+/// @brief Sends a request and reads 2 MB a second of the answer.
+/// @param version of HTTP; a body without a length ends with the connection in HTTP/1.0
+/// @param longest how long the caller reads at most
+SlowReading readSlowly(const Endpoint &node, const std::string &version, Milliseconds deadline, Milliseconds longest)
+{
+    constexpr int ReceiveBufferBytes = 64 << 10; ///< what is still there after the connection has been reset
+    constexpr Milliseconds Interval(10);
+    asio::io_context context;
+    Tcp::socket socket(context);
+    socket.open(Tcp::v4());
+    socket.set_option(asio::socket_base::receive_buffer_size(ReceiveBufferBytes));
+    socket.connect(toTcp(node));
+    const std::string request = "GET /v1/x " + version
+        + "\r\nHost: h.example\r\nX-Snipevalve-Request-Id: slow\r\nX-Snipevalve-Request-Deadline: "
+        + std::to_string(deadline.count()) + "\r\n\r\n";
+    asio::write(socket, asio::buffer(request));
+    const TimePoint startedAt = Clock::now();
+    std::array<char, 20'000> part;
+    SlowReading reading;
+    while (!reading.end && Clock::now() < startedAt + longest) {
+        socket.read_some(asio::buffer(part), reading.end);
+        std::this_thread::sleep_for(Interval);
+    }
+    reading.duration = std::chrono::duration_cast<Milliseconds>(Clock::now() - startedAt);
+    return reading;
+}
+
+// Guards against an answer that is passed on after its time limit since its server always has more bytes at hand.
+TEST_CASE("an answer without end is cut at its time limit although its caller reads slowly", "[promise-3]")
+{
+    const std::string part(PartBytes, 'a');
+    struct Case
+    {
+        std::string name;
+        std::string fields;
+        std::string repeated;
+    };
+    const std::vector<Case> cases = {
+        {"chunked", "Transfer-Encoding: chunked\r\n", encodeChunk(part)},
+        {"with a length", "Content-Length: 1000000000000\r\n", part},
+        {"until the end of the connection", "Connection: close\r\n", part},
+    };
+    constexpr Milliseconds Deadline(1'000);
+    constexpr Milliseconds Slack(500);
+    HostileDeployment deployment("node-endless-slow", RefusalNetwork + 7);
+    for (const Case &each : cases) {
+        for (const std::string version : {"HTTP/1.1", "HTTP/1.0"}) {
+            INFO(each.name << ", " << version);
+            waitUntilServed(deployment);
+            deployment.server.setScript([&each](const std::string &id) {
+                return makeRepeatedReply(responseHead(id, each.fields), each.repeated, ScriptedReply::Endless);
+            });
+            const SlowReading reading =
+                readSlowly({deployment.addressOf(0), NodeCallersPort}, version, Deadline, Deadline + 4 * Slack);
+            CHECK(reading.duration <= Deadline + Slack);
+            CHECK(reading.end == asio::error::connection_reset);
+        }
+    }
+}
+
 // Guards against a node that one spoiled answer ends, with all requests of other callers.
 TEST_CASE("an answer with sizes that can't be held costs only its own request", "[promise-3]")
 {
