--- a/src/snipevalve/node/control/node_process.hpp
+++ b/src/snipevalve/node/control/node_process.hpp
@@ -154,10 +154,8 @@
         timer.expires_after(ListenWhileStopping);
         co_await timer.async_wait(awaitInto(ignored));
         m_traffic.closeListener();
-        timer.expires_after(StopPollInterval); // lets accepted connections become sessions
-        co_await timer.async_wait(awaitInto(ignored));
         bool hasRefusedWaiting = false;
-        while (m_traffic.sessions() > 0 && Clock::now() < end) {
+        while (m_traffic.hasCallers() && Clock::now() < end) {
             if (!hasRefusedWaiting && Clock::now() >= end - RefusalTime) {
                 hasRefusedWaiting = true; // requests that came later are placed or refused by the time that is left
                 m_traffic.refuseWaiting();
@@ -168,7 +166,7 @@
         // Otherwise the caller of a hanging server would get no answer.
         m_traffic.endRequests();
         const TimePoint finalAnswersEnd = Clock::now() + FinalAnswersTime;
-        while (m_traffic.sessions() > 0 && Clock::now() < finalAnswersEnd) {
+        while (m_traffic.hasCallers() && Clock::now() < finalAnswersEnd) {
             timer.expires_after(StopPollInterval);
             co_await timer.async_wait(awaitInto(ignored));
         }
--- a/src/snipevalve/node/gateway_thread.cpp
+++ b/src/snipevalve/node/gateway_thread.cpp
@@ -195,6 +195,7 @@
         closeAfterBacklog(m_acceptor, [this](Tcp::socket socket) {
             startSession(std::move(socket));
         });
+        m_isListening = false;
     });
 }
 
@@ -203,6 +204,11 @@
     return m_traffic.sessionCount;
 }
 
+bool GatewayThread::hasCallers() const
+{
+    return m_isListening || sessions() > 0;
+}
+
 const NodeMetrics &GatewayThread::metrics() const
 {
     return m_traffic.metrics;
--- a/src/snipevalve/node/gateway_thread.hpp
+++ b/src/snipevalve/node/gateway_thread.hpp
@@ -41,7 +41,7 @@
     /// @brief Closes each caller's connection after its next answer, and refuses requests that may not end in time.
     void beginStop(StopTimes times);
 
-    /// @brief Accepts no more connections.
+    /// @brief Accepts no more connections, once those in the backlog have become sessions.
     void closeListener();
 
     /// @brief Rejects the requests that wait for a server.
@@ -56,6 +56,9 @@
 
     /// @return number of open connections of callers
     std::size_t sessions() const;
+
+    /// @return whether callers are connected, or may be since the listener has not closed yet
+    bool hasCallers() const;
     const NodeMetrics &metrics() const;
 
 private:
@@ -65,6 +68,7 @@
     asio::io_context m_context{1};
     GatewayTraffic m_traffic;
     Tcp::acceptor m_acceptor;
+    std::atomic<bool> m_isListening = true;
     std::thread m_thread;
 };
 
