--- a/src/snipevalve/node/gateway_request.hpp
+++ b/src/snipevalve/node/gateway_request.hpp
@@ -17,7 +17,7 @@
 struct GatewayRequest
 {
     http::request_header<> header;
-    std::string body;
+    std::shared_ptr<const std::string> body = std::make_shared<const std::string>();
     std::string id;
     std::shared_ptr<const GatewayConfig> config; ///< keeps `route` alive
     const GatewayRoute *route = nullptr;
--- a/src/snipevalve/node/gateway_session.cpp
+++ b/src/snipevalve/node/gateway_session.cpp
@@ -99,18 +99,31 @@
     co_return !error;
 }
 
-Awaitable<bool> GatewaySession::readBody(ErrorCode &error)
+/// Whether the bodies of other requests take all the memory that is meant for bodies. One request alone always gets the
+/// memory for its own.
+bool GatewaySession::isBodyMemoryUsed(const ScopedAddition &heldBytes) const
+{
+    return m_traffic.bodyBytes - heldBytes.amount() > m_traffic.settings.memoryBytes / BodyMemoryDivisor;
+}
+
+/// @param heldBytes counts the bytes of the body
+/// @param error no_buffer_space if there is no memory for the rest
+Awaitable<bool> GatewaySession::readBody(ScopedAddition &heldBytes, ErrorCode &error)
 {
     if (beast::iequals(m_parser->get()[http::field::expect], "100-continue")) {
         const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
         co_await asio::async_write(m_stream, asio::buffer(interim), awaitInto(error));
     }
     m_stream.expires_after(BodyTimeout);
-    if (!error && !m_parser->is_done()) {
-        m_isReading = true;
-        co_await http::async_read(m_stream, m_buffer, *m_parser, awaitInto(error));
-        m_isReading = false;
+    m_isReading = true;
+    while (!error && !m_parser->is_done()) {
+        co_await http::async_read_some(m_stream, m_buffer, *m_parser, awaitInto(error));
+        heldBytes.setAmount(m_parser->get().body().size());
+        if (!error && !m_parser->is_done() && isBodyMemoryUsed(heldBytes)) {
+            error = make_error_code(boost::system::errc::no_buffer_space);
+        }
     }
+    m_isReading = false;
     co_return !error;
 }
 
@@ -155,10 +168,14 @@
         co_return co_await refuse(fault->status, fault->reason, request.id);
     }
     request.targetBy -= m_traffic.retryAges.observe(request.route->name, request.callerTimeout);
-    if (m_traffic.bodyBytes > m_traffic.settings.memoryBytes / BodyMemoryDivisor) {
+    ScopedAddition heldBytes(m_traffic.bodyBytes, 0);
+    if (!m_parser->is_done() && isBodyMemoryUsed(heldBytes)) {
         co_return co_await refuse(http::status::service_unavailable, "too many bodies are held", request.id);
     }
-    if (!co_await readBody(error)) {
+    if (!co_await readBody(heldBytes, error)) {
+        if (error == boost::system::errc::no_buffer_space) {
+            co_return co_await refuse(http::status::service_unavailable, "too many bodies are held", request.id);
+        }
         if (m_isEnding) {
             co_return co_await refuse(http::status::service_unavailable, "the host is stopping", request.id);
         }
@@ -169,13 +186,12 @@
         }
         co_return false;
     }
-    request.body = std::move(m_parser->get().body());
+    request.body = std::make_shared<const std::string>(std::move(m_parser->get().body()));
     co_return co_await serve(std::move(request));
 }
 
 Awaitable<bool> GatewaySession::serve(GatewayRequest request)
 {
-    const ScopedAddition heldBytes(m_traffic.bodyBytes, request.body.size());
     const auto runner = std::make_shared<RequestRunner>(m_traffic, std::move(request));
     m_runner = runner;
     m_stream.expires_never();
--- a/src/snipevalve/node/gateway_session.hpp
+++ b/src/snipevalve/node/gateway_session.hpp
@@ -31,7 +31,8 @@
     /// @return false when the connection must be closed
     Awaitable<bool> serveOne();
     Awaitable<bool> readHead(ErrorCode &error);
-    Awaitable<bool> readBody(ErrorCode &error);
+    Awaitable<bool> readBody(ScopedAddition &heldBytes, ErrorCode &error);
+    bool isBodyMemoryUsed(const ScopedAddition &heldBytes) const;
     Awaitable<bool> serve(GatewayRequest request);
     Awaitable<void> watchCaller(std::shared_ptr<RequestRunner> runner);
     Awaitable<bool> refuse(http::status status, const std::string &reason, const std::string &id = {});
--- a/src/snipevalve/node/gateway_traffic.hpp
+++ b/src/snipevalve/node/gateway_traffic.hpp
@@ -33,6 +33,17 @@
         m_total -= m_amount;
     }
 
+    void setAmount(std::size_t amount)
+    {
+        m_total += amount - m_amount;
+        m_amount = amount;
+    }
+
+    std::size_t amount() const
+    {
+        return m_amount;
+    }
+
     ScopedAddition(const ScopedAddition &) = delete;
     ScopedAddition &operator=(const ScopedAddition &) = delete;
 
@@ -80,7 +91,7 @@
     std::set<GatewaySession *> sessions; ///< open connections of callers
     std::atomic<std::size_t> sessionCount = 0; ///< size of `sessions`, for other threads; a shutdown must not miss one
     RetryAgeEstimator retryAges;
-    std::size_t bodyBytes = 0; ///< total size of the bodies of current requests
+    std::size_t bodyBytes = 0; ///< received so far of the bodies of current requests
     std::size_t bufferedAnswers = 0; ///< number of sends whose answers are being buffered
     bool stopping = false; ///< connections are closed after their next answer
     StopTimes stopTimes;
--- a/src/snipevalve/node/request_runner.cpp
+++ b/src/snipevalve/node/request_runner.cpp
@@ -234,7 +234,7 @@
     }
     const bool isStreamed = result.answer && !result.answer->isWhole;
     m_exchange = isStreamed ? exchange : nullptr;
-    countBytes(placement.server, m_request.body.size() + (result.answer ? result.answer->body.size() : 0));
+    countBytes(placement.server, m_request.body->size() + (result.answer ? result.answer->body.size() : 0));
     m_traffic.placements.onServerNotice(m_request.service, placement.server, result.notice.notice);
     m_traffic.placements.finish(placement.ticket, result.end, result.took);
     m_traffic.metrics.count(std::string("send_") + std::string(describe(result.end)));
--- a/src/snipevalve/node/upstream_exchange.cpp
+++ b/src/snipevalve/node/upstream_exchange.cpp
@@ -73,9 +73,10 @@
     m_message.keep_alive(true);
     m_message.set(m_names.deadline, remainingMs(m_request.deadline));
     m_message.set(m_names.expectedServer, server.id);
-    m_message.body() = m_request.body;
-    if (!m_request.body.empty() || m_request.header.method() != http::verb::get) {
-        m_message.content_length(m_request.body.size());
+    m_body = m_request.body;
+    m_message.body() = {m_body->data(), m_body->size()};
+    if (!m_body->empty() || m_request.header.method() != http::verb::get) {
+        m_message.content_length(m_body->size());
     }
     m_connection->stream.expires_at(until);
     m_sendEnded.expires_at(TimePoint::max());
--- a/src/snipevalve/node/upstream_exchange.hpp
+++ b/src/snipevalve/node/upstream_exchange.hpp
@@ -103,7 +103,8 @@
     Endpoint m_endpoint;
     TimePoint m_until; ///< time limit for the exchange
     std::unique_ptr<UpstreamConnection> m_connection;
-    http::request<http::string_body> m_message;
+    std::shared_ptr<const std::string> m_body; ///< may still be read when the request has ended
+    http::request<http::span_body<const char>> m_message; ///< refers to `m_body`
     std::unique_ptr<MessageParser<false, ReceivedBody>> m_parser;
     asio::steady_timer m_sendEnded;
     ErrorCode m_sendError;
--- a/tests/process/hostile_server_test.cpp
+++ b/tests/process/hostile_server_test.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <array>
 #include <fstream>
 #include <map>
@@ -375,6 +376,48 @@
     }
 }
 
+// Guards against bodies that are held twice, and against a limit that does not count those that still arrive.
+TEST_CASE("many large uploads at once leave the node within its memory and serving", "[promise-4]")
+{
+    constexpr std::size_t BodyBytes = 27'000'000;
+    constexpr std::size_t MaxMemoryMb = 160; ///< of a process on the smallest hosts
+    constexpr int Uploads = 10;
+    HostileDeployment deployment("node-uploads", RefusalNetwork + 8);
+    const std::string body(BodyBytes, 'u');
+    std::vector<unsigned> statuses(Uploads);
+    std::vector<std::thread> callers;
+    for (int upload = 0; upload < Uploads; ++upload) {
+        callers.emplace_back([&, upload]() {
+            asio::io_context context;
+            Tcp::socket socket(context);
+            ErrorCode error;
+            socket.connect(toTcp({deployment.addressOf(0), NodeCallersPort}), error);
+            const std::string head = "POST /p/x HTTP/1.1\r\nHost: h.example\r\nX-Snipevalve-Request-Id: upload-"
+                + std::to_string(upload) + "\r\nX-Snipevalve-Request-Deadline: 8000\r\nContent-Length: "
+                + std::to_string(BodyBytes) + "\r\n\r\n";
+            asio::write(socket, std::array{asio::buffer(head), asio::buffer(body)}, error);
+            beast::flat_buffer buffer;
+            http::response_parser<http::string_body> parser;
+            http::read(socket, buffer, parser, error);
+            statuses[static_cast<std::size_t>(upload)] = error ? 0 : parser.get().result_int();
+        });
+    }
+    for (int request = 0; request < 20; ++request) {
+        CHECK(deployment.sendRequest(0, "GET", "/v1/x").status == 200);
+        std::this_thread::sleep_for(Milliseconds(20));
+    }
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    for (const unsigned status : statuses) {
+        INFO(status);
+        CHECK((status == 200 || status == 503));
+    }
+    CHECK(std::count(statuses.begin(), statuses.end(), 200U) >= 1);
+    REQUIRE(deployment.node(0).isRunning());
+    CHECK(peakMemoryMb(deployment.node(0).pid()) < MaxMemoryMb);
+}
+
 // Guards against a caller whose request, which is no body, fills the memory of the node.
 TEST_CASE("a caller's chunk extension or trailer without end is refused and not kept", "[promise-4]")
 {
--- a/tests/standins/scripted_server.cpp
+++ b/tests/standins/scripted_server.cpp
@@ -1,5 +1,7 @@
 #include "scripted_server.hpp"
 
+#include <limits>
+
 #include "snipevalve/net/http_server.hpp"
 
 namespace snipevalve::standins {
@@ -77,12 +79,13 @@
     ErrorCode error;
     beast::flat_buffer buffer;
     while (!error) {
-        http::request<http::string_body> request;
-        co_await http::async_read(*socket, buffer, request, awaitInto(error));
+        http::request_parser<http::string_body> parser;
+        parser.body_limit(std::numeric_limits<std::uint64_t>::max());
+        co_await http::async_read(*socket, buffer, parser, awaitInto(error));
         if (error) {
             break;
         }
-        const ScriptedReply reply = replyTo(std::string(request["X-Snipevalve-Request-Id"]));
+        const ScriptedReply reply = replyTo(std::string(parser.get()["X-Snipevalve-Request-Id"]));
         co_await asio::async_write(*socket, asio::buffer(reply.start), awaitInto(error));
         for (std::size_t time = 0; time < reply.times && !error; ++time) {
             co_await asio::async_write(*socket, asio::buffer(reply.repeated), awaitInto(error));
