Prepare the types and messages for loads, cold servers and evacuations

Cause: five parts of the coming work add fields to the same messages and a condition to the same choice of a server. Nothing reads the new fields yet.

--- a/include/snipevalve/dispatch/dispatcher.hpp
+++ b/include/snipevalve/dispatch/dispatcher.hpp
@@ -167,6 +167,7 @@
     bool isUsable(const ServerState &state, TimePoint now) const;
     bool hasFreeSlot(const ServerState &state, TimePoint now) const;
     bool canQueue(const ServerState &state, TimePoint now) const;
+    bool admits(const ServerState &state, const WorkItem &item, TimePoint now) const;
     Seconds expectedOn(const ServerState &state, const WorkItem &item) const;
     double capacityOfQueue(const std::string &name) const;
     double freeSlots(const std::string &name, TimePoint now) const;
--- a/include/snipevalve/gateway/gateway_config.hpp
+++ b/include/snipevalve/gateway/gateway_config.hpp
@@ -68,6 +68,8 @@
     unsigned maxConnections = 0; ///< to one server, over all hosts
     bool keyed = false; ///< each key has one owning server
     Milliseconds warmTime{0}; ///< how long a key is slow on a new owner that got no handover
+    Milliseconds warmupTime{0}; ///< how long a server is cold after its start
+    double warmupPerSecond = 0; ///< requests per second that a cold server tolerates, from all hosts; 0: no limit
 };
 
 /// @brief Bounds on what a caller may send and how long it may take.
--- /dev/null
+++ b/include/snipevalve/gateway/server_load.hpp
@@ -0,0 +1,19 @@
+#ifndef SNIPEVALVE_GATEWAY_SERVER_LOAD_HPP
+#define SNIPEVALVE_GATEWAY_SERVER_LOAD_HPP
+
+namespace snipevalve {
+
+/// @brief What a server says of its load in an answer.
+struct ServerLoad
+{
+    unsigned running = 0; ///< requests that it works on
+    unsigned waiting = 0; ///< requests in its own queue
+    unsigned slots = 1; ///< requests that it runs concurrently
+    double slowdown = 1.0; ///< how long work takes on its machine now, relative to usual; 3 means three times as long
+
+    bool operator==(const ServerLoad &) const = default;
+};
+
+} // namespace snipevalve
+
+#endif // SNIPEVALVE_GATEWAY_SERVER_LOAD_HPP
--- a/include/snipevalve/gateway/upstream_server.hpp
+++ b/include/snipevalve/gateway/upstream_server.hpp
@@ -19,7 +19,8 @@
     std::string zone;
     unsigned slots = 1; ///< requests that it runs concurrently
     bool draining = false; ///< it is shutting down and takes no new requests
-    Milliseconds warmupLeft{0}; ///< remaining time for which it is slow after its start
+    bool evacuated = false; ///< the operators have asked to send nothing to its zone
+    Milliseconds warmupLeft{0}; ///< remaining time for which it is cold (slow, and limited in requests per second)
     std::int64_t incarnation = 0; ///< changes with each restart under one ID; larger is later
 
     bool operator==(const UpstreamServer &) const = default;
--- a/src/snipevalve/dispatch/dispatcher_choice.cpp
+++ b/src/snipevalve/dispatch/dispatcher_choice.cpp
@@ -59,6 +59,12 @@
     return isUsable(state, now) && state.busy < limitOf(state) + m_options.queuedPerServer;
 }
 
+/// Whether the limits of this server beyond its number of slots allow it to take the item now.
+bool Dispatcher::admits(const ServerState &, const WorkItem &, TimePoint) const
+{
+    return true;
+}
+
 Seconds Dispatcher::expectedOn(const ServerState &state, const WorkItem &item) const
 {
     return m_times.expected(item.workClass, state.slowness.factor());
@@ -249,7 +255,7 @@
     Suitability bestFit;
     for (ServerState *state : candidates.available) {
         const bool isAvoided = std::find(item.avoid.begin(), item.avoid.end(), state->server.id) != item.avoid.end();
-        if (isAvoided && !item.key) {
+        if ((isAvoided && !item.key) || !admits(*state, item, now)) {
             continue;
         }
         const Suitability fit = suitability(*state, item, work * timeFactor(*state), lightlyLoaded, now);
--- a/src/snipevalve/dispatch_link/messages.cpp
+++ b/src/snipevalve/dispatch_link/messages.cpp
@@ -24,6 +24,7 @@
     message.set_draining(server.draining);
     message.set_warmup_ms(static_cast<std::uint32_t>(server.warmupLeft.count()));
     message.set_incarnation(server.incarnation);
+    message.set_evacuated(server.evacuated);
     return message;
 }
 
@@ -39,6 +40,7 @@
     server.draining = message.draining();
     server.warmupLeft = Milliseconds(message.warmup_ms());
     server.incarnation = message.incarnation();
+    server.evacuated = message.evacuated();
     return server;
 }
 
@@ -309,6 +311,8 @@
         out->set_max_connections(service.maxConnections);
         out->set_keyed(service.keyed);
         out->set_warm_ms(static_cast<std::uint32_t>(service.warmTime.count()));
+        out->set_warmup_ms(static_cast<std::uint32_t>(service.warmupTime.count()));
+        out->set_warmup_per_second(service.warmupPerSecond);
     }
     for (const GatewayRoute &route : change.routes) {
         *message.add_routes() = toProto(route);
@@ -332,7 +336,8 @@
     change.limits.idleTimeout = Milliseconds(message.idle_timeout_ms());
     for (const proto::Service &service : message.services()) {
         change.services[service.name()] = {service.name(), service.health_path(), service.max_connections(),
-                                           service.keyed(), Milliseconds(service.warm_ms())};
+                                           service.keyed(), Milliseconds(service.warm_ms()),
+                                           Milliseconds(service.warmup_ms()), service.warmup_per_second()};
     }
     for (const proto::Route &route : message.routes()) {
         change.routes.push_back(fromProto(route));
