Keep estimated service times from drifting away from the servers' speed

A class's mean and a server's slowness are estimated from the same figure, and the mean was divided by the whole slowness: 1 / slowness is above 1 on average, so the mean rose and the slowness of all servers fell without bound. Once the mean exceeded the deadline nothing was admitted, nothing was learned, and the state lasted until the leader changed. Change: the mean is corrected by the square root of the slowness, which makes it return to what servers take; a class that nothing admits any more gets a trial request each 50 ms while slots are free and nothing waits.

--- a/include/snipevalve/dispatch/service_times.hpp
+++ b/include/snipevalve/dispatch/service_times.hpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <cstdint>
 #include <map>
 
@@ -46,28 +47,53 @@
 };
 
 /// @brief The mean service time of each class of requests on a server of normal speed.
+///
+/// Mean and slowness are both estimated from one figure. When the mean was corrected by the whole slowness, the noise
+/// of 1 / slowness, which is above 1 on average, made it rise without bound while the slowness of all servers fell. The
+/// square root of it takes half of a slow phase out of the mean, and lets the mean return to what servers take.
 class ServiceTimes
 {
 public:
     Seconds expected(std::uint64_t workClass, double slowness) const
     {
-        const auto position = m_means.find(workClass);
-        return (position == m_means.end() ? InitialMean : position->second) * slowness;
+        const auto position = m_classes.find(workClass);
+        return (position == m_classes.end() ? InitialMean : position->second.mean) * slowness;
     }
 
     /// @return the service time of this request divided by the previous mean
     double observe(std::uint64_t workClass, Duration took, double slowness)
     {
         constexpr double Weight = 0.02; ///< one request in fifty; one of 3 to 5 times the mean adds at most a tenth
-        const auto position = m_means.try_emplace(workClass, Seconds(took) / std::max(slowness, 0.1)).first;
-        const double factor = Seconds(took) / position->second;
-        position->second += Weight * (Seconds(took) / std::max(slowness, 0.1) - position->second);
+        constexpr double MinSlowness = 0.1;
+        const Seconds corrected = Seconds(took) / std::sqrt(std::max(slowness, MinSlowness));
+        Class &known = m_classes.try_emplace(workClass, Class{corrected, TimePoint()}).first->second;
+        const double factor = known.mean.count() > 0 ? Seconds(took) / known.mean : 1.0;
+        known.mean += Weight * (corrected - known.mean);
         return factor;
     }
 
+    /// @brief Whether a request may be sent only to learn how long its class takes now. A mean above every deadline
+    /// admits no request, and would never change again after the cause has ended.
+    bool takeTrial(std::uint64_t workClass, TimePoint now)
+    {
+        constexpr Milliseconds TrialInterval(50);
+        const auto position = m_classes.find(workClass);
+        if (position == m_classes.end() || now - position->second.lastTrial < TrialInterval) {
+            return false;
+        }
+        position->second.lastTrial = now;
+        return true;
+    }
+
 private:
+    struct Class
+    {
+        Seconds mean;
+        TimePoint lastTrial;
+    };
+
     static constexpr Seconds InitialMean{0.1}; ///< before the first answer; users' request classes take 36 to 500 ms
-    std::map<std::uint64_t, Seconds> m_means;
+    std::map<std::uint64_t, Class> m_classes;
 };
 
 } // namespace snipevalve
--- a/src/snipevalve/dispatch/dispatcher.cpp
+++ b/src/snipevalve/dispatch/dispatcher.cpp
@@ -169,7 +169,9 @@
         return;
     }
     const Forecast prediction = forecast(item, queue, name, now);
-    if (!prediction.meetsTarget && !prediction.meetsDeadline) {
+    const bool canMeet = prediction.meetsTarget || prediction.meetsDeadline;
+    const bool isTrial = !canMeet && queue.items.empty() && freeSlots(name, now) > 0;
+    if (!canMeet && !(isTrial && m_times.takeTrial(item.workClass, now))) {
         reject(item, RejectReason::TooLate, prediction.wait);
         return;
     }
