Give servers that join requests from the start

At low load the dispatcher ranks zone and open connection before all else, so a joined server got no request until the load rose. A joined server is now due for a request a few times a second (JoinedServers): for connected hosts of its zone first, after a second for any host. In keyed services the first keys were chosen for their load alone: at low load these are a few keys that had a request lately and get hardly any more. FirstKeysSearch chooses them by width instead, a third of a mean share from each of two donors, without hot keys, at most eight such moves a round.

--- a/include/snipevalve/dispatch/dispatcher.hpp
+++ b/include/snipevalve/dispatch/dispatcher.hpp
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "snipevalve/dispatch/joined_servers.hpp"
 #include "snipevalve/dispatch/key_owners.hpp"
 #include "snipevalve/dispatch/repeat_window.hpp"
 #include "snipevalve/dispatch/service_times.hpp"
@@ -150,6 +151,7 @@
     struct Suitability
     {
         bool isLate = false;
+        int joinRank = 0; ///< see JoinedServers
         bool isInOtherZone = false;
         bool needsConnection = false;
         Seconds time{0};
@@ -197,6 +199,7 @@
     DispatcherOptions m_options;
     ServiceTimes m_times;
     RepeatWindow m_repeats;
+    JoinedServers m_joined;
     std::mt19937_64 m_random;
     bool m_keyed = false;
     KeyOwners m_owners;
--- a/src/snipevalve/dispatch/dispatcher.cpp
+++ b/src/snipevalve/dispatch/dispatcher.cpp
@@ -79,6 +79,7 @@
 
 void Dispatcher::setServers(const std::vector<UpstreamServer> &servers, TimePoint now)
 {
+    m_joined.setServers(servers, now);
     std::set<std::string> listedIds;
     for (const UpstreamServer &server : servers) {
         listedIds.insert(server.id);
@@ -228,6 +229,7 @@
     }
     ++state.busy;
     state.lastUsedAt = now;
+    m_joined.onPlaced(state.server.id, now);
     const Seconds expected = expectedOn(state, item);
     m_running[item.ticket] = {state.server.id,
                               item.workClass,
--- a/src/snipevalve/dispatch/dispatcher_choice.cpp
+++ b/src/snipevalve/dispatch/dispatcher_choice.cpp
@@ -202,14 +202,20 @@
 {
     const bool isInOtherZone = state.server.zone != item.zone;
     const double busyShare = static_cast<double>(state.busy) / std::max(1U, state.server.slots);
-    if (!isLightlyLoaded) {
-        return {false, false, false, time * (isInOtherZone ? OtherZonePenalty : 1.0), busyShare};
+    const bool hasJoined = m_joined.contains(state.server.id);
+    if (!isLightlyLoaded && !hasJoined) {
+        return {false, 0, false, false, time * (isInOtherZone ? OtherZonePenalty : 1.0), busyShare};
     }
     const auto answered = state.lastAnswerByHost.find(item.host);
     const bool needsConnection =
         answered == state.lastAnswerByHost.end() || now - answered->second > ConnectionKeepAlive;
     const bool isLate = now + toDuration(time * PlacementMargin) > item.targetBy;
-    return {isLate, isInOtherZone, needsConnection, time, busyShare};
+    const int joinRank =
+        isLate ? 0 : m_joined.rank(state.server.id, !isInOtherZone, !needsConnection, m_options.slotShare, now);
+    if (!isLightlyLoaded) {
+        return {false, joinRank, false, false, time * (isInOtherZone ? OtherZonePenalty : 1.0), busyShare};
+    }
+    return {isLate, joinRank, isInOtherZone, needsConnection, time, busyShare};
 }
 
 /// The servers of a queue that can take work now, and the time factor of the best busy one.
--- /dev/null
+++ b/src/snipevalve/ownership/first_keys.cpp
@@ -0,0 +1,95 @@
+#include "snipevalve/ownership/first_keys.hpp"
+
+#include <algorithm>
+
+namespace snipevalve {
+
+namespace {
+
+/// A server with less than these parts of a mean share of the keys and of the load counts as one without keys: a few
+/// keys that were hot once leave it without requests.
+constexpr double TokenWidthShare = 0.125;
+constexpr double TokenLoadShare = 0.1;
+/// A key with this part of a server's mean load is hot, if it had several requests lately.
+constexpr double HotLoadShare = 0.25;
+constexpr double HotRequests = 3.0;
+/// A part of the first keys brings at most this share of a server's mean load: the new owner may be cold or slow.
+constexpr double MaxLoadShare = 0.5;
+/// A donor keeps at least this part of its keys and of its load.
+constexpr double KeptShare = 0.5;
+/// Windows are compared at distances of this part of their width.
+constexpr std::uint32_t StepsPerWidth = 8;
+
+} // namespace
+
+FirstKeysSearch::FirstKeysSearch(const std::vector<float> &loads, std::size_t servers, double requestLoad)
+    : m_loadBefore(loads.size() + 1, 0.0)
+    , m_hotBefore(loads.size() + 1, 0)
+{
+    double sum = 0;
+    for (std::size_t key = 0; key < loads.size(); ++key) {
+        sum += loads[key];
+        m_loadBefore[key + 1] = sum;
+    }
+    const auto count = static_cast<double>(std::max<std::size_t>(1, servers));
+    m_meanLoad = sum / count;
+    m_meanWidth = std::max(1U, static_cast<std::uint32_t>(KeyCount / count));
+    const double hotLoad = std::max(HotLoadShare * m_meanLoad, HotRequests * requestLoad);
+    for (std::size_t key = 0; key < loads.size(); ++key) {
+        m_hotBefore[key + 1] = m_hotBefore[key] + (loads[key] >= hotLoad ? 1 : 0);
+    }
+}
+
+bool FirstKeysSearch::isNeeded(std::uint32_t keys, double load) const
+{
+    return keys < TokenWidthShare * m_meanWidth && load < TokenLoadShare * m_meanLoad;
+}
+
+double FirstKeysSearch::loadOf(std::uint32_t from, std::uint32_t end) const
+{
+    return m_loadBefore[end] - m_loadBefore[from];
+}
+
+/// Prefers the window without hot keys that has the most load within the limit, of the first donor that has one; else
+/// the window of any donor with the least load.
+std::optional<FirstKeys> FirstKeysSearch::find(const std::vector<KeyDonor> &donors, const std::string &server,
+                                               double room, const RecentOwners &recent) const
+{
+    const double maxLoad = std::min(room, MaxLoadShare * m_meanLoad);
+    std::optional<FirstKeys> lightest;
+    for (const KeyDonor &donor : donors) {
+        std::uint32_t owned = 0;
+        for (const KeyRange &range : donor.ranges) {
+            owned += range.size();
+        }
+        const auto mayGive = static_cast<std::uint32_t>((1.0 - KeptShare) * owned);
+        const std::uint32_t wanted = std::min(mayGive, static_cast<std::uint32_t>(WidthShare * m_meanWidth));
+        std::optional<FirstKeys> best;
+        for (const KeyRange &range : recent.without(donor.ranges, server)) {
+            const std::uint32_t width = std::min(wanted, range.size());
+            if (width == 0 || width < TokenWidthShare * m_meanWidth) {
+                continue; // so few keys would get hardly any request
+            }
+            const std::uint32_t end = range.from + range.size();
+            for (std::uint32_t from = range.from; from + width <= end; from += std::max(1U, width / StepsPerWidth)) {
+                const double load = loadOf(from, from + width);
+                const bool hasHotKeys = m_hotBefore[from + width] > m_hotBefore[from];
+                const FirstKeys window{
+                    {static_cast<std::uint16_t>(from), static_cast<std::uint16_t>(from + width - 1)}, donor.id, load};
+                if (!hasHotKeys && load > 0 && load <= maxLoad && (!best || load > best->load)) {
+                    best = window;
+                }
+                const bool isBearable = load > 0 && load <= std::max(room, (1.0 - KeptShare) * donor.load);
+                if (isBearable && (!lightest || load < lightest->load)) {
+                    lightest = window;
+                }
+            }
+        }
+        if (best) {
+            return best;
+        }
+    }
+    return lightest;
+}
+
+} // namespace snipevalve
--- a/src/snipevalve/ownership/key_balance.cpp
+++ b/src/snipevalve/ownership/key_balance.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <optional>
 
+#include "snipevalve/ownership/first_keys.hpp"
+
 namespace snipevalve {
 
 namespace {
@@ -22,6 +24,8 @@
 /// blocks the key until its running requests have ended.
 constexpr double MinCapacityGain = 1.25;
 constexpr std::size_t MinMovesPerRound = 10;
+/// Moves in one round that give servers their first keys. A zone of 40 servers that returns has keys again after 2 s.
+constexpr std::size_t MaxFirstMovesPerRound = 8;
 /// A round may make one move per this many servers. Each move blocks its keys for about the duration of one request.
 constexpr std::size_t ServersPerMove = 4;
 /// Lower limit of a server's capacity. It prevents a division by zero for a server that does not respond.
@@ -41,7 +45,7 @@
     double load = 0;
     double capacity = 1;
     std::vector<KeyRange> ranges;
-    bool hasKeys = false;
+    std::uint32_t keys = 0; ///< number of its keys
     bool isOverloaded = false; ///< beyond the noise
     bool isPassedOver = false; ///< has recently lost what the most utilised server could give it
 
@@ -79,14 +83,14 @@
         const auto position = servers.find(range.owner);
         if (position != servers.end()) {
             position->second.ranges.push_back(range.keys);
-            position->second.hasKeys = true;
+            position->second.keys += range.keys.size();
             position->second.load += loadOf(range.keys, loads);
         }
     }
     for (const OwnedRange &range : unmovable) {
         const auto position = servers.find(range.owner);
         if (position != servers.end()) {
-            position->second.hasKeys = true;
+            position->second.keys += range.keys.size();
             position->second.load += loadOf(range.keys, loads);
         }
     }
@@ -275,6 +279,57 @@
     return std::sqrt(std::max(load, 0.0) * options.meanWork / (2 * options.window));
 }
 
+std::vector<KeyDonor> toKeyDonors(const std::vector<ServerLoad *> &servers)
+{
+    std::vector<KeyDonor> donors;
+    for (const ServerLoad *server : servers) {
+        donors.push_back({server->id, server->load, server->ranges});
+    }
+    return donors;
+}
+
+/// Gives keys to servers that have none or hardly any, even if no server is overloaded: they were added to be used.
+std::vector<KeyMove> planFirstKeys(std::vector<ServerLoad> &servers, const std::vector<float> &loads,
+                                   const KeyBalanceOptions &options, const RecentOwners &recent, double targetLevel)
+{
+    std::vector<KeyMove> moves;
+    const double requestLoad = options.meanWork / options.window;
+    const FirstKeysSearch search(loads, servers.size(), requestLoad);
+    const auto byUtilisation = [](const ServerLoad *left, const ServerLoad *right) {
+        return left->utilisation() > right->utilisation();
+    };
+    for (ServerLoad &server : servers) {
+        if (!search.isNeeded(server.keys, server.load) || moves.size() >= MaxFirstMovesPerRound) {
+            continue;
+        }
+        std::vector<ServerLoad *> donors;
+        for (ServerLoad &donor : servers) {
+            if (donor.load > 0 && !search.isNeeded(donor.keys, donor.load)) {
+                donors.push_back(&donor);
+            }
+        }
+        std::sort(donors.begin(), donors.end(), byUtilisation);
+        for (std::size_t part = 0; part < FirstKeysSearch::Parts; ++part) {
+            const double room = targetLevel * server.capacity - server.load;
+            const std::optional<FirstKeys> first = search.find(toKeyDonors(donors), server.id, room, recent);
+            if (!first) {
+                break;
+            }
+            const auto donor = std::find_if(donors.begin(), donors.end(), [&first](const ServerLoad *each) {
+                return each->id == first->from;
+            });
+            (*donor)->ranges = subtract((*donor)->ranges, first->keys);
+            (*donor)->keys -= first->keys.size();
+            (*donor)->load -= first->load;
+            donors.erase(donor);
+            server.keys += first->keys.size();
+            server.load += first->load;
+            moves.push_back({first->keys, first->from, server.id});
+        }
+    }
+    return moves;
+}
+
 /// The utilisation up to which moves fill servers.
 double targetUtilisation(const std::vector<ServerLoad> &servers, const KeyBalanceOptions &options)
 {
@@ -303,7 +358,7 @@
     const std::vector<float> loads = capLoads(requestedLoads, capacities);
     std::vector<ServerLoad> servers = loadsByServer(movable, unmovable, loads, capacities);
     const double targetLevel = targetUtilisation(servers, options);
-    std::vector<KeyMove> moves;
+    std::vector<KeyMove> moves = planFirstKeys(servers, loads, options, recent, targetLevel);
     const auto isLessUtilised = [](const ServerLoad &left, const ServerLoad &right) {
         return std::make_pair(left.isPassedOver, left.utilisation())
             < std::make_pair(right.isPassedOver, right.utilisation());
@@ -311,8 +366,6 @@
     while (moves.size() < options.maxMoves && servers.size() > 1) {
         const auto leastUtilised = std::min_element(servers.begin(), servers.end(), isLessUtilised);
         const auto mostUtilised = mostUtilisedOf(servers);
-        // A server without keys gets some even if no server is overloaded: it was added to be used.
-        const bool hasNoKeys = !leastUtilised->hasKeys;
         const double excess = mostUtilised->load - targetLevel * mostUtilised->capacity;
         // The noise only decides whether a server is overloaded. If it is, its whole excess moves.
         const double noise = options.noiseDeviations * loadDeviation(targetLevel * mostUtilised->capacity, options);
@@ -321,10 +374,10 @@
         mostUtilised->isOverloaded = mostUtilised->isOverloaded || excess > overloadThreshold;
         const bool isOverloaded = mostUtilised->isOverloaded && excess > options.minMoveLoad;
         const bool isAnyPassedOver = isAnyServerPassedOver(servers);
-        if (mostUtilised->load <= 0 || (!isOverloaded && !hasNoKeys && !isAnyPassedOver)) {
+        if (mostUtilised->load <= 0 || (!isOverloaded && !isAnyPassedOver)) {
             break;
         }
-        if (leastUtilised == mostUtilised || (!isOverloaded && !hasNoKeys)) {
+        if (leastUtilised == mostUtilised || !isOverloaded) {
             removeDonor(servers, mostUtilised);
             continue;
         }
@@ -334,13 +387,11 @@
             mostUtilised->ranges = subtract(mostUtilised->ranges, filling->keys);
             mostUtilised->load -= filling->load;
             faster->load += filling->load;
-            faster->hasKeys = true;
             continue;
         }
-        constexpr double FirstLoadShare = 0.4; ///< of the most utilised server's load, for a server without keys
         const double room = targetLevel * leastUtilised->capacity - leastUtilised->load;
-        double wantedLoad = hasNoKeys ? std::min(mostUtilised->load * FirstLoadShare, room) : std::min(excess, room);
-        if (wantedLoad < options.minMoveLoad && !hasNoKeys) {
+        double wantedLoad = std::min(excess, room);
+        if (wantedLoad < options.minMoveLoad) {
             if (!isAnyPassedOver) {
                 break; // no server has room
             }
@@ -371,7 +422,6 @@
         mostUtilised->ranges = subtract(mostUtilised->ranges, window->keys);
         mostUtilised->load -= window->load;
         leastUtilised->load += window->load;
-        leastUtilised->hasKeys = true;
         allowAll(servers);
     }
     return moves;
