--- a/include/snipevalve/dispatch/dispatcher.hpp
+++ b/include/snipevalve/dispatch/dispatcher.hpp
@@ -12,7 +12,9 @@
 #include "snipevalve/dispatch/key_owners.hpp"
 #include "snipevalve/dispatch/repeat_window.hpp"
 #include "snipevalve/dispatch/service_times.hpp"
+#include "snipevalve/dispatch/slot_shares.hpp"
 #include "snipevalve/dispatch/work.hpp"
+#include "snipevalve/dispatch/work_order.hpp"
 #include "snipevalve/request/outlier_detector.hpp"
 
 namespace snipevalve {
@@ -22,6 +24,7 @@
     RepeatLimits repeats;
     double slotShare = 1.0; ///< share of each server's slots that this dispatcher may fill
     unsigned queuedPerServer = 0; ///< requests that may wait at a server whose slots are all taken
+    bool reservesSlots = true; ///< for urgent requests, where less urgent ones hold slots for long
     std::uint64_t seed = 1; ///< seeds the jitter of retry-after times
 };
 
@@ -64,6 +67,9 @@
     /// @brief The repeats that are allowed and counted here.
     const RepeatWindow &repeats() const;
 
+    /// @brief The slots that are reserved for urgent requests.
+    const SlotShares &slotShares() const;
+
     /// @brief The expected service time of the request on a server of normal speed.
     Seconds expectedWork(const WorkItem &item) const;
 
@@ -135,6 +141,7 @@
     struct Candidates
     {
         std::vector<ServerState *> available;
+        bool areLateInOrder = false; ///< late requests keep their place in the queue's order
         double bestBusyFactor = 1e9; ///< lowest time factor of a busy server, including the wait for a slot
     };
 
@@ -171,15 +178,18 @@
     Seconds expectedOn(const ServerState &state, const WorkItem &item) const;
     double capacityOfQueue(const std::string &name) const;
     double freeSlots(const std::string &name, TimePoint now) const;
-    Forecast forecast(const WorkItem &item, Seconds onTimeWorkAhead, Seconds lateWorkAhead, const ServerQueue &queue,
+    Forecast forecast(const WorkItem &item, const WorkAhead &ahead, bool isSubmission, const ServerQueue &queue,
                       const std::string &name, TimePoint now) const;
     Forecast forecast(const WorkItem &item, const ServerQueue &queue, const std::string &name, TimePoint now) const;
     bool canMeetTarget(const WorkItem &item, TimePoint now) const;
     std::optional<TimePoint> orphanedUntil(const WorkItem &item) const;
     double shareForLateWork(const ServerQueue &queue, const std::string &name) const;
+    double shareForLateUrgentWork(int priority, TimePoint now) const;
     void decayDemand(ServerQueue &queue, TimePoint now) const;
     void updateTotals(TimePoint now);
-    bool precedes(const WorkItem &left, const WorkItem &right, TimePoint now) const;
+    WorkEstimate estimate(const WorkItem &item, TimePoint now) const;
+    WorkOrder orderOf(const ServerQueue &queue, const std::string &name, TimePoint now) const;
+    const std::string &poolOf(const std::string &server) const;
     std::string queueName(const WorkItem &item);
     void reject(const WorkItem &item, RejectReason reason, Seconds retryAfter);
     void place(const WorkItem &item, ServerState &state, TimePoint now);
@@ -190,13 +200,14 @@
     double timeFactor(const ServerState &state) const;
     ServerState *bestAvailable(const WorkItem &item, const Candidates &candidates, TimePoint now);
     void onSlotFreed(ServerState &state, Ticket ended, TimePoint now);
-    std::vector<const WorkItem *> orderedItems(const ServerQueue &queue, TimePoint now) const;
+    std::vector<const WorkItem *> orderedItems(const ServerQueue &queue, const std::string &name, TimePoint now) const;
     void rejectUnmeetable(const std::string &name, ServerQueue &queue, TimePoint now);
     void requeueAll(TimePoint now);
 
     DispatcherOptions m_options;
     ServiceTimes m_times;
     RepeatWindow m_repeats;
+    SlotShares m_shares;
     std::mt19937_64 m_random;
     bool m_keyed = false;
     KeyOwners m_owners;
--- a/src/snipevalve/dispatch/dispatcher.cpp
+++ b/src/snipevalve/dispatch/dispatcher.cpp
@@ -163,6 +163,7 @@
     const std::string name = queueName(item);
     ServerQueue &queue = m_queues[name];
     decayDemand(queue, now);
+    m_shares.onDemand(name, item, expectedWork(item), now);
     const auto dark = orphanedUntil(item);
     if (dark && *dark + toDuration(expectedWork(item) * WorkMargin) > item.deadline) {
         reject(item, RejectReason::NoOwner, *dark - now);
@@ -186,6 +187,7 @@
     const Seconds expected = position == m_servers.end() ? expectedWork(item) : expectedOn(position->second, item);
     const TimePoint end = now + toDuration(expected * AdoptedLifetimeFactor);
     m_running[item.ticket] = {server, item.workClass, item.host, now, end, end, false, now};
+    m_shares.onStart(item.ticket, server, item.priority);
     if (position != m_servers.end()) {
         ++position->second.busy;
     }
@@ -205,6 +207,7 @@
         const bool hasAnsweredLaterSend = state.newestAnsweredStart > running.startedAt;
         if (hasAnsweredLaterSend || now >= running.presumedLostAt) {
             running.holdsSlot = false;
+            m_shares.onEnd(ticket);
             state.busy -= state.busy > 0 ? 1 : 0;
         }
     }
@@ -227,6 +230,7 @@
         state.queued.push_back(item.ticket);
     }
     ++state.busy;
+    m_shares.onStart(item.ticket, state.server.id, item.priority);
     state.lastUsedAt = now;
     const Seconds expected = expectedOn(state, item);
     m_running[item.ticket] = {state.server.id,
@@ -261,7 +265,7 @@
             continue;
         }
         if (items.empty()) {
-            items = orderedItems(queue, now);
+            items = orderedItems(queue, name, now);
         }
         placeItems(items, candidates, mayQueue, placed, now);
         if (placed.size() == items.size()) {
@@ -287,7 +291,8 @@
             ServerState *state = placed.contains(item->ticket) ? nullptr : bestAvailable(*item, candidates, now);
             const bool meetsTarget =
                 state != nullptr && now + toDuration(expectedOn(*state, *item) * PlacementMargin) <= item->targetBy;
-            if (state == nullptr || (onlyWithinTarget && !meetsTarget)) {
+            const bool isInOrder = meetsTarget || (candidates.areLateInOrder && !canMeetTarget(*item, now));
+            if (state == nullptr || (onlyWithinTarget && !isInOrder)) {
                 continue;
             }
             place(*item, *state, now);
@@ -302,33 +307,22 @@
 /// Rejects the requests that can no longer meet their deadline, given the current queue.
 void Dispatcher::rejectUnmeetable(const std::string &name, ServerQueue &queue, TimePoint now)
 {
-    Seconds onTimeWorkAhead(0);
-    Seconds lateWorkAhead(0);
+    WorkAhead ahead;
     std::set<Ticket> unmeetable;
-    for (const WorkItem *item : orderedItems(queue, now)) {
-        const Forecast prediction = forecast(*item, onTimeWorkAhead, lateWorkAhead, queue, name, now);
+    for (const WorkItem *item : orderedItems(queue, name, now)) {
+        const Forecast prediction = forecast(*item, ahead, false, queue, name, now);
         if (!prediction.meetsDeadline) {
             reject(*item, RejectReason::TooLate, prediction.wait);
             unmeetable.insert(item->ticket);
             continue;
         }
-        (canMeetTarget(*item, now) ? onTimeWorkAhead : lateWorkAhead) += expectedWork(*item);
+        ahead.add(estimate(*item, now));
     }
     std::erase_if(queue.items, [&unmeetable](const WorkItem &item) {
         return unmeetable.contains(item.ticket);
     });
 }
 
-void Dispatcher::updateTotals(TimePoint now)
-{
-    m_serviceCapacity = capacityOfQueue({});
-    m_serviceDemand = 0;
-    for (auto &[name, queue] : m_queues) {
-        decayDemand(queue, now);
-        m_serviceDemand += queue.onTimeDemand;
-    }
-}
-
 void Dispatcher::advance(TimePoint now)
 {
     releaseStaleSlots(now);
@@ -371,6 +365,7 @@
     }
     const Running ended = running->second;
     m_running.erase(running);
+    m_shares.onEnd(ticket);
     const auto position = m_servers.find(ended.server);
     if (position == m_servers.end()) {
         return;
--- a/src/snipevalve/dispatch/dispatcher_choice.cpp
+++ b/src/snipevalve/dispatch/dispatcher_choice.cpp
@@ -1,7 +1,6 @@
 /// @file How the dispatcher rates servers and requests: availability, expected time and order.
 
 #include <cmath>
-#include <tuple>
 
 #include "snipevalve/dispatch/dispatcher.hpp"
 #include "snipevalve/dispatch/dispatcher_margins.hpp"
@@ -20,6 +19,9 @@
 constexpr double OtherZonePenalty = 1.3;
 /// Late work is assumed to get at least this share of the slots: forecasts are too inexact to assume none.
 constexpr double MinShareForLateWork = 0.05;
+/// Safety factor on the predicted wait of a new request that has to leave slots to urgent ones. Without it, a fifth of
+/// the long requests of a burst were admitted and refused after having waited; with 1.5, a tenth.
+constexpr double LimitedWaitMargin = 1.5;
 /// How long hosts keep an idle connection for requests that must not be sent twice.
 constexpr Milliseconds ConnectionKeepAlive(2'400);
 /// Below this utilisation any server that meets the target is good enough, so the nearest one is taken.
@@ -60,9 +62,22 @@
 }
 
 /// Whether the limits of this server beyond its number of slots allow it to take the item now.
-bool Dispatcher::admits(const ServerState &, const WorkItem &, TimePoint) const
+bool Dispatcher::admits(const ServerState &state, const WorkItem &item, TimePoint) const
 {
-    return true;
+    const bool mustWait = state.busy >= limitOf(state);
+    return !m_options.reservesSlots
+        || m_shares.admits(poolOf(state.server.id), item.priority, expectedWork(item), mustWait);
+}
+
+const SlotShares &Dispatcher::slotShares() const
+{
+    return m_shares;
+}
+
+/// The pool in whose slots requests of different urgency have shares.
+const std::string &Dispatcher::poolOf(const std::string &server) const
+{
+    return m_keyed ? server : SlotShares::Service;
 }
 
 Seconds Dispatcher::expectedOn(const ServerState &state, const WorkItem &item) const
@@ -136,14 +151,42 @@
     return capacity <= 0 ? MinShareForLateWork : std::max(MinShareForLateWork, 1.0 - work / capacity);
 }
 
-/// @param onTimeWorkAhead work queued ahead of the item that can meet its target
-/// @param lateWorkAhead work queued ahead of the item that cannot
-Dispatcher::Forecast Dispatcher::forecast(const WorkItem &item, Seconds onTimeWorkAhead, Seconds lateWorkAhead,
+/// The share that late urgent work gets where it goes before less urgent work.
+double Dispatcher::shareForLateUrgentWork(int priority, TimePoint now) const
+{
+    const double work = m_shares.serviceDemand(priority, now);
+    return m_serviceCapacity <= 0 ? MinShareForLateWork : std::max(MinShareForLateWork, 1.0 - work / m_serviceCapacity);
+}
+
+void Dispatcher::updateTotals(TimePoint now)
+{
+    m_serviceCapacity = capacityOfQueue({});
+    m_serviceDemand = 0;
+    for (auto &[name, queue] : m_queues) {
+        decayDemand(queue, now);
+        m_serviceDemand += queue.onTimeDemand;
+    }
+    unsigned slots = 0;
+    for (const auto &[id, state] : m_servers) {
+        slots += m_keyed || !isUsable(state, now) ? 0 : limitOf(state);
+        if (m_keyed) {
+            m_shares.setPool(id, limitOf(state), state.slowness.factor());
+        }
+    }
+    m_shares.setPool(SlotShares::Service, slots, m_serviceCapacity > 0 ? slots / m_serviceCapacity : 1.0);
+    m_shares.advance(now);
+}
+
+/// @param ahead work queued ahead of the item
+/// @param isSubmission whether the item is new; false: it has been waiting
+Dispatcher::Forecast Dispatcher::forecast(const WorkItem &item, const WorkAhead &ahead, bool isSubmission,
                                           const ServerQueue &queue, const std::string &name, TimePoint now) const
 {
     Forecast result;
-    const double capacity = capacityOfQueue(name);
     const Seconds work = expectedWork(item);
+    const SlotShares::Outlook outlook =
+        m_options.reservesSlots ? m_shares.outlook(name, item.priority, work) : SlotShares::Outlook();
+    const double capacity = capacityOfQueue(name) * outlook.capacityShare;
     if (capacity <= 0) {
         // It is unknown when a key without an owner gets one; its request waits for that.
         result.meetsTarget = canMeetTarget(item, now);
@@ -151,10 +194,13 @@
         return result;
     }
     const double unit = std::max(1.0, capacity);
-    const Seconds untilSlot = freeSlots(name, now) > 0 ? Seconds(0) : work / (2 * unit);
-    const Seconds onTimeWait = untilSlot + onTimeWorkAhead / capacity;
+    const Seconds untilSlot = outlook.untilSlot.value_or(freeSlots(name, now) > 0 ? Seconds(0) : work / (2 * unit));
+    const double margin = isSubmission && outlook.isLimited ? LimitedWaitMargin : 1.0;
+    const Seconds onTimeWait = (untilSlot + ahead.onTime(outlook.competesFrom) / capacity) * margin;
     result.meetsTarget = now + toDuration(onTimeWait + work * WorkMargin) <= item.targetBy;
-    const Seconds lateWait = lateWorkAhead / (capacity * shareForLateWork(queue, name));
+    const double lateShare =
+        outlook.isProtected ? shareForLateUrgentWork(item.priority, now) : shareForLateWork(queue, name);
+    const Seconds lateWait = ahead.late(outlook.competesFrom) / (capacity * lateShare);
     result.wait = result.meetsTarget ? onTimeWait : onTimeWait + lateWait;
     result.meetsDeadline = now + toDuration(result.wait + work * WorkMargin) <= item.deadline;
     return result;
@@ -163,29 +209,37 @@
 Dispatcher::Forecast Dispatcher::forecast(const WorkItem &item, const ServerQueue &queue, const std::string &name,
                                           TimePoint now) const
 {
-    Seconds onTimeWorkAhead(0);
-    Seconds lateWorkAhead(0);
+    WorkAhead ahead;
+    WorkOrder order = orderOf(queue, name, now);
+    order.add(estimate(item, now));
+    const WorkRank rank = order.rank(estimate(item, now));
     for (const WorkItem &other : queue.items) {
-        if (precedes(other, item, now)) {
-            (canMeetTarget(other, now) ? onTimeWorkAhead : lateWorkAhead) += expectedWork(other);
+        const WorkEstimate each = estimate(other, now);
+        if (order.rank(each) < rank) {
+            ahead.add(each);
         }
     }
-    return forecast(item, onTimeWorkAhead, lateWorkAhead, queue, name, now);
+    return forecast(item, ahead, true, queue, name, now);
 }
 
-bool Dispatcher::precedes(const WorkItem &left, const WorkItem &right, TimePoint now) const
+WorkEstimate Dispatcher::estimate(const WorkItem &item, TimePoint now) const
 {
-    const bool leftIsOnTime = canMeetTarget(left, now);
-    const bool rightIsOnTime = canMeetTarget(right, now);
-    if (leftIsOnTime != rightIsOnTime) {
-        return leftIsOnTime;
-    }
-    if (left.priority != right.priority) {
-        return left.priority < right.priority;
+    const Seconds work = expectedWork(item);
+    const Seconds needed = work * WorkMargin;
+    return {&item, work, needed, now + toDuration(needed) > item.targetBy};
+}
+
+WorkOrder Dispatcher::orderOf(const ServerQueue &queue, const std::string &name, TimePoint now) const
+{
+    const bool defersLessUrgent = m_options.reservesSlots && m_shares.isActive(name);
+    WorkOrder order(defersLessUrgent, defersLessUrgent ? capacityOfQueue(name) : 0, now);
+    for (const WorkItem &item : queue.items) {
+        if (!defersLessUrgent) {
+            break;
+        }
+        order.add(estimate(item, now));
     }
-    const TimePoint leftBy = leftIsOnTime ? left.targetBy : left.deadline;
-    const TimePoint rightBy = rightIsOnTime ? right.targetBy : right.deadline;
-    return leftBy != rightBy ? leftBy < rightBy : left.ticket < right.ticket;
+    return order;
 }
 
 /// Whether utilisation was low as of the last advance().
@@ -220,6 +274,7 @@
         return mayQueue ? canQueue(state, now) : hasFreeSlot(state, now);
     };
     Candidates candidates;
+    candidates.areLateInOrder = m_options.reservesSlots && m_shares.isActive(queueName);
     if (!queueName.empty()) {
         const auto owner = m_servers.find(queueName);
         if (owner != m_servers.end() && isAvailable(owner->second)) {
@@ -276,29 +331,22 @@
 
 /// The queue's requests in the order in which they are placed. The queue itself is not sorted: requests are large to
 /// move.
-std::vector<const WorkItem *> Dispatcher::orderedItems(const ServerQueue &queue, TimePoint now) const
+std::vector<const WorkItem *> Dispatcher::orderedItems(const ServerQueue &queue, const std::string &name,
+                                                       TimePoint now) const
 {
-    struct Rank
-    {
-        bool isLate = false;
-        int priority = 0;
-        TimePoint by;
-        const WorkItem *item = nullptr;
-    };
-    std::vector<Rank> ranks;
+    const WorkOrder order = orderOf(queue, name, now);
+    std::vector<std::pair<WorkRank, const WorkItem *>> ranks;
     ranks.reserve(queue.items.size());
     for (const WorkItem &item : queue.items) {
-        const bool isOnTime = canMeetTarget(item, now);
-        ranks.push_back({!isOnTime, item.priority, isOnTime ? item.targetBy : item.deadline, &item});
+        ranks.emplace_back(order.rank(estimate(item, now)), &item);
     }
-    std::sort(ranks.begin(), ranks.end(), [](const Rank &left, const Rank &right) {
-        return std::tie(left.isLate, left.priority, left.by, left.item->ticket)
-            < std::tie(right.isLate, right.priority, right.by, right.item->ticket);
+    std::sort(ranks.begin(), ranks.end(), [](const auto &left, const auto &right) {
+        return left.first < right.first;
     });
     std::vector<const WorkItem *> items;
     items.reserve(ranks.size());
-    for (const Rank &rank : ranks) {
-        items.push_back(rank.item);
+    for (const auto &[rank, item] : ranks) {
+        items.push_back(item);
     }
     return items;
 }
