Send trial requests only where the estimate of the work alone refuses them

Cause: a request that only the reserve for urgent ones refuses is no evidence of a wrong estimate. Change: the trial asks whether the work alone outlasts the deadline.

--- a/src/snipevalve/dispatch/dispatcher.cpp
+++ b/src/snipevalve/dispatch/dispatcher.cpp
@@ -172,7 +172,8 @@
     }
     const Forecast prediction = forecast(item, queue, name, now);
     const bool canMeet = prediction.meetsTarget || prediction.meetsDeadline;
-    const bool isTrial = !canMeet && queue.items.empty() && freeSlots(name, now) > 0;
+    const bool isWorkTooLong = now + toDuration(expectedWork(item) * WorkMargin) > item.deadline;
+    const bool isTrial = isWorkTooLong && queue.items.empty() && freeSlots(name, now) > 0;
     if (!canMeet && !(isTrial && m_times.takeTrial(item.workClass, now))) {
         reject(item, RejectReason::TooLate, prediction.wait);
         return;
