Read and relay the zones that the operators evacuate

Cause: operators empty a zone by writing op/evacuate/ZONE; nothing read it. Change: one watch on op/ covers configuration and evacuations (OperatorKeys), leaders relay the zones with era and revision, and leaders and hosts mark the servers by EvacuatedZones. The dispatcher places nothing on marked servers and refuses at once when a service has no other ones; hosts return permits that were under way.

--- a/include/snipevalve/dispatch/dispatcher.hpp
+++ b/include/snipevalve/dispatch/dispatcher.hpp
@@ -102,7 +102,7 @@
         double refusalRate = 0; ///< moving average of the share of sends that the server refused
         unsigned busy = 0;
         std::deque<Ticket> queued; ///< sends that wait at the server, in the order in which they get a slot
-        bool isLeaving = false; ///< gets no new work; kept until its running requests end
+        bool isLeaving = false; ///< gets no new work; if not listed, it is kept until its running requests end
         TimePoint lastUsedAt;
         TimePoint newestAnsweredStart; ///< latest start time among the answered sends
         std::map<std::uint32_t, TimePoint> lastAnswerByHost; ///< a recent one implies an open connection
@@ -165,6 +165,7 @@
     void releaseStaleSlots(TimePoint now);
     unsigned limitOf(const ServerState &state) const;
     bool isUsable(const ServerState &state, TimePoint now) const;
+    bool isEvacuated() const;
     bool hasFreeSlot(const ServerState &state, TimePoint now) const;
     bool canQueue(const ServerState &state, TimePoint now) const;
     bool admits(const ServerState &state, const WorkItem &item, TimePoint now) const;
@@ -199,6 +200,7 @@
     RepeatWindow m_repeats;
     std::mt19937_64 m_random;
     bool m_keyed = false;
+    bool m_isEvacuated = false; ///< requests that would wait for a server are refused
     KeyOwners m_owners;
     std::vector<OrphanedRange> m_orphanedRanges;
     std::map<std::string, ServerState> m_servers; ///< by id
--- a/include/snipevalve/gateway/server_directory.hpp
+++ b/include/snipevalve/gateway/server_directory.hpp
@@ -64,6 +64,8 @@
     bool advance(TimePoint now, TimePoint readAt);
 
     std::vector<UpstreamServer> serversOf(const std::string &service) const;
+    /// @brief The zones that have servers in use.
+    std::set<std::string> zones() const;
     std::size_t size() const;
 
 private:
--- a/src/snipevalve/dispatch/dispatcher.cpp
+++ b/src/snipevalve/dispatch/dispatcher.cpp
@@ -94,14 +94,15 @@
         }
         ServerState &state = m_servers[server.id];
         state.server = server;
-        state.isLeaving = server.draining;
+        state.isLeaving = server.draining || server.evacuated;
     }
     for (auto &[id, state] : m_servers) {
         state.isLeaving = state.isLeaving || !listedIds.contains(id);
     }
-    std::erase_if(m_servers, [](const auto &entry) {
-        return entry.second.isLeaving && entry.second.busy == 0 && !entry.second.server.draining;
+    std::erase_if(m_servers, [&listedIds](const auto &entry) {
+        return entry.second.busy == 0 && !listedIds.contains(entry.first);
     });
+    m_isEvacuated = isEvacuated();
     requeueAll(now);
 }
 
@@ -170,7 +171,7 @@
     }
     const Forecast prediction = forecast(item, queue, name, now);
     if (!prediction.meetsTarget && !prediction.meetsDeadline) {
-        reject(item, RejectReason::TooLate, prediction.wait);
+        reject(item, m_isEvacuated ? RejectReason::NoServer : RejectReason::TooLate, prediction.wait);
         return;
     }
     if (prediction.meetsTarget) {
@@ -308,7 +309,7 @@
     for (const WorkItem *item : orderedItems(queue, now)) {
         const Forecast prediction = forecast(*item, onTimeWorkAhead, lateWorkAhead, queue, name, now);
         if (!prediction.meetsDeadline) {
-            reject(*item, RejectReason::TooLate, prediction.wait);
+            reject(*item, m_isEvacuated ? RejectReason::NoServer : RejectReason::TooLate, prediction.wait);
             unmeetable.insert(item->ticket);
             continue;
         }
--- a/src/snipevalve/dispatch/dispatcher_choice.cpp
+++ b/src/snipevalve/dispatch/dispatcher_choice.cpp
@@ -24,6 +24,8 @@
 constexpr Milliseconds ConnectionKeepAlive(2'400);
 /// Below this utilisation any server that meets the target is good enough, so the nearest one is taken.
 constexpr double LightLoadUtilisation = 0.7;
+/// Told to callers of a service whose servers are all evacuated; nobody knows when the operators take a zone back.
+constexpr Seconds EvacuatedRetryAfter(1.0);
 
 } // namespace
 
@@ -48,6 +50,19 @@
     return !state.isLeaving && !state.outliers.isEjected(now);
 }
 
+/// Whether the service has servers, but none that may get new work until the operators take a zone back.
+bool Dispatcher::isEvacuated() const
+{
+    bool isAnyEvacuated = false;
+    for (const auto &[id, state] : m_servers) {
+        if (!state.isLeaving) {
+            return false;
+        }
+        isAnyEvacuated = isAnyEvacuated || state.server.evacuated;
+    }
+    return isAnyEvacuated;
+}
+
 bool Dispatcher::hasFreeSlot(const ServerState &state, TimePoint now) const
 {
     return isUsable(state, now) && state.busy < limitOf(state);
@@ -142,6 +157,10 @@
                                           const ServerQueue &queue, const std::string &name, TimePoint now) const
 {
     Forecast result;
+    if (m_isEvacuated) {
+        result.wait = EvacuatedRetryAfter;
+        return result;
+    }
     const double capacity = capacityOfQueue(name);
     const Seconds work = expectedWork(item);
     if (capacity <= 0) {
--- a/src/snipevalve/dispatch_link/messages.cpp
+++ b/src/snipevalve/dispatch_link/messages.cpp
@@ -377,6 +377,22 @@
     return table;
 }
 
+proto::Evacuations toProto(const Evacuations &evacuations)
+{
+    proto::Evacuations message;
+    message.set_revision(evacuations.revision);
+    message.set_era(evacuations.era);
+    for (const std::string &zone : evacuations.zones) {
+        message.add_zones(zone);
+    }
+    return message;
+}
+
+Evacuations fromProto(const proto::Evacuations &message)
+{
+    return {message.era(), message.revision(), {message.zones().begin(), message.zones().end()}};
+}
+
 WorkEnd toWorkEnd(std::uint32_t number)
 {
     const auto last = static_cast<std::uint32_t>(WorkEnd::Abandoned);
--- a/src/snipevalve/dispatch_link/messages.hpp
+++ b/src/snipevalve/dispatch_link/messages.hpp
@@ -4,6 +4,7 @@
 #include "snipevalve/dispatch/work.hpp"
 #include "snipevalve/dispatch_link/generated/dispatch.pb.h"
 #include "snipevalve/gateway/config_change.hpp"
+#include "snipevalve/gateway/evacuations.hpp"
 #include "snipevalve/gateway/leader_table.hpp"
 #include "snipevalve/gateway/leaving_servers.hpp"
 #include "snipevalve/node/known_views.hpp"
@@ -37,6 +38,8 @@
 ConfigChange fromProto(const proto::ConfigChange &message);
 proto::Leaders toProto(const LeaderTable &table);
 LeaderTable fromProto(const proto::Leaders &message);
+proto::Evacuations toProto(const Evacuations &evacuations);
+Evacuations fromProto(const proto::Evacuations &message);
 
 /// @brief Converts the number received for the outcome of a send. An unknown number becomes WorkEnd::Abandoned.
 WorkEnd toWorkEnd(std::uint32_t number);
--- a/src/snipevalve/gateway/server_directory.cpp
+++ b/src/snipevalve/gateway/server_directory.cpp
@@ -223,6 +223,15 @@
     return servers;
 }
 
+std::set<std::string> ServerDirectory::zones() const
+{
+    std::set<std::string> zones;
+    for (const auto &[id, entry] : m_entries) {
+        zones.insert(entry.last.server.zone);
+    }
+    return zones;
+}
+
 std::size_t ServerDirectory::size() const
 {
     return m_entries.size();
--- a/src/snipevalve/node/control/node_control.hpp
+++ b/src/snipevalve/node/control/node_control.hpp
@@ -11,7 +11,9 @@
 #include <nlohmann/json.hpp>
 
 #include "snipevalve/core/log_text.hpp"
+#include "snipevalve/gateway/evacuations.hpp"
 #include "snipevalve/gateway/server_directory.hpp"
+#include "snipevalve/node/control/operator_keys.hpp"
 #include "snipevalve/node/control/prefix_watcher.hpp"
 #include "snipevalve/node/control/service_leader.hpp"
 #include "snipevalve/node/deputy_ask.hpp"
@@ -34,6 +36,7 @@
     {
         std::function<void(std::shared_ptr<const GatewayConfig>)> config;
         std::function<void(std::map<std::string, Endpoint>)> leaders;
+        std::function<void(Evacuations)> evacuations;
         std::function<void(ServiceView)> view;
         std::function<void(std::uint64_t)> requestConfig; ///< requests the changes since a version from a leader
         std::function<void(DeputyAsk)> deputyConsent; ///< tells a leader that this host consents to long holds
@@ -152,6 +155,9 @@
         if (news.leaders) {
             applyLeaders(*news.leaders);
         }
+        if (news.evacuations) {
+            m_operatorKeys.adopt(*news.evacuations);
+        }
         if (news.change) {
             applyConfigChange(*news.change);
         }
@@ -289,7 +295,7 @@
     bool hasFreshLeaderUpdates() const
     {
         const Milliseconds trust = m_ledServices.empty() ? HostStaleAfter : LeaderStaleAfter;
-        return !isStoreReader() && !m_isEraDoubtful && m_config != nullptr
+        return !isStoreReader() && !m_isEraDoubtful && m_config != nullptr && m_operatorKeys.evacuations().isKnown()
             && Clock::now() - m_leadersUpToDateAt < trust;
     }
 
@@ -304,7 +310,7 @@
         return !isSeed && !isStrong && Clock::now() - m_startedAt < SeedsTimeout;
     }
 
-    WatchHandlers configHandlers()
+    WatchHandlers operatorHandlers()
     {
         WatchHandlers handlers;
         handlers.isNeeded = [this]() {
@@ -314,45 +320,41 @@
             return m_ledServices.empty();
         };
         handlers.onList = [this](const StoredList &list) {
-            for (const StoredValue &value : list.values) {
-                applyConfig(value);
-            }
+            m_operatorKeys.onList(list, m_store.era());
         };
         handlers.onEvent = [this](const StoreEvent &event) {
-            applyConfig(event.value);
+            m_operatorKeys.onEvent(event, m_store.era());
         };
         return handlers;
     }
 
-    void applyConfig(const StoredValue &value)
+    typename OperatorKeys<Platform>::Outputs operatorOutputs()
     {
-        if (value.key != Platform::configKey()) {
-            return;
-        }
-        const auto read = Platform::parseConfig(value.value);
-        if (!read.ok()) {
-            spdlog::error("config: event=unreadable revision={} reason=\"{}\"", value.revision,
-                          escapeQuotedText(std::string(read.status().message())));
-            return;
-        }
-        logFindings(read->findings, value.revision);
-        activateConfig(read->config, "store", value.revision);
+        typename OperatorKeys<Platform>::Outputs outputs;
+        outputs.config = [this](std::shared_ptr<const GatewayConfig> config, std::uint64_t revision) {
+            activateConfig(std::move(config), "store", revision);
+        };
+        outputs.evacuations = [this](const Evacuations &evacuations) {
+            m_evacuatedZones.update(evacuations);
+            m_viewsChanged = true;
+            m_desk.setEvacuations(evacuations);
+            m_outputs.evacuations(evacuations);
+        };
+        return outputs;
     }
 
-    /// Logs only findings that the previous version did not have, since most persist across versions.
-    void logFindings(const Findings &findings, std::uint64_t revision)
+    /// Servers are used only once it is known which of them are evacuated.
+    bool mayUseServers() const
     {
-        constexpr std::size_t MaxLines = 100; ///< a version can hold thousands
-        std::set<std::string> lines;
-        for (const Finding &finding : findings.all()) {
-            std::string line = finding.place + ": " + finding.message;
-            if (!m_configFindings.contains(line) && lines.size() < MaxLines) {
-                spdlog::error("config: event=finding revision={} place=\"{}\" reason=\"{}\"", revision,
-                              escapeQuotedText(finding.place), escapeQuotedText(finding.message));
-            }
-            lines.insert(std::move(line));
+        return m_serversKnown && m_operatorKeys.evacuations().isKnown();
+    }
+
+    void reviewEvacuations()
+    {
+        m_evacuatedZones.setOccupied(m_directory.zones());
+        for (const EvacuationReport &report : m_evacuatedZones.takeReports()) {
+            spdlog::info("{}", evacuationLogText(report, "leader"));
         }
-        m_configFindings = std::move(lines);
     }
 
     std::uint64_t configVersion() const
@@ -412,7 +414,7 @@
         }
         m_backoff.onSuccess();
         if (value->revision != 0) {
-            applyConfig(*value);
+            m_operatorKeys.applyConfig(*value);
         }
     }
 
@@ -703,11 +705,13 @@
         }
     }
 
-    /// The registered servers of the service; those that an answer has shown to be leaving count as draining.
+    /// The registered servers of the service; those that an answer has shown to be leaving count as draining, and those
+    /// of evacuated zones are marked.
     std::vector<UpstreamServer> serversOf(const std::string &service) const
     {
         std::vector<UpstreamServer> servers = m_directory.serversOf(service);
         m_desk.leavingServers().markIn(servers);
+        m_evacuatedZones.markIn(servers);
         return servers;
     }
 
@@ -936,9 +940,12 @@
     {
         const bool serversChanged = m_directory.advance(Clock::now(), m_serverWatcher.upToDateAt()) || m_viewsChanged;
         m_viewsChanged = false;
+        if (serversChanged && m_serversKnown) {
+            reviewEvacuations();
+        }
         std::vector<std::string> lost;
         for (auto &[service, leader] : m_ledServices) {
-            if (serversChanged && m_serversKnown) {
+            if (serversChanged && mayUseServers()) {
                 leader->setServers(serversOf(service));
             }
             leader->advance();
@@ -949,7 +956,7 @@
         for (const std::string &service : lost) {
             stopLeading(service, "superseded by another leader");
         }
-        if (serversChanged && m_serversKnown && m_config && needsViews()) {
+        if (serversChanged && mayUseServers() && m_config && needsViews()) {
             publishViews();
         }
         // Only this host's own reads count: relaying what another leader confirmed would hide the delay of each hop.
@@ -985,7 +992,7 @@
     bool m_isEraDoubtful = false; ///< the store may have been restored since this host has listed the leaders
     bool m_isRestored = false; ///< whether the store has been restored from a copy since the start of this process
     PrefixWatcher<Store> m_configWatcher{
-        m_store, m_backoff, {Platform::configKey(), LeaderWatchTimeout, WatchTimeout, {}, {}}, configHandlers()};
+        m_store, m_backoff, {Platform::operatorPrefix(), LeaderWatchTimeout, WatchTimeout, {}, {}}, operatorHandlers()};
     PrefixWatcher<Store> m_leaderWatcher{
         m_store, m_backoff, {LeadersPrefix, LeaderWatchTimeout, WatchTimeout, {}, {}}, leaderHandlers()};
     PrefixWatcher<Store> m_serverWatcher{
@@ -999,7 +1006,8 @@
         {PlansPrefix, WatchTimeout, WatchTimeout, ServerWatchPause, PassiveServerWatchPause},
         planHandlers()};
     std::shared_ptr<const GatewayConfig> m_config;
-    std::set<std::string> m_configFindings; ///< of the newest configuration that was read
+    OperatorKeys<Platform> m_operatorKeys{operatorOutputs()};
+    EvacuatedZones m_evacuatedZones;
     bool m_isReadingConfig = false;
     std::optional<std::uint64_t> m_requestedBase; ///< base version of the last request to a leader
     TimePoint m_requestedAt;
--- a/src/snipevalve/node/control/node_control_test.cpp
+++ b/src/snipevalve/node/control/node_control_test.cpp
@@ -169,7 +169,18 @@
 
     static std::string configKey()
     {
-        return "config";
+        return "op/config";
+    }
+
+    static std::string operatorPrefix()
+    {
+        return "op/";
+    }
+
+    static std::optional<std::string> evacuatedZone(std::string_view key)
+    {
+        constexpr std::string_view Prefix = "op/evacuate/";
+        return key.starts_with(Prefix) ? std::optional(std::string(key.substr(Prefix.size()))) : std::nullopt;
     }
 
     static std::string serversPrefix()
@@ -258,6 +269,9 @@
         outputs.leaders = [this](std::map<std::string, Endpoint> announced) {
             leaders = std::move(announced);
         };
+        outputs.evacuations = [this](const Evacuations &known) {
+            evacuations = known;
+        };
         outputs.view = [this](ServiceView view) {
             servers[view.service].clear();
             for (const UpstreamServer &server : view.servers) {
@@ -309,6 +323,7 @@
     Supervisor supervisor{context.get_executor(), "test", {}, []() {}};
     std::unique_ptr<NodeControl<FakePlatform>> control;
     std::map<std::string, Endpoint> leaders;
+    Evacuations evacuations; ///< as passed to the traffic thread
     bool needsViews = false;
     std::map<std::string, std::set<std::string>> servers; ///< by service: of the last view
 };
@@ -378,7 +393,7 @@
     for (const std::string &entry : entries) {
         INFO(entry.substr(0, 60));
         Fixture &host = *new Fixture; // never destroyed, as suspended coroutines refer to each other
-        host.store.put("config", "a,b,");
+        host.store.put("op/config", "a,b,");
         host.store.put("snipevalve/leader/1/a", entry);
         host.store.put("snipevalve/leader/1/b", leaderText("127.0.0.1:8"));
         host.start();
@@ -395,7 +410,7 @@
     for (const char *name : {"7", "null", "[]", R"("a\u0000b")"}) {
         INFO(name);
         Fixture &host = *new Fixture; // never destroyed, as suspended coroutines refer to each other
-        host.store.put("config", "a,");
+        host.store.put("op/config", "a,");
         host.store.put("snipevalve/leader/1/a", std::string(R"({"address":"127.0.0.1:8","host":)") + name + "}");
         host.start();
         host.runFor(Milliseconds(500));
@@ -409,7 +424,7 @@
     Fixture &host = *new Fixture; // never destroyed, as suspended coroutines refer to each other
     const Endpoint before = *parseEndpoint("127.0.0.1:8");
     const Endpoint after = *parseEndpoint(Other);
-    host.store.put("config", "a,");
+    host.store.put("op/config", "a,");
     host.store.put("snipevalve/leader/1/a", leaderText("127.0.0.1:8"));
     host.start();
     host.runFor(Milliseconds(300));
@@ -428,7 +443,7 @@
 TEST_CASE("A suspended leader whose service another host has taken over stops, though only heartbeats come")
 {
     Fixture &host = *new Fixture; // never destroyed, as suspended coroutines refer to each other
-    host.store.put("config", "a,b,");
+    host.store.put("op/config", "a,b,");
     host.store.put("snipevalve/leader/1/a", leaderText("127.0.0.1:8"));
     host.start();
     host.runFor(Milliseconds(2'000));
@@ -457,7 +472,7 @@
 TEST_CASE("A leader that knew of earlier leaders takes no restored store without plans for a first start")
 {
     Fixture &host = *new Fixture; // never destroyed, as suspended coroutines refer to each other
-    host.store.put("config", "k,");
+    host.store.put("op/config", "k,");
     host.store.put("servers/s1", "k");
     KeyPlan earlier;
     earlier.term = 65'537;
@@ -488,13 +503,14 @@
     Fixture &host = *new Fixture; // never destroyed, as suspended coroutines refer to each other
     host.settings.seeds = {*parseEndpoint(Other)};
     host.settings.processorShare = 0.1;
-    host.store.put("config", "k,");
+    host.store.put("op/config", "k,");
     host.store.put("servers/s1", "k");
     host.start();
     StoreUpdate update;
     update.configVersion = 1;
     update.storeReadTime = Clock::now();
     update.leaders = LeaderTable{1, 105, {{"k", {*parseEndpoint(Other), 105}}}};
+    update.evacuations = Evacuations{1, 104, {}};
     update.change = changeBetween(nullptr, *FakePlatform::parseConfig("k,")->config);
     host.control->onLeaderUpdate(update);
     host.runWithHeartbeats(Milliseconds(2'000));
@@ -516,7 +532,7 @@
     Fixture &host = *new Fixture; // never destroyed, as suspended coroutines refer to each other
     host.settings.seeds = {*parseEndpoint(Other)};
     host.settings.processorShare = 0.1;
-    host.store.put("config", "a,");
+    host.store.put("op/config", "a,");
     host.store.put("snipevalve/leader/1/a", leaderText(toString(host.settings.control).c_str()));
     const std::uint64_t revision = host.store.revision;
     host.start();
@@ -532,7 +548,7 @@
     const std::set<std::string> left = {"s2"};
     host.settings.heartbeatInterval = Milliseconds(200);
     host.needsViews = true;
-    host.store.put("config", "a,");
+    host.store.put("op/config", "a,");
     host.store.put("servers/s1", "a");
     host.store.put("servers/s2", "a");
     host.start();
@@ -565,7 +581,7 @@
 {
     Fixture &host = *new Fixture; // never destroyed, as suspended coroutines refer to each other
     SilentServer server;
-    host.store.put("config", "k,");
+    host.store.put("op/config", "k,");
     host.store.put("servers/s1", "k");
     host.start();
     const TimePoint end = Clock::now() + Milliseconds(8'000);
@@ -585,7 +601,7 @@
 {
     Fixture &host = *new Fixture; // never destroyed, as suspended coroutines refer to each other
     SilentServer server;
-    host.store.put("config", "b,k,");
+    host.store.put("op/config", "b,k,");
     host.store.put("servers/s1", "k");
     host.store.put("snipevalve/leader/1/b", leaderText(Other));
     host.start();
--- a/src/snipevalve/node/control/node_process.hpp
+++ b/src/snipevalve/node/control/node_process.hpp
@@ -102,6 +102,9 @@
         outputs.leaders = [this](std::map<std::string, Endpoint> leaders) {
             m_traffic.setLeaders(std::move(leaders));
         };
+        outputs.evacuations = [this](Evacuations evacuations) {
+            m_traffic.setEvacuations(std::move(evacuations));
+        };
         outputs.view = [this](ServiceView view) {
             m_traffic.setStoreView(std::move(view));
         };
--- a/src/snipevalve/node/control/platform_api.hpp
+++ b/src/snipevalve/node/control/platform_api.hpp
@@ -3,6 +3,7 @@
 
 #include <concepts>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "snipevalve/gateway/gateway_config.hpp"
@@ -24,6 +25,12 @@
     {
         Platform::configKey()
         } -> std::convertible_to<std::string>;
+    {
+        Platform::operatorPrefix() // of the configuration's key and those that ask for an evacuation
+        } -> std::convertible_to<std::string>;
+    {
+        Platform::evacuatedZone(text) // nothing for other keys
+        } -> std::same_as<std::optional<std::string>>;
     {
         Platform::serversPrefix()
         } -> std::convertible_to<std::string>;
--- a/src/snipevalve/node/gateway_thread.cpp
+++ b/src/snipevalve/node/gateway_thread.cpp
@@ -34,6 +34,9 @@
     : m_traffic(m_context.get_executor(), settings, names, parseServerNotice, seed)
     , m_acceptor(listenOn(m_context.get_executor(), settings.callers))
 {
+    m_traffic.placements.onEvent = [this](const std::string &event) {
+        m_traffic.metrics.count(event);
+    };
 }
 
 GatewayThread::~GatewayThread()
@@ -113,6 +116,13 @@
     });
 }
 
+void GatewayThread::setEvacuations(Evacuations evacuations)
+{
+    asio::post(m_context, [this, evacuations = std::move(evacuations)]() {
+        m_traffic.placements.setEvacuations(evacuations);
+    });
+}
+
 void GatewayThread::setStoreView(ServiceView view)
 {
     asio::post(m_context, [this, view = std::move(view)]() {
--- a/src/snipevalve/node/gateway_thread.hpp
+++ b/src/snipevalve/node/gateway_thread.hpp
@@ -24,6 +24,7 @@
     // The following functions are thread-safe; most take effect asynchronously, on the traffic thread.
     void setConfig(std::shared_ptr<const GatewayConfig> config);
     void setLeaders(std::map<std::string, Endpoint> leaders);
+    void setEvacuations(Evacuations evacuations);
     void setStoreView(ServiceView view);
     void onStoreUpdate(std::function<void(StoreUpdate)> handler);
     void requestConfig(std::uint64_t base);
--- a/src/snipevalve/node/known_views.hpp
+++ b/src/snipevalve/node/known_views.hpp
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -62,6 +63,28 @@
         return entry == m_entries.end() ? nullptr : &entry->second.view;
     }
 
+    /// @brief The services whose views are known.
+    std::vector<std::string> services() const
+    {
+        std::vector<std::string> services;
+        for (const auto &[service, entry] : m_entries) {
+            services.push_back(service);
+        }
+        return services;
+    }
+
+    /// @brief The zones of the servers in all views.
+    std::set<std::string> zones() const
+    {
+        std::set<std::string> zones;
+        for (const auto &[service, entry] : m_entries) {
+            for (const UpstreamServer &server : entry.view.servers) {
+                zones.insert(server.zone);
+            }
+        }
+        return zones;
+    }
+
     /// @brief The views of these services that are young enough to be passed on.
     std::vector<KnownView> offer(const std::vector<std::string> &services, TimePoint now) const
     {
--- a/src/snipevalve/node/leader_dispatcher.cpp
+++ b/src/snipevalve/node/leader_dispatcher.cpp
@@ -435,6 +435,12 @@
     flush();
 }
 
+void LeaderDispatcher::setEvacuations(Evacuations evacuations)
+{
+    m_evacuations = std::move(evacuations);
+    flush();
+}
+
 void LeaderDispatcher::setLeaseRenewalTime(TimePoint renewedAt)
 {
     m_leaseRenewedAt = renewedAt;
@@ -462,7 +468,8 @@
     *host.pending.mutable_config() = toProto(changeBetween(from, *m_configs.back()));
 }
 
-/// Adds the version of the configuration and, if it has changed, the leader table to the host's pending frame.
+/// Adds the version of the configuration and, if they have changed, the leader table and the evacuations to the host's
+/// pending frame.
 /// @return whether the host must be told at once
 bool LeaderDispatcher::addStoreUpdate(Host &host) const
 {
@@ -475,7 +482,13 @@
         *host.pending.mutable_leaders() = toProto(m_leaders);
         host.leadersVersion = leadersVersion;
     }
-    return isConfigNew || areLeadersNew;
+    const std::pair evacuationsVersion(m_evacuations.era, m_evacuations.revision);
+    const bool areEvacuationsNew = host.evacuationsVersion != evacuationsVersion;
+    if (areEvacuationsNew) {
+        *host.pending.mutable_evacuations() = toProto(m_evacuations);
+        host.evacuationsVersion = evacuationsVersion;
+    }
+    return isConfigNew || areLeadersNew || areEvacuationsNew;
 }
 
 void LeaderDispatcher::sendViews(TimePoint now)
--- a/src/snipevalve/node/leader_dispatcher.hpp
+++ b/src/snipevalve/node/leader_dispatcher.hpp
@@ -83,7 +83,10 @@
     /// @brief Sets the leader table, which is sent to all hosts.
     void setLeaders(LeaderTable leaders);
 
-    /// @brief Sets the time at which configuration and leaders were last known to be up to date with the store.
+    /// @brief Sets the evacuated zones, which are sent to all hosts. The servers' marks come with setView().
+    void setEvacuations(Evacuations evacuations);
+
+    /// @brief Sets the time at which configuration, leaders and evacuations were last known to be up to date with the store.
     void setStoreReadTime(TimePoint current);
 
     /// @brief Sets the time at which the store last renewed this host's lease; the clock's epoch without a lease.
@@ -110,6 +113,7 @@
         TimePoint sentAt;
         std::uint64_t configVersion = 0; ///< last version announced to the host
         std::pair<std::uint64_t, std::uint64_t> leadersVersion; ///< era and revision of the leader table last sent
+        std::pair<std::uint64_t, std::uint64_t> evacuationsVersion; ///< era and revision of those last sent
         std::map<Ticket, Ticket> tickets; ///< from the host's ticket to the leader's
     };
 
@@ -159,6 +163,7 @@
     std::uint32_t m_lastHostNumber = 0;
     std::deque<std::shared_ptr<const GatewayConfig>> m_configs; ///< the latest versions in ascending order
     LeaderTable m_leaders;
+    Evacuations m_evacuations;
     TimePoint m_storeReadTime;
     TimePoint m_leaseRenewedAt; ///< zero without a lease
 };
--- a/src/snipevalve/node/placements.cpp
+++ b/src/snipevalve/node/placements.cpp
@@ -20,6 +20,9 @@
 /// A request is rejected after this many permits for servers that this host may not use. A leader that knows which
 /// servers are leaving gives none.
 constexpr int MaxReturnedPermits = 4;
+/// A request whose key's owner is evacuated asks its leader again after this time. The leader learns of the evacuation
+/// within milliseconds if it is in touch, and moves the key within about a second.
+constexpr Milliseconds EvacuatedAskInterval(50);
 
 } // namespace
 
@@ -83,8 +86,9 @@
     return leaderLinkOf(service);
 }
 
-/// A permit may have been on its way when its server said that it leaves or asked for a pause; it is returned, and the
-/// leader is asked again. A request that is still queued then is taken back by reviewWaiting().
+/// A permit may have been on its way when its server said that it leaves or asked for a pause, or when its zone was
+/// evacuated; it is returned, and the leader is asked again. A request that is still queued then is taken back by
+/// reviewWaiting().
 Awaitable<DispatchDecision> Placements::acquire(std::string service, WorkItem item, Ticket &ticket)
 {
     std::string owner; // of the key, which the leader may know sooner than this host; empty: as in the known view
@@ -122,9 +126,26 @@
         }
         const bool isLeaving = m_leaving.find(incarnationOf(placement->server)) != nullptr;
         const bool isPaused = m_pauses.pausedUntil(placement->server.id, Clock::now()).has_value();
-        if (!isLeaving && !isPaused) {
+        const bool isEvacuated = m_evacuatedZones.isEvacuated(placement->server);
+        if (!isLeaving && !isPaused && !isEvacuated) {
             co_return *decision;
         }
+        if (isEvacuated && !isLeaving) {
+            returnPermit(*placement);
+            count("permit_returned_evacuated");
+            const TimePoint askAt = Clock::now() + EvacuatedAskInterval;
+            if (item.key && askAt < latestSend(service, item)) {
+                const AwaitedPause awaited{placement->server.id, askAt};
+                const WaitEnd end = co_await waitUntil(awaited, askAt, service, item, ticket);
+                if (end.rejection) {
+                    co_return *end.rejection;
+                }
+                continue;
+            }
+            avoidEvacuated(service, item);
+            ++returned;
+            continue;
+        }
         if (isLeaving) {
             item.avoid.push_back(placement->server.id);
         } else if (item.key) {
@@ -160,7 +181,8 @@
     }
     std::optional<TimePoint> first;
     for (const UpstreamServer &server : view->servers) {
-        if (server.draining || m_leaving.find(incarnationOf(server)) != nullptr) {
+        if (server.draining || m_leaving.find(incarnationOf(server)) != nullptr
+            || m_evacuatedZones.isEvacuated(server)) {
             continue;
         }
         const auto until = m_pauses.pausedUntil(server.id, now);
@@ -220,6 +242,20 @@
     }
 }
 
+/// The leader does not know yet that these servers are evacuated.
+void Placements::avoidEvacuated(const std::string &service, WorkItem &item) const
+{
+    const ServiceView *view = m_views.find(service);
+    if (view == nullptr) {
+        return;
+    }
+    for (const UpstreamServer &server : view->servers) {
+        if (m_evacuatedZones.isEvacuated(server)) {
+            item.avoid.push_back(server.id);
+        }
+    }
+}
+
 /// Gives back a permit that can't be used.
 void Placements::returnPermit(const Placement &placement)
 {
@@ -557,13 +593,17 @@
     if (frame.has_leaders()) {
         update.leaders = fromProto(frame.leaders());
     }
+    if (frame.has_evacuations()) {
+        update.evacuations = fromProto(frame.evacuations());
+    }
     if (frame.has_config()) {
         update.change = fromProto(frame.config());
     }
     if (update.configVersion >= m_lastForwarded.configVersion) {
         m_newestConfigLink = link.weak_from_this();
     }
-    const bool isNew = update.leaders || update.change || update.configVersion > m_lastForwarded.configVersion
+    const bool isNew = update.leaders || update.evacuations || update.change
+        || update.configVersion > m_lastForwarded.configVersion
         || update.storeReadTime - m_lastForwarded.storeReadTime >= ConfirmInterval;
     if (!isNew || !onStoreUpdate) {
         return;
@@ -585,6 +625,9 @@
 void Placements::onFrame(LeaderLink &link, const proto::LeaderFrame &frame)
 {
     m_hostCount = std::max<std::uint32_t>(1, frame.hosts());
+    if (frame.has_evacuations()) {
+        setEvacuations(fromProto(frame.evacuations()));
+    }
     for (const proto::View &view : frame.views()) {
         m_nextAskOfDenier.erase(view.service());
         setView(fromProto(view));
@@ -650,6 +693,43 @@
     const TimePoint now = Clock::now();
     m_views.set(view, now);
     useView(view, now);
+    if (!m_evacuatedZones.evacuations().zones.empty()) {
+        reviewEvacuations();
+    }
+}
+
+void Placements::setEvacuations(const Evacuations &evacuations)
+{
+    if (!m_evacuatedZones.update(evacuations)) {
+        return;
+    }
+    reviewEvacuations();
+    const TimePoint now = Clock::now();
+    for (const std::string &service : m_views.services()) {
+        useView(*m_views.find(service), now);
+    }
+}
+
+/// Whether an evacuation leaves servers may change with each view.
+void Placements::reviewEvacuations()
+{
+    if (m_evacuatedZones.setOccupied(m_views.zones())) {
+        const TimePoint now = Clock::now();
+        for (const std::string &service : m_views.services()) {
+            useView(*m_views.find(service), now);
+        }
+    }
+    for (const EvacuationReport &report : m_evacuatedZones.takeReports()) {
+        spdlog::info("{}", evacuationLogText(report, "host"));
+        count("evacuation_" + std::string(describe(report.state)));
+    }
+}
+
+void Placements::count(const std::string &event) const
+{
+    if (onEvent) {
+        onEvent(event);
+    }
 }
 
 /// Makes the local dispatcher work with this view.
@@ -662,6 +742,7 @@
     }
     std::vector<UpstreamServer> servers = view.servers;
     m_leaving.markIn(servers);
+    m_evacuatedZones.markIn(servers);
     if (m_pauses.isAnyPaused(now)) {
         m_servicesToReview.insert(view.service);
     }
@@ -698,6 +779,7 @@
     std::vector<KnownView> views = m_views.offer(services, Clock::now());
     for (KnownView &known : views) {
         m_leaving.markIn(known.view.servers);
+        m_evacuatedZones.markIn(known.view.servers);
     }
     return views;
 }
--- a/src/snipevalve/node/placements.hpp
+++ b/src/snipevalve/node/placements.hpp
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "snipevalve/dispatch/dispatcher.hpp"
+#include "snipevalve/gateway/evacuations.hpp"
 #include "snipevalve/gateway/leaving_servers.hpp"
 #include "snipevalve/gateway/server_notice.hpp"
 #include "snipevalve/gateway/server_pauses.hpp"
@@ -66,6 +67,10 @@
     /// @brief Tells that a configuration is known, so that seeds are only needed while there are no leaders.
     void setConfigKnown();
 
+    /// @brief Sets the evacuated zones, unless newer ones are known. Their servers get no new work from then on,
+    /// whether the leaders know of it yet or not.
+    void setEvacuations(const Evacuations &evacuations);
+
     /// @brief Sets a view that was read from the store. Ignored while the leader is connected: its views are newer.
     void setStoreView(const ServiceView &view);
 
@@ -88,6 +93,9 @@
     /// @brief Called with the state of the store that a leader relays.
     std::function<void(StoreUpdate)> onStoreUpdate;
 
+    /// @brief Called for each event that is counted in the metrics.
+    std::function<void(const std::string &event)> onEvent;
+
     /// @brief Called with the services whose views this host lacks, so that the hosts connected to it are asked too.
     std::function<void(std::vector<std::string>)> onViewsMissing;
 
@@ -138,6 +146,9 @@
     void reviewWaiting(TimePoint now);
     void addPause(const std::string &service, const std::string &server, Milliseconds pause);
     void returnPermit(const Placement &placement);
+    void avoidEvacuated(const std::string &service, WorkItem &item) const;
+    void reviewEvacuations();
+    void count(const std::string &event) const;
     bool addLeaving(const std::string &service, const UpstreamServer &server, LeavingSource source);
     void tellLeaving(LeaderLink &link, const std::string &service) const;
     Dispatcher &localDispatcher(const std::string &service);
@@ -172,6 +183,7 @@
     std::map<Endpoint, std::shared_ptr<LeaderLink>> m_links;
     KnownViews m_views;
     LeavingServers m_leaving;
+    EvacuatedZones m_evacuatedZones;
     ServerPauses m_pauses;
     std::set<std::string> m_servicesToReview; ///< services whose pauses or servers have changed since the last review
     std::mt19937_64 m_random; ///< spreads the requests that wait for the end of a pause
--- a/src/snipevalve/node/store_update.hpp
+++ b/src/snipevalve/node/store_update.hpp
@@ -5,6 +5,7 @@
 
 #include "snipevalve/core/time.hpp"
 #include "snipevalve/gateway/config_change.hpp"
+#include "snipevalve/gateway/evacuations.hpp"
 #include "snipevalve/gateway/leader_table.hpp"
 
 namespace snipevalve {
@@ -13,9 +14,10 @@
 struct StoreUpdate
 {
     std::uint64_t configVersion = 0; ///< newest version that the leader knows
-    TimePoint
-        storeReadTime; ///< configuration and leaders were up to date with the store at this time; zero when unknown
+    /// Configuration, leaders and evacuations were up to date with the store at this time; zero when unknown.
+    TimePoint storeReadTime;
     std::optional<LeaderTable> leaders; ///< set when the leaders have changed
+    std::optional<Evacuations> evacuations; ///< set when they have changed
     std::optional<ConfigChange> change; ///< set in reply to a request for the configuration
 };
 
