Move the keys of evacuated servers out, the busiest first

Cause: keys stayed with the servers of an evacuated zone, to which no request may be sent any more. Change: planKeyExits cuts their ranges into pieces and shares these among the other servers by their room; the key authority releases the pieces, the busiest first, and gives evacuated servers no keys. Without another server the keys stay. The simulation evacuates servers and takes them back.

--- a/include/snipevalve/ownership/detail/key_authority_impl.hpp
+++ b/include/snipevalve/ownership/detail/key_authority_impl.hpp
@@ -26,6 +26,21 @@
     return std::to_string(keys.from) + "-" + std::to_string(keys.to);
 }
 
+/// By key: the higher one of its averages.
+inline std::vector<float> highestLoads(const std::vector<float> &fast, const std::vector<float> &slow)
+{
+    std::vector<float> highest = slow;
+    for (std::size_t key = 0; key < highest.size(); ++key) {
+        highest[key] = std::max(highest[key], fast[key]);
+    }
+    return highest;
+}
+
+inline bool mayGetKeys(const UpstreamServer &server)
+{
+    return !server.draining && !server.evacuated;
+}
+
 } // namespace detail
 
 template <typename Rules>
@@ -415,7 +430,7 @@
     }
 }
 
-/// The server with the fewest keys per slot among those that are not draining, preferably one that has not lost the
+/// The server with the fewest keys per slot among those that may get keys, preferably one that has not lost the
 /// keys recently.
 template <typename Rules>
 std::string BasicKeyAuthority<Rules>::leastLoaded(const KeyRange &keys) const
@@ -426,7 +441,7 @@
         const auto position = m_keyCounts.find(id);
         const double share = (position == m_keyCounts.end() ? 0.0 : position->second) / server.slots;
         const std::pair<bool, double> rank(m_recentOwners.contains(keys, id), share);
-        if (!server.draining && (best.empty() || rank < bestRank)) {
+        if (detail::mayGetKeys(server) && (best.empty() || rank < bestRank)) {
             best = id;
             bestRank = rank;
         }
@@ -439,7 +454,7 @@
 std::string BasicKeyAuthority<Rules>::chooseOwner(const Segment &segment) const
 {
     const auto preferred = m_servers.find(segment.nextOwner);
-    const bool isPreferredUsable = preferred != m_servers.end() && !preferred->second.draining
+    const bool isPreferredUsable = preferred != m_servers.end() && detail::mayGetKeys(preferred->second)
         && !m_recentOwners.contains(segment.keys, segment.nextOwner);
     return isPreferredUsable ? segment.nextOwner : leastLoaded(segment.keys);
 }
@@ -474,7 +489,7 @@
     m_keyCounts.clear();
     std::size_t usableServers = 0;
     for (const auto &[id, server] : m_servers) {
-        usableServers += server.draining ? 0 : 1;
+        usableServers += detail::mayGetKeys(server) ? 1 : 0;
     }
     if (usableServers == 0) {
         return;
@@ -819,9 +834,62 @@
                           + reason);
 }
 
+/// The capacities of the servers that may get keys.
+template <typename Rules>
+std::map<std::string, double> BasicKeyAuthority<Rules>::usableCapacities(const Demand &demand) const
+{
+    std::map<std::string, double> usable;
+    for (const auto &[id, server] : m_servers) {
+        const auto position = demand.capacities.find(id);
+        if (detail::mayGetKeys(server) && position != demand.capacities.end()) {
+            usable[id] = position->second;
+        }
+    }
+    return usable;
+}
+
+/// Releases the keys of evacuated servers, the busiest first, as many at a time as calls may be in flight. Requests for
+/// these keys wait from the evacuation on, so there is no reason to release them more slowly. If no other server may
+/// get keys, they stay: nobody could serve them, and they are at once served again when the zone is taken back.
+template <typename Rules>
+void BasicKeyAuthority<Rules>::evacuate(const Demand &demand, TimePoint now)
+{
+    const bool mayMove = m_planSaved && holdsLease(now) && m_storeAnswers && now >= m_ownerChangesFrom;
+    const bool isAnyEvacuated = std::any_of(m_servers.begin(), m_servers.end(), [](const auto &entry) {
+        return entry.second.evacuated;
+    });
+    if (!mayMove || !isAnyEvacuated) {
+        return;
+    }
+    std::vector<OwnedRange> leaving;
+    std::vector<OwnedRange> staying = unmovableRanges(now);
+    std::map<std::string, int> releases;
+    for (const Segment &segment : m_segments) {
+        const UpstreamServer *owner = liveServer(segment.owner);
+        const bool isIdle = segment.state == State::Held && segment.call == 0;
+        if (owner != nullptr && owner->evacuated && isIdle) {
+            leaving.push_back({segment.keys, segment.owner.id});
+        } else if (isSettled(segment, now)) {
+            staying.push_back({segment.keys, segment.owner.id});
+        }
+        releases[segment.owner.id] += segment.state == State::Releasing ? 1 : 0;
+    }
+    if (leaving.empty()) {
+        return;
+    }
+    m_recentOwners.expire(now);
+    const std::vector<float> highest = detail::highestLoads(demand.fastAverage, demand.slowAverage);
+    for (const KeyMove &keyMove : planKeyExits(leaving, staying, highest, usableCapacities(demand), m_recentOwners)) {
+        if (++releases[keyMove.from] <= MaxReleaseCalls) {
+            move(keyMove, "as its zone is evacuated", now);
+        }
+    }
+}
+
 template <typename Rules>
 void BasicKeyAuthority<Rules>::balance(const Demand &demand, TimePoint now)
 {
+    evacuate(demand, now);
     const bool isDue = now - m_balancedAt >= m_times.balanceInterval && m_planSaved && !m_planInFlight
         && holdsLease(now) && m_storeAnswers && now >= m_ownerChangesFrom;
     if (!isDue) {
@@ -829,41 +897,32 @@
     }
     m_balancedAt = now;
     m_recentOwners.expire(now);
-    std::map<std::string, double> usableCapacities;
-    for (const auto &[id, server] : m_servers) {
-        const auto position = demand.capacities.find(id);
-        if (!server.draining && position != demand.capacities.end()) {
-            usableCapacities[id] = position->second;
-        }
-    }
+    const std::map<std::string, double> capacities = usableCapacities(demand);
     const std::vector<OwnedRange> movable = movableRanges(now);
     const std::vector<OwnedRange> unmovable = unmovableRanges(now);
     KeyBalanceOptions options;
-    options.maxMoves = maxMovesPerRound(usableCapacities.size());
+    options.maxMoves = maxMovesPerRound(capacities.size());
     options.meanWork = demand.meanWork;
     // The slow average is more precise; the fast one shows recent changes that the slow one does not show yet.
     options.window = demand.slowWindow;
     std::vector<KeyMove> moves =
-        planKeyMoves(movable, demand.slowAverage, usableCapacities, options, m_recentOwners, unmovable);
+        planKeyMoves(movable, demand.slowAverage, capacities, options, m_recentOwners, unmovable);
     if (moves.empty()) {
         options.window = demand.fastWindow;
-        moves = planKeyMoves(movable, demand.fastAverage, usableCapacities, options, m_recentOwners, unmovable);
+        moves = planKeyMoves(movable, demand.fastAverage, capacities, options, m_recentOwners, unmovable);
     }
     for (const KeyMove &keyMove : moves) {
         move(keyMove, "to balance the load", now);
     }
-    const bool isFragmented = movable.size() > FragmentedRangesPerServer * usableCapacities.size();
+    const bool isFragmented = movable.size() > FragmentedRangesPerServer * capacities.size();
     const bool isMergeDue = now - m_mergedAt >= (isFragmented ? m_times.fastMergeInterval : m_times.mergeInterval);
     if (!isMergeDue || (!moves.empty() && !isFragmented)) {
         return;
     }
     m_mergedAt = now;
-    std::vector<float> highest = demand.slowAverage;
-    for (std::size_t key = 0; key < highest.size(); ++key) {
-        highest[key] = std::max(highest[key], demand.fastAverage[key]);
-    }
+    const std::vector<float> highest = detail::highestLoads(demand.fastAverage, demand.slowAverage);
     for (const KeyMove &keyMove :
-         planKeyMerges(movableRanges(now), highest, usableCapacities, m_recentOwners, unmovableRanges(now))) {
+         planKeyMerges(movableRanges(now), highest, capacities, m_recentOwners, unmovableRanges(now))) {
         move(keyMove, "to merge with an adjacent range", now);
     }
 }
--- a/include/snipevalve/ownership/key_authority.hpp
+++ b/include/snipevalve/ownership/key_authority.hpp
@@ -11,6 +11,7 @@
 #include "snipevalve/core/time.hpp"
 #include "snipevalve/dispatch/service_times.hpp"
 #include "snipevalve/ownership/key_balance.hpp"
+#include "snipevalve/ownership/key_exits.hpp"
 #include "snipevalve/ownership/key_plan.hpp"
 
 namespace snipevalve {
@@ -198,7 +199,8 @@
         std::map<std::string, double> capacities; ///< by server: slots, weighted by speed
     };
 
-    /// @brief Starts moves that balance the load, and merges of narrow ranges, when a round is due.
+    /// @brief Starts to move keys off evacuated servers; when a round is due, also moves that balance the load and
+    /// merges of narrow ranges.
     void balance(const Demand &demand, TimePoint now);
 
     /// @brief Processes the result of a call to a server.
@@ -322,6 +324,8 @@
     void inheritLosses(std::vector<KeyLoss> losses, TimePoint now);
     std::vector<KeyLoss> recentLosses(TimePoint now) const;
     bool isSettled(const Segment &segment, TimePoint now) const;
+    std::map<std::string, double> usableCapacities(const Demand &demand) const;
+    void evacuate(const Demand &demand, TimePoint now);
     std::vector<OwnedRange> movableRanges(TimePoint now) const;
     std::vector<OwnedRange> unmovableRanges(TimePoint now) const;
     void move(const KeyMove &move, const std::string &reason, TimePoint now);
--- a/src/snipevalve/ownership/key_authority_test.cpp
+++ b/src/snipevalve/ownership/key_authority_test.cpp
@@ -1,7 +1,5 @@
 #include <functional>
 #include <limits>
-#include <mutex>
-#include <thread>
 
 #include <catch2/catch.hpp>
 
@@ -11,6 +9,8 @@
 
 namespace {
 
+using test::runSimulations;
+
 constexpr Milliseconds SimulationLength(20'000);
 /// Long enough for two changes of leader with an outage of the store between them.
 constexpr Milliseconds LongSimulationLength(40'000);
@@ -32,40 +32,6 @@
 /// run.
 constexpr test::FaultRates LongRestoreFaults{0.0003, 0.00125, 0, Milliseconds(7'000)};
 
-/// Runs the simulations of the seeds 1 to `count` on several threads. `use` gets each seed and its result, one at a
-/// time and in no fixed order. @param isDone ends the run early; seeds that have begun are finished
-template <typename Rules>
-void runSimulations(unsigned count, test::FaultRates rates, Milliseconds length,
-                    const std::function<void(unsigned seed, const test::SimulationResult &)> &use,
-                    const std::function<bool()> &isDone = {})
-{
-    constexpr unsigned MaxThreads = 4;
-    std::mutex mutex;
-    unsigned nextSeed = 1;
-    const auto work = [&]() {
-        while (true) {
-            unsigned seed = 0;
-            {
-                const std::lock_guard lock(mutex);
-                if (nextSeed > count || (isDone && isDone())) {
-                    return;
-                }
-                seed = nextSeed++;
-            }
-            const auto result = test::KeySimulation<Rules>(seed, rates).run(length);
-            const std::lock_guard lock(mutex);
-            use(seed, result);
-        }
-    };
-    std::vector<std::thread> threads;
-    for (unsigned at = 0; at < std::min(MaxThreads, std::max(1U, std::thread::hardware_concurrency())); ++at) {
-        threads.emplace_back(work);
-    }
-    for (std::thread &thread : threads) {
-        thread.join();
-    }
-}
-
 bool hasTwoOwners(const test::SimulationResult &result)
 {
     return result.doubleOwnedMs > 0;
--- a/src/snipevalve/ownership/key_simulation_test.hpp
+++ b/src/snipevalve/ownership/key_simulation_test.hpp
@@ -8,9 +8,11 @@
 #include <array>
 #include <functional>
 #include <map>
+#include <mutex>
 #include <optional>
 #include <random>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "snipevalve/ownership/deputy_consents.hpp"
@@ -134,6 +136,7 @@
     double restore = 0; ///< chance in each step that the store goes away and is restored from a copy
     double outage = 0; ///< chance in each step that the store goes away for all hosts and loses nothing
     Milliseconds longestRestore{4'000}; ///< for how long the store is away at most before it is restored
+    double evacuation = 0; ///< chance in each step that a server is evacuated or taken back
 };
 
 /// Result of one simulation.
@@ -146,6 +149,7 @@
     std::size_t continuedTerms = 0; ///< first terms of an era whose leader knew the owners of the earlier era
     std::size_t uncertainTerms = 0; ///< first terms of an era whose leader did not
     std::size_t confirmingTerms = 0; ///< uncertain terms whose leader asks owners to confirm its last grants
+    std::size_t evacuationReleases = 0; ///< calls for the keys of evacuated servers
     std::size_t lowFences = 0; ///< grants of a key whose fencing token is not above that of an earlier owner
 };
 
@@ -156,6 +160,7 @@
     explicit KeySimulation(unsigned seed, FaultRates rates = {})
         : m_random(seed)
         , m_heldUpRandom(seed)
+        , m_evacuationRandom(seed)
         , m_rates(rates)
     {
         for (std::size_t number = 0; number < m_hosts.size(); ++number) {
@@ -252,8 +257,21 @@
         }
     }
 
+    /// Evacuates a server or takes it back.
+    void injectEvacuation()
+    {
+        if (std::uniform_real_distribution<double>(0, 1)(m_evacuationRandom) < m_rates.evacuation) {
+            bool &isEvacuated = m_isEvacuated[std::uniform_int_distribution<std::size_t>(0, m_isEvacuated.size() - 1)(
+                m_evacuationRandom)];
+            isEvacuated = !isEvacuated;
+        }
+    }
+
     void injectFaults()
     {
+        if (m_rates.evacuation > 0) {
+            injectEvacuation();
+        }
         if (m_rates.restore > 0) {
             injectRestore();
         }
@@ -363,6 +381,7 @@
                 server.updateRegistration(m_now);
                 if (server.isRegistered) {
                     host.servers.push_back(server.registered);
+                    host.servers.back().evacuated = m_isEvacuated[indexOf(server.registered.id)];
                 }
             }
         }
@@ -632,6 +651,7 @@
 
     void perform(std::size_t number, const ReleaseKeys &release)
     {
+        m_result.evacuationReleases += release.server.evacuated ? 1 : 0;
         const std::size_t at = indexOf(release.server.id);
         if (!m_servers[at].isReachable) {
             scheduleOutcome(number, release.call, KeyCallOutcome::NoAnswer, randomDelay(300, 500));
@@ -696,6 +716,8 @@
 
     std::mt19937 m_random;
     std::mt19937 m_heldUpRandom; ///< apart from the other draws, which a seed had before there were held-up calls
+    std::mt19937 m_evacuationRandom; ///< apart from the other draws for the same reason
+    std::array<bool, 3> m_isEvacuated{}; ///< by server
     FaultRates m_rates;
     std::array<Fence, Probes> m_lastFences;
     typename BasicKeyAuthority<Rules>::Demand m_demand; ///< a member because its two vectors are large
@@ -708,6 +730,40 @@
     SimulationResult m_result;
 };
 
+/// Runs the simulations of the seeds 1 to `count` on several threads. `use` gets each seed and its result, one at a
+/// time and in no fixed order. @param isDone ends the run early; seeds that have begun are finished
+template <typename Rules>
+void runSimulations(unsigned count, FaultRates rates, Milliseconds length,
+                    const std::function<void(unsigned seed, const SimulationResult &)> &use,
+                    const std::function<bool()> &isDone = {})
+{
+    constexpr unsigned MaxThreads = 4;
+    std::mutex mutex;
+    unsigned nextSeed = 1;
+    const auto work = [&]() {
+        while (true) {
+            unsigned seed = 0;
+            {
+                const std::lock_guard lock(mutex);
+                if (nextSeed > count || (isDone && isDone())) {
+                    return;
+                }
+                seed = nextSeed++;
+            }
+            const auto result = KeySimulation<Rules>(seed, rates).run(length);
+            const std::lock_guard lock(mutex);
+            use(seed, result);
+        }
+    };
+    std::vector<std::thread> threads;
+    for (unsigned at = 0; at < std::min(MaxThreads, std::max(1U, std::thread::hardware_concurrency())); ++at) {
+        threads.emplace_back(work);
+    }
+    for (std::thread &thread : threads) {
+        thread.join();
+    }
+}
+
 } // namespace snipevalve::test
 
 #endif // SNIPEVALVE_OWNERSHIP_KEY_SIMULATION_TEST_HPP
