Test evacuations in the dispatcher, the hosts and the control state

Cause: the behaviour under a burst, an unaware leader, a store that is away or restored, unknown zones and all zones was not tested. Change: cases for Dispatcher, Placements with LeaderDispatcher, NodeControl.

--- a/src/snipevalve/dispatch/dispatcher_test.cpp
+++ b/src/snipevalve/dispatch/dispatcher_test.cpp
@@ -482,4 +482,105 @@
     CHECK(mostPlaced == Slots + 1);
 }
 
+TEST_CASE("an evacuation during a burst ends placements in the zone at once, and what the others can't take is refused")
+{
+    // Three servers of two slots in three zones; 60 requests of 100 ms a second and then a burst of 90.
+    const auto zoned = [](const std::set<std::string> &evacuated) {
+        std::vector<UpstreamServer> servers;
+        for (const char *zone : {"a", "b", "c"}) {
+            servers.push_back(server(zone));
+            servers.back().zone = zone;
+            servers.back().evacuated = evacuated.contains(zone);
+        }
+        return servers;
+    };
+    Dispatcher dispatcher({});
+    dispatcher.setServers(zoned({}), Start);
+    std::multimap<TimePoint, Ticket> ends;
+    std::map<std::string, int> placedIn;
+    std::size_t refused = 0;
+    Duration longestHeld{};
+    std::map<Ticket, TimePoint> submittedAt;
+    Ticket ticket = 0;
+    const auto run = [&](TimePoint from, Milliseconds length, Milliseconds interval) {
+        for (TimePoint now = from; now < from + length; now += interval) {
+            while (!ends.empty() && ends.begin()->first <= now) {
+                dispatcher.finish(ends.begin()->second, WorkEnd::Done, Milliseconds(100), ends.begin()->first);
+                ends.erase(ends.begin());
+            }
+            WorkItem work = item(++ticket);
+            work.targetBy = now + Milliseconds(300);
+            work.deadline = now + Milliseconds(1'000);
+            submittedAt[ticket] = now;
+            dispatcher.submit(work, now);
+            dispatcher.advance(now);
+            for (const DispatchDecision &decision : dispatcher.take()) {
+                if (const auto *placement = std::get_if<Placement>(&decision)) {
+                    ++placedIn[placement->server.id];
+                    ends.emplace(now + Milliseconds(100), placement->ticket);
+                } else {
+                    const TimePoint since = submittedAt.at(std::get<Rejection>(decision).ticket);
+                    longestHeld = std::max(longestHeld, now - since);
+                    ++refused;
+                }
+            }
+        }
+    };
+    run(Start, Milliseconds(1'000), Milliseconds(17));
+    REQUIRE(placedIn["a"] > 0);
+    REQUIRE(refused == 0);
+
+    const TimePoint burst = Start + Milliseconds(1'000);
+    run(burst, Milliseconds(200), Milliseconds(11));
+    placedIn.clear();
+    dispatcher.setServers(zoned({"a"}), burst + Milliseconds(200));
+    run(burst + Milliseconds(200), Milliseconds(2'000), Milliseconds(11));
+    CHECK(placedIn["a"] == 0);
+    CHECK(placedIn["b"] + placedIn["c"] > 70); // of 80 that two servers of two slots can serve
+    CHECK(refused > 50); // of 182
+    CHECK(longestHeld < Milliseconds(1'000));
+
+    // All zones: nothing waits. A request that waited before is refused within the interval of the forecasts.
+    const TimePoint all = burst + Milliseconds(2'200);
+    dispatcher.setServers(zoned({"a", "b", "c"}), all);
+    dispatcher.advance(all + Milliseconds(40));
+    CHECK(dispatcher.waiting() == 0);
+    dispatcher.take();
+    WorkItem work = item(++ticket);
+    work.targetBy = all + Milliseconds(300);
+    work.deadline = all + Milliseconds(1'000);
+    dispatcher.submit(work, all + Milliseconds(40));
+    const std::vector<Rejection> rejections = rejected(dispatcher);
+    REQUIRE(rejections.size() == 1);
+    CHECK(rejections.front().reason == RejectReason::NoServer);
+    CHECK(rejections.front().retryAfter > Duration::zero());
+
+    placedIn.clear();
+    ends.clear();
+    dispatcher.setServers(zoned({}), all + Milliseconds(200));
+    run(all + Milliseconds(200), Milliseconds(1'000), Milliseconds(17));
+    CHECK(placedIn["a"] > 0);
+}
+
+TEST_CASE("requests whose key's owner is evacuated wait for the move, unless no server is left")
+{
+    UpstreamServer owner = server("a");
+    owner.evacuated = true;
+    Dispatcher dispatcher({});
+    dispatcher.setServers({owner, server("b")}, Start);
+    dispatcher.setOwners(KeyOwners({{{0, 65'535}, "a"}}), Start);
+    WorkItem work = item(1);
+    work.key = 7;
+    dispatcher.submit(work, Start);
+    CHECK(dispatcher.take().empty());
+    dispatcher.setOwners(KeyOwners({{{0, 65'535}, "b"}}), Start + Milliseconds(100));
+    CHECK(placed(dispatcher) == std::vector<Ticket>{1});
+
+    dispatcher.setOwners(KeyOwners({{{0, 65'535}, "a"}}), Start + Milliseconds(200));
+    dispatcher.setServers({owner}, Start + Milliseconds(200));
+    work.ticket = 2;
+    dispatcher.submit(work, Start + Milliseconds(200));
+    CHECK(rejected(dispatcher).size() == 1); // guards against: held until its deadline
+}
+
 } // namespace snipevalve
--- a/src/snipevalve/node/control/node_control_test.cpp
+++ b/src/snipevalve/node/control/node_control_test.cpp
@@ -28,11 +28,25 @@
     int leaderWrites = 0;
     int calls = 0;
     int serverReads = 0; ///< answered watch calls
+    std::vector<StoreEvent> events; ///< those that watch calls report
 
     void put(const std::string &key, const std::string &value)
     {
         values[key] = {key, value, ++revision};
     }
+
+    /// Changes a value so that watch calls report it.
+    void putWatched(const std::string &key, const std::string &value)
+    {
+        put(key, value);
+        events.push_back({values[key], false});
+    }
+
+    void removeWatched(const std::string &key)
+    {
+        values.erase(key);
+        events.push_back({{key, {}, ++revision}, true});
+    }
 };
 
 StoreContent *content = nullptr;
@@ -92,7 +106,14 @@
             co_return status;
         }
         content->serverReads += prefix == ServersPrefix ? 1 : 0;
-        co_return StoreEvents{revision, {}};
+        StoreEvents result{revision, {}};
+        for (const StoreEvent &event : content->events) {
+            if (event.value.key.starts_with(prefix) && event.value.revision > revision) {
+                result.events.push_back(event);
+                result.revision = event.value.revision;
+            }
+        }
+        co_return result;
     }
 
     Awaitable<absl::StatusOr<WriteResult>> write(StoreWrite write)
@@ -204,11 +225,13 @@
         return parsed;
     }
 
+    /// The text is the service and, after an @, the zone.
     static absl::StatusOr<ServerEntry> parseServer(std::string_view id, std::string_view text)
     {
         ServerEntry entry;
         entry.server.id = std::string(id);
-        entry.server.service = std::string(text);
+        entry.server.service = std::string(text.substr(0, text.find('@')));
+        entry.server.zone = text.find('@') == text.npos ? std::string() : std::string(text.substr(text.find('@') + 1));
         entry.server.incarnation = 1;
         entry.server.slots = 2;
         entry.heartbeat = 1;
@@ -274,8 +297,12 @@
         };
         outputs.view = [this](ServiceView view) {
             servers[view.service].clear();
+            marked.clear();
             for (const UpstreamServer &server : view.servers) {
                 servers[view.service].insert(server.id);
+                if (server.evacuated) {
+                    marked.insert(server.id);
+                }
             }
         };
         outputs.requestConfig = [](auto) {};
@@ -326,6 +353,7 @@
     Evacuations evacuations; ///< as passed to the traffic thread
     bool needsViews = false;
     std::map<std::string, std::set<std::string>> servers; ///< by service: of the last view
+    std::set<std::string> marked; ///< the evacuated servers of the last view
 };
 
 /// Accepts the connections of calls to servers and answers none. It is read between the host's steps.
@@ -624,4 +652,80 @@
     CHECK_FALSE(server.accept());
 }
 
+TEST_CASE("A host marks the servers of evacuated zones until the store says that they are taken back")
+{
+    using Names = std::set<std::string>;
+    Fixture &host = *new Fixture; // never destroyed, as suspended coroutines refer to each other
+    const Names first = {"s1"};
+    const Names second = {"s2"};
+    host.needsViews = true;
+    host.store.put("op/config", "a,");
+    host.store.put("op/evacuate/", "{}"); // names no zone
+    host.store.put("op/evacuate/zone-1", "not even JSON");
+    host.store.put("op/evacuate/nowhere", "{}");
+    host.store.put("servers/s1", "a@zone-1");
+    host.store.put("servers/s2", "a@zone-2");
+    host.start();
+    host.runFor(Milliseconds(1'500));
+    CHECK(host.evacuations.zones == Names{"zone-1", "nowhere"});
+    CHECK(host.marked == first);
+
+    host.store.putWatched("op/evacuate/zone-2", "{}"); // no server would be left
+    host.runFor(Milliseconds(2'300));
+    CHECK(host.evacuations.zones.size() == 3);
+    CHECK(host.marked.empty());
+
+    host.store.removeWatched("op/evacuate/zone-1");
+    host.runFor(Milliseconds(2'300));
+    CHECK(host.marked == second);
+
+    host.store.isAway = true; // what is known stays in force
+    host.runFor(Milliseconds(3'000));
+    CHECK(host.marked == second);
+
+    host.store.era = 2; // a copy from before the last two changes
+    host.store.revision = 50;
+    host.store.events.clear();
+    host.store.values.erase("op/evacuate/zone-2");
+    host.store.put("op/evacuate/zone-1", "{}");
+    host.runFor(Milliseconds(200));
+    CHECK(host.marked == second);
+    host.store.isAway = false;
+    host.runFor(Milliseconds(3'000));
+    CHECK(host.marked == first);
+    CHECK(host.evacuations.era == 2);
+
+    host.store.values.erase("op/evacuate/zone-1"); // while the host reads nothing: the next list lacks the key
+    host.runWithHeartbeats(Milliseconds(500));
+    host.store.era = 3;
+    host.runFor(Milliseconds(3'000));
+    CHECK(host.marked.empty());
+}
+
+TEST_CASE("A host that leaders tell of evacuations reads no store for them; one that they do not tell reads it")
+{
+    for (const bool isTold : {true, false}) {
+        INFO("told " << isTold);
+        Fixture &host = *new Fixture; // never destroyed, as suspended coroutines refer to each other
+        host.settings.seeds = {*parseEndpoint(Other)};
+        host.settings.processorShare = 0.1;
+        host.store.put("op/config", "a,");
+        host.store.put("op/evacuate/zone-1", "{}");
+        host.store.put("snipevalve/leader/1/a", leaderText(Other));
+        host.start();
+        StoreUpdate update;
+        update.configVersion = 1;
+        update.storeReadTime = Clock::now();
+        update.leaders = LeaderTable{1, 105, {{"a", {*parseEndpoint(Other), 105}}}};
+        update.change = changeBetween(nullptr, *FakePlatform::parseConfig("a,")->config);
+        if (isTold) {
+            update.evacuations = Evacuations{1, 104, {"zone-1"}};
+        }
+        host.control->onLeaderUpdate(update);
+        host.runWithHeartbeats(Milliseconds(2'500));
+        CHECK(host.evacuations.zones == std::set<std::string>{"zone-1"});
+        CHECK((host.store.calls == 0) == isTold);
+    }
+}
+
 } // namespace snipevalve
--- a/src/snipevalve/node/placements_test.cpp
+++ b/src/snipevalve/node/placements_test.cpp
@@ -168,6 +168,7 @@
         UpstreamServer entry;
         entry.id = id;
         entry.service = "service";
+        entry.zone = id;
         entry.slots = 2;
         entry.incarnation = start;
         return entry;
@@ -306,6 +307,14 @@
         });
     }
 
+    /// Passes the evacuations to the host after the request has been sent to the leader, which does not know them.
+    void evacuate(const Evacuations &evacuations)
+    {
+        asio::post(m_context, [this, evacuations]() {
+            placements.setEvacuations(evacuations);
+        });
+    }
+
 private:
     static constexpr const char *HostAddress = "127.0.0.85";
     static inline const Endpoint Leader{"127.0.0.86", 19'303};
@@ -406,6 +415,85 @@
     }
 }
 
+TEST_CASE("a permit that is under way when its zone is evacuated is returned, though the leader does not know it yet")
+{
+    constexpr Milliseconds Long(9'000);
+    const auto placedOn = [](const LedHost &host) {
+        const auto *placement = host.decision ? std::get_if<Placement>(&*host.decision) : nullptr;
+        return placement == nullptr ? std::string() : placement->server.id;
+    };
+    for (const bool keyed : {false, true}) {
+        INFO("keyed " << keyed);
+        LedHost host(keyed);
+        host.request(keyed ? std::optional<std::uint16_t>(7) : std::nullopt, Long);
+        host.evacuate({1, 5, {"a"}});
+        host.runFor(Milliseconds(200));
+        CHECK(placedOn(host) == (keyed ? "" : "b"));
+        CHECK(host.desk.dispatcher("service")->running() <= 1); // the returned permits hold no slots
+        host.desk.setView(host.view("b")); // the key has moved
+        host.runFor(Milliseconds(200));
+        CHECK(placedOn(host) == "b");
+        host.placements.refuseWaiting();
+        host.runFor(Milliseconds(50));
+    }
+    SECTION("a key that does not move in time")
+    {
+        LedHost host(true);
+        host.request(std::uint16_t(7), Milliseconds(400));
+        host.evacuate({1, 5, {"a"}});
+        host.runFor(Milliseconds(600));
+        REQUIRE(host.decision);
+        CHECK(std::holds_alternative<Rejection>(*host.decision));
+        CHECK(host.desk.dispatcher("service")->running() == 0);
+    }
+}
+
+TEST_CASE("a host applies evacuations to each view by itself, with and without a leader")
+{
+    using Servers = std::set<std::string>;
+    const Servers both = {"a", "b"};
+    struct Case
+    {
+        std::string name;
+        std::set<std::string> zones;
+        Servers used;
+    };
+    const std::vector<Case> cases = {{"one zone", {"a"}, {"b"}},
+                                     {"an unknown zone", {"x"}, both},
+                                     {"all zones, which leaves no server", {"a", "b"}, both}};
+    for (const Case &each : cases) {
+        INFO(each.name);
+        LedHost host(false);
+        REQUIRE(host.probe() == both);
+        host.desk.setEvacuations({1, 5, each.zones}); // told to all hosts; the view has no marks yet
+        host.runFor(Milliseconds(50));
+        CHECK(host.probe() == each.used);
+        host.disconnect();
+        CHECK(host.probe() == each.used);
+        host.placements.setEvacuations({1, 4, {}}); // older
+        CHECK(host.probe() == each.used);
+        host.placements.setEvacuations({1, 6, {}});
+        CHECK(host.probe() == both);
+    }
+}
+
+TEST_CASE("a host that has restarted knows the evacuations before it uses a server")
+{
+    // The first frame of any host that it connects to names them.
+    LedHost host(false);
+    host.desk.setEvacuations({1, 5, {"b"}});
+    host.placements.setLeaders({});
+    host.runFor(Milliseconds(50));
+    std::optional<Evacuations> told;
+    host.placements.onStoreUpdate = [&told](const StoreUpdate &update) {
+        told = update.evacuations ? update.evacuations : told;
+    };
+    host.connect();
+    REQUIRE(told);
+    CHECK(*told == Evacuations{1, 5, {"b"}});
+    CHECK(host.probe() == std::set<std::string>{"a"});
+}
+
 TEST_CASE("a request that is queued when its servers ask for a pause is refused at once or waits", "[promise-3]")
 {
     struct Case
