Give up a silent leader after half a second instead of a whole one

Cause: after the loss of a leader's host, the others waited 1 s for it before they dispatched by themselves. Change: heartbeats each 0.2 s and a timeout of 0.5 s in LinkSilence, which does not count the time in which this host itself was stalled.

--- a/src/snipevalve/node/control/node_control.hpp
+++ b/src/snipevalve/node/control/node_control.hpp
@@ -221,7 +221,7 @@
     /// A leader confirms this often that it has the newest configuration; other hosts rely on that.
     static constexpr Milliseconds LeaderWatchTimeout{900};
     /// Without a confirmation for this long, a leader reads the store itself: the sum of `LeaderWatchTimeout`, a
-    /// heartbeat of 0.3 s and the network delay.
+    /// heartbeat of 0.2 s and the network delay.
     static constexpr Milliseconds LeaderStaleAfter{1'300};
     /// The same for hosts that lead nothing. Together with a read it stays within the 2 s that the operators allow.
     static constexpr Milliseconds HostStaleAfter{1'600};
--- a/src/snipevalve/node/leader_dispatcher.cpp
+++ b/src/snipevalve/node/leader_dispatcher.cpp
@@ -6,13 +6,12 @@
 #include "snipevalve/gateway/server_notice_log.hpp"
 #include "snipevalve/net/accept.hpp"
 #include "snipevalve/net/log_failure.hpp"
+#include "snipevalve/node/link_silence.hpp"
 
 namespace snipevalve {
 
 namespace {
 
-/// A host that receives nothing for LeaderLink::HeartbeatTimeout dispatches locally; three heartbeats fit into it.
-constexpr Milliseconds HeartbeatInterval(300);
 /// Changes of a view are batched: hosts need views only while there is no leader.
 constexpr Milliseconds ViewInterval(500);
 
@@ -334,7 +333,7 @@
             || pending.permits_size() + pending.refusals_size() + pending.views_size() > 0
             || pending.known_views_size() + pending.wanted_views_size() > 0
             || pending.deputy_asks_size() + pending.deputy_of_size() > 0;
-        if (!hasContent && now - host->sentAt < HeartbeatInterval) {
+        if (!hasContent && now - host->sentAt < LinkSilence::HeartbeatInterval) {
             continue;
         }
         if (m_storeReadTime != TimePoint()) {
--- a/src/snipevalve/node/leader_link.cpp
+++ b/src/snipevalve/node/leader_link.cpp
@@ -50,7 +50,7 @@
 
 void LeaderLink::closeIfSilent(TimePoint now)
 {
-    const bool isSilent = m_channel && m_channel->isOpen() && now - m_channel->receivedAt() > HeartbeatTimeout;
+    const bool isSilent = m_channel && m_channel->isOpen() && m_silence.isOver(m_channel->receivedAt(), now);
     if (isSilent) {
         spdlog::warn("link: event=silent leader={} silent_ms={}", toString(m_leader),
                      std::chrono::duration_cast<Milliseconds>(now - m_channel->receivedAt()).count());
--- a/src/snipevalve/node/leader_link.hpp
+++ b/src/snipevalve/node/leader_link.hpp
@@ -7,6 +7,7 @@
 
 #include "snipevalve/dispatch_link/frame_channel.hpp"
 #include "snipevalve/dispatch_link/messages.hpp"
+#include "snipevalve/node/link_silence.hpp"
 #include "snipevalve/node/node_settings.hpp"
 
 namespace snipevalve {
@@ -15,9 +16,6 @@
 class LeaderLink : public std::enable_shared_from_this<LeaderLink>
 {
 public:
-    /// A leader that sends nothing for this long is considered lost; its heartbeat interval is 300 ms.
-    static constexpr Milliseconds HeartbeatTimeout{1'000};
-
     struct Handlers
     {
         std::function<void(LeaderLink &)> onOpen; ///< called before the first frame of a connection is handled
@@ -36,7 +34,7 @@
     /// @brief Sends a frame; drops it when there is no connection.
     void send(const proto::HostFrame &frame);
 
-    /// @brief Closes the connection if the leader has exceeded HeartbeatTimeout. To be called about every 50 ms.
+    /// @brief Closes the connection if the leader has been silent for too long. To be called about every 50 ms.
     void closeIfSilent(TimePoint now);
 
     const Endpoint &leader() const;
@@ -50,6 +48,7 @@
     Endpoint m_leader;
     Handlers m_handlers;
     std::shared_ptr<FrameChannel> m_channel;
+    LinkSilence m_silence;
     bool m_hasReceivedFrame = false; ///< on the current connection
     bool m_stopped = false;
 };
