Keep estimates of work true under shares, and name a retry time (SHARES)

Cause: service times and the servers' slowness are learned from one another. With 136 servers and widely spread work, the expected work grew from 0.15 and 0.88 s to 0.72 and 5.35 s within 14 s (trial, with and without shares alike), and long requests were refused for good. Long requests refused while they waited got a Retry-After of zero. Change: while slots are reserved, the mean speed of at least eight servers defines the normal one. A Retry-After is at least the time between two slots freed for the kind. One in 33 urgent requests, not one in 20, may wait longer than its slack. SlotShares::balanceWeight counts an urgent request for the reserved slots when keys are balanced. Demands of pools without requests are forgotten.

--- a/include/snipevalve/dispatch/dispatcher.hpp
+++ b/include/snipevalve/dispatch/dispatcher.hpp
@@ -73,6 +73,9 @@
     /// @brief The expected service time of the request on a server of normal speed.
     Seconds expectedWork(const WorkItem &item) const;
 
+    /// @brief What the request adds to the load of its key when keys are balanced over servers.
+    Seconds balanceWork(const WorkItem &item) const;
+
     /// @brief Records the service time of a send placed by another dispatcher, for estimates made here.
     void learn(std::uint64_t workClass, Duration took);
 
@@ -149,6 +152,7 @@
     struct Forecast
     {
         Seconds wait{0};
+        Seconds retryAfter{0}; ///< when a request like it can come, if it is rejected
         bool meetsTarget = false;
         bool meetsDeadline = false;
     };
@@ -186,6 +190,7 @@
     double shareForLateWork(const ServerQueue &queue, const std::string &name) const;
     double shareForLateUrgentWork(int priority, TimePoint now) const;
     void decayDemand(ServerQueue &queue, TimePoint now) const;
+    void normaliseSlowness();
     void updateTotals(TimePoint now);
     WorkEstimate estimate(const WorkItem &item, TimePoint now) const;
     WorkOrder orderOf(const ServerQueue &queue, const std::string &name, TimePoint now) const;
--- a/include/snipevalve/dispatch/slot_shares.hpp
+++ b/include/snipevalve/dispatch/slot_shares.hpp
@@ -33,6 +33,7 @@
         bool isProtected = false; ///< slots are reserved for the request's priority or for a less urgent one
         double capacityShare = 1.0; ///< share of the pool's slots that it may compete for
         int competesFrom = std::numeric_limits<int>::min(); ///< the most urgent priority that competes for these slots
+        Seconds slotInterval{0}; ///< mean time between two slots that are freed for requests like it, if it is limited
         std::optional<Seconds> untilSlot; ///< expected time until a slot is freed for it; empty if nothing is reserved
     };
 
@@ -41,7 +42,9 @@
     {
         std::size_t pools = 0; ///< number of pools with a reserve
         unsigned slots = 0; ///< their reserved slots
-        auto operator<=>(const Summary &) const = default;
+        double demand = 0; ///< slots that the urgent requests need there
+
+        bool operator==(const Summary &) const = default;
     };
 
     /// @brief Sets the slots of a pool that this dispatcher may fill, and how much slower than normal its servers are.
@@ -61,6 +64,9 @@
     /// @brief Adapts the reserves. To be called about every 20 ms.
     void advance(TimePoint now);
 
+    /// @brief Whether slots of any pool are reserved.
+    bool isAnyActive() const;
+
     /// @brief Whether slots of this pool are reserved for any priority.
     bool isActive(const std::string &pool) const;
 
@@ -76,6 +82,10 @@
     /// @brief The slots that requests of this priority and of more urgent ones need in all pools.
     double serviceDemand(int priority, TimePoint now) const;
 
+    /// @brief How much a request counts when keys are balanced over servers, relative to its work. Urgent requests take
+    /// the reserved slots of their server from less urgent ones, which are more than those that they keep busy.
+    double balanceWeight(const std::string &pool, int priority) const;
+
     Summary summary() const;
 
 private:
@@ -95,6 +105,13 @@
         Seconds slack{0}; ///< the shortest slack of the more urgent priorities, at normal speed
     };
 
+    /// Moving averages of a reserve, over about two seconds.
+    struct MeanReserve
+    {
+        double slots = 0;
+        double demand = 0;
+    };
+
     struct Pool
     {
         unsigned slots = 0;
@@ -102,7 +119,7 @@
         std::map<int, RecentDemand> demand; ///< by priority
         std::map<int, unsigned> running; ///< by priority
         std::map<int, Reserve> reserves; ///< by the priority that they hold back
-        std::map<int, double> meanReserves; ///< moving averages of their slots
+        std::map<int, MeanReserve> meanReserves; ///< by the same priority
     };
 
     struct Started
--- a/src/snipevalve/dispatch/dispatcher.cpp
+++ b/src/snipevalve/dispatch/dispatcher.cpp
@@ -171,7 +171,7 @@
     }
     const Forecast prediction = forecast(item, queue, name, now);
     if (!prediction.meetsTarget && !prediction.meetsDeadline) {
-        reject(item, RejectReason::TooLate, prediction.wait);
+        reject(item, RejectReason::TooLate, prediction.retryAfter);
         return;
     }
     if (prediction.meetsTarget) {
@@ -312,7 +312,7 @@
     for (const WorkItem *item : orderedItems(queue, name, now)) {
         const Forecast prediction = forecast(*item, ahead, false, queue, name, now);
         if (!prediction.meetsDeadline) {
-            reject(*item, RejectReason::TooLate, prediction.wait);
+            reject(*item, RejectReason::TooLate, prediction.retryAfter);
             unmeetable.insert(item->ticket);
             continue;
         }
--- a/src/snipevalve/dispatch/dispatcher_choice.cpp
+++ b/src/snipevalve/dispatch/dispatcher_choice.cpp
@@ -74,6 +74,13 @@
     return m_shares;
 }
 
+Seconds Dispatcher::balanceWork(const WorkItem &item) const
+{
+    const std::string *owner = item.key ? m_owners.ownerOf(*item.key) : nullptr;
+    const bool isWeighted = owner != nullptr && m_options.reservesSlots;
+    return expectedWork(item) * (isWeighted ? m_shares.balanceWeight(*owner, item.priority) : 1.0);
+}
+
 /// The pool in whose slots requests of different urgency have shares.
 const std::string &Dispatcher::poolOf(const std::string &server) const
 {
@@ -158,8 +165,28 @@
     return m_serviceCapacity <= 0 ? MinShareForLateWork : std::max(MinShareForLateWork, 1.0 - work / m_serviceCapacity);
 }
 
+/// The service times and the servers' slowness are learned from one another, so both may drift apart: with 136 servers
+/// and widely spread work, the expected work grew to five times the true one within 14 s, and long requests were
+/// refused for it. So the servers' mean speed defines the normal one.
+void Dispatcher::normaliseSlowness()
+{
+    constexpr std::size_t MinServers = 8; ///< of fewer, a slow one would count as normal
+    if (m_servers.size() < MinServers || !m_options.reservesSlots || !m_shares.isAnyActive()) {
+        return;
+    }
+    double speeds = 0;
+    for (const auto &[id, state] : m_servers) {
+        speeds += 1.0 / state.slowness.factor();
+    }
+    const double meanSpeed = speeds / static_cast<double>(m_servers.size());
+    for (auto &[id, state] : m_servers) {
+        state.slowness = Slowness(state.slowness.factor() * meanSpeed);
+    }
+}
+
 void Dispatcher::updateTotals(TimePoint now)
 {
+    normaliseSlowness();
     m_serviceCapacity = capacityOfQueue({});
     m_serviceDemand = 0;
     for (auto &[name, queue] : m_queues) {
@@ -202,6 +229,7 @@
         outlook.isProtected ? shareForLateUrgentWork(item.priority, now) : shareForLateWork(queue, name);
     const Seconds lateWait = ahead.late(outlook.competesFrom) / (capacity * lateShare);
     result.wait = result.meetsTarget ? onTimeWait : onTimeWait + lateWait;
+    result.retryAfter = std::max(result.wait, outlook.slotInterval);
     result.meetsDeadline = now + toDuration(result.wait + work * WorkMargin) <= item.deadline;
     return result;
 }
--- a/src/snipevalve/dispatch/slot_shares.cpp
+++ b/src/snipevalve/dispatch/slot_shares.cpp
@@ -9,8 +9,9 @@
 /// The wait for the next of n slots is about work / n; with exponential waits, one in twenty is three times as long.
 constexpr double LongWaitFactor = 3.0;
 /// Share of the urgent requests that may wait longer than their slack while all other slots are taken. With 0.02, a
-/// burst of long requests got a seventh less work done, and as many urgent requests met their target.
-constexpr double AcceptedMisses = 0.05;
+/// burst of long requests got 0.05 less of its work done for less than 0.01 of the urgent requests; with 0.05, two
+/// plays in eight missed the bound of the test.
+constexpr double AcceptedMisses = 0.03;
 /// Slots that urgent requests have to need before one is reserved; a reserved slot is idle for the rest of the time.
 constexpr double MinDemand = 0.05;
 /// Slots that are assumed to remain for less urgent requests when urgent ones need all of them.
@@ -21,6 +22,8 @@
 constexpr Seconds KindLifetime(10.0);
 /// With 136 servers and 20 ms, the reserves took 1 % of a core; urgent arrivals update theirs at once.
 constexpr Milliseconds UpdateInterval(100);
+constexpr double NegligibleRate = 0.01; ///< requests per second; the demand of a pool below it is forgotten
+constexpr double MaxBalanceWeight = 2.0;
 constexpr double MeanReserveWeight = 0.05; ///< at each update; averages over two seconds
 constexpr double KindWeight = 0.02; ///< moving average over about fifty requests
 
@@ -148,8 +151,8 @@
     });
     m_isAnyActive = false;
     for (auto &[name, pool] : m_pools) {
-        std::erase_if(pool.demand, [this](const auto &demand) {
-            return !m_kinds.contains(demand.first);
+        std::erase_if(pool.demand, [this, now](const auto &demand) {
+            return !m_kinds.contains(demand.first) || demand.second.averageRate(now) < NegligibleRate;
         });
         updateReserves(pool, now);
         updateMeans(pool);
@@ -208,11 +211,13 @@
 void SlotShares::updateMeans(Pool &pool) const
 {
     for (const auto &[priority, reserve] : pool.reserves) {
-        pool.meanReserves.try_emplace(priority, reserve.slots);
+        pool.meanReserves.try_emplace(priority, MeanReserve{static_cast<double>(reserve.slots), reserve.demand});
     }
     for (auto &[priority, mean] : pool.meanReserves) {
-        const auto reserve = pool.reserves.find(priority);
-        mean += MeanReserveWeight * ((reserve == pool.reserves.end() ? 0 : reserve->second.slots) - mean);
+        const auto position = pool.reserves.find(priority);
+        const Reserve present = position == pool.reserves.end() ? Reserve() : position->second;
+        mean.slots += MeanReserveWeight * (present.slots - mean.slots);
+        mean.demand += MeanReserveWeight * (present.demand - mean.demand);
     }
 }
 
@@ -232,6 +237,11 @@
     return isLong(work, pool.slots, reserve.slack) ? &reserve : nullptr;
 }
 
+bool SlotShares::isAnyActive() const
+{
+    return m_isAnyActive;
+}
+
 bool SlotShares::isActive(const std::string &pool) const
 {
     const Pool *state = m_isAnyActive ? find(pool) : nullptr;
@@ -280,12 +290,13 @@
         result.isLimited = true;
         result.competesFrom = state->reserves.begin()->first;
         const auto mean = state->meanReserves.find(priority);
-        const double reserved = mean == state->meanReserves.end() ? reserve->slots : mean->second;
+        const double reserved = mean == state->meanReserves.end() ? reserve->slots : mean->second.slots;
         const double left = state->slots - std::max(reserved, reserve->demand);
         result.capacityShare = std::max(MinLeftSlots, left) / state->slots;
         const unsigned allowed = state->slots - reserve->slots;
         const bool isSlotLeft = heldBy(state->running, priority) < allowed;
-        result.untilSlot = isSlotLeft ? Seconds(0) : work * state->slowness / allowed;
+        result.slotInterval = work * state->slowness / allowed;
+        result.untilSlot = isSlotLeft ? Seconds(0) : result.slotInterval;
         return result;
     }
     result.isProtected = state->reserves.rbegin()->first > priority;
@@ -307,16 +318,32 @@
     return demand;
 }
 
+double SlotShares::balanceWeight(const std::string &pool, int priority) const
+{
+    const Pool *state = m_isAnyActive ? find(pool) : nullptr;
+    if (state == nullptr || state->reserves.empty()) {
+        return 1.0;
+    }
+    const int limited = state->reserves.rbegin()->first;
+    const auto mean = state->meanReserves.find(limited);
+    if (priority >= limited || mean == state->meanReserves.end()) {
+        return 1.0;
+    }
+    // Below one slot of demand, the ratio would mostly follow the noise of the demand.
+    return std::clamp(mean->second.slots / std::max(1.0, mean->second.demand), 1.0, MaxBalanceWeight);
+}
+
 SlotShares::Summary SlotShares::summary() const
 {
     Summary result;
     for (const auto &[name, pool] : m_pools) {
-        unsigned most = 0;
-        for (const auto &[priority, reserve] : pool.reserves) {
-            most = std::max(most, reserve.slots);
+        if (pool.reserves.empty()) {
+            continue;
         }
-        result.pools += most > 0 ? 1 : 0;
-        result.slots += most;
+        const Reserve &largest = pool.reserves.rbegin()->second; // against the least urgent priority
+        ++result.pools;
+        result.slots += largest.slots;
+        result.demand += largest.demand;
     }
     return result;
 }
--- a/src/snipevalve/dispatch/slot_shares_test.cpp
+++ b/src/snipevalve/dispatch/slot_shares_test.cpp
@@ -97,7 +97,8 @@
 
     static std::string nameOf(int owner)
     {
-        return "s" + std::to_string(owner);
+        std::string name(1, 's');
+        return name += std::to_string(owner);
     }
 
     void run(Seconds from, Seconds to)
@@ -264,7 +265,7 @@
             Replay replay(isOn,
                           {urgentKind(burst(each.urgentRate, each.urgentFactor, from, to)),
                            longKind(burst(each.longRate, each.longFactor, from, to))},
-                          24, 3);
+                          64, 3);
             replay.run(Seconds(0), Seconds(22));
             urgent[isOn] = replay.result(0, from, to);
             other[isOn] = replay.result(2, from, to);
@@ -315,6 +316,9 @@
     CHECK(hot / Samples >= 2.5); // a demand of 1.95 slots
     CHECK(others / Samples >= 0.9); // a demand of 0.45 slots
     CHECK(others / Samples <= 1.8);
+    // When keys are balanced, the urgent requests of the hot key count for the slots reserved for them.
+    CHECK(replay.dispatcher().slotShares().balanceWeight("s0", 0) > 1.2);
+    CHECK(replay.dispatcher().slotShares().balanceWeight("s0", 2) == 1.0);
     replay.run(Seconds(10), Seconds(10.5));
     CHECK(replay.dispatcher().slotShares().summary().slots <= 4);
     replay.run(Seconds(10.5), Seconds(16));
@@ -323,6 +327,20 @@
     CHECK(replay.result(2, Seconds(10.5), Seconds(12)).shareServed() > 0.95);
 }
 
+TEST_CASE("the expected work stays true with many servers and widely spread work")
+{
+    // Guards against estimates that grow to five times the true ones within 14 s.
+    Replay replay(true, {urgentKind(steady(20)), longKind(steady(2.2))}, 136);
+    for (int second = 0; second < 14; ++second) {
+        replay.run(Seconds(second), Seconds(second + 1));
+    }
+    WorkItem item;
+    item.workClass = 1;
+    CHECK(replay.dispatcher().expectedWork(item).count() == Approx(0.15).epsilon(0.4));
+    item.workClass = 3;
+    CHECK(replay.dispatcher().expectedWork(item).count() == Approx(0.88).epsilon(0.4));
+}
+
 TEST_CASE("nothing is reserved and the decisions are the same where it is not called for")
 {
     struct Case
