Log the slots reserved for urgent requests, and balance keys by them (SHARES)

Cause: operators could not see a reserve, and a key that is heavy by urgent requests counted like one that is heavy by long ones, although the slots reserved for it are lost to the long ones. Change: LeaderDispatcher logs "lead: event=slot_reserve" when a service's reserve changes, at most once in 5 s (1 s when it appears or ends), and passes Dispatcher::balanceWork to the balance of keys: the work times up to 2 for urgent requests of an owner with a reserve, otherwise the work as before. Measured: placements_test, key_balance_test and play_test pass. The effect of the weight on moves of keys was not measured, since no test here plays moves of keys with two kinds of requests.

--- a/src/snipevalve/node/leader_dispatcher.cpp
+++ b/src/snipevalve/node/leader_dispatcher.cpp
@@ -242,7 +242,7 @@
         return;
     }
     if (item.key && !item.repeat && onKeyedAsk) {
-        onKeyedAsk(ask.service(), *item.key, dispatcher.expectedWork(item));
+        onKeyedAsk(ask.service(), *item.key, dispatcher.balanceWork(item));
     }
     dispatcher.submit(std::move(item), now);
     collectDecisions(led->second);
@@ -506,6 +506,7 @@
     const TimePoint now = Clock::now();
     for (auto &[service, led] : m_ledServices) {
         led.dispatcher->advance(now);
+        led.reserveLog.update(service, led.dispatcher->slotShares().summary(), now);
         collectDecisions(led);
     }
     sendViews(now);
--- a/src/snipevalve/node/leader_dispatcher.hpp
+++ b/src/snipevalve/node/leader_dispatcher.hpp
@@ -13,6 +13,7 @@
 #include "snipevalve/dispatch_link/messages.hpp"
 #include "snipevalve/gateway/leaving_servers.hpp"
 #include "snipevalve/node/node_settings.hpp"
+#include "snipevalve/node/slot_reserve_log.hpp"
 #include "snipevalve/ownership/key_authority.hpp"
 
 namespace snipevalve {
@@ -130,6 +131,7 @@
         bool isViewChanged = false; ///< `view` differs from `sentView`
         bool isViewSent = false; ///< a whole view has been sent; deltas follow
         TimePoint viewSentAt;
+        SlotReserveLog reserveLog;
     };
 
     Awaitable<void> serveHost(std::shared_ptr<FrameChannel> channel);
