--- a/src/snipevalve/dispatch/slot_shares.cpp
+++ b/src/snipevalve/dispatch/slot_shares.cpp
@@ -25,7 +25,8 @@
 constexpr double NegligibleRate = 0.01; ///< requests per second; the demand of a pool below it is forgotten
 constexpr double MaxBalanceWeight = 2.0;
 constexpr double MeanReserveWeight = 0.05; ///< at each update; averages over two seconds
-constexpr double KindWeight = 0.02; ///< moving average over about fifty requests
+constexpr double TargetWeight = 0.02; ///< moving average over about fifty requests
+constexpr double WorkWeight = 0.1; ///< each is an average already; a new leader's changes with the first answers
 
 /// Whether waiting for a slot that such work holds would cost a request its target. Server speeds are left out: their
 /// estimates are too noisy to switch a reserve on and off.
@@ -102,9 +103,9 @@
     const auto [kind, isNew] = m_kinds.try_emplace(item.priority, Kind{target, work, now, 1});
     kind->second.seenAt = now;
     if (!isNew && !item.repeat) {
-        const double weight = std::max(KindWeight, 1.0 / ++kind->second.count);
-        kind->second.target += weight * (target - kind->second.target);
-        kind->second.work += weight * (work - kind->second.work);
+        const double first = 1.0 / ++kind->second.count;
+        kind->second.target += std::max(TargetWeight, first) * (target - kind->second.target);
+        kind->second.work += std::max(WorkWeight, first) * (work - kind->second.work);
     }
     Pool &state = m_pools[pool];
     state.demand.try_emplace(item.priority, m_observedSince).first->second.add(work, now);
--- a/src/snipevalve/dispatch/slot_shares_test.cpp
+++ b/src/snipevalve/dispatch/slot_shares_test.cpp
@@ -327,6 +327,14 @@
     CHECK(replay.result(2, Seconds(10.5), Seconds(12)).shareServed() > 0.95);
 }
 
+TEST_CASE("a new leader reserves slots within a second after the first long requests have ended")
+{
+    constexpr int Owners = 64;
+    Replay replay(true, {urgentKind(steady(4)), longKind(steady(2.2))}, Owners);
+    replay.run(Seconds(0), Seconds(1.9));
+    CHECK(replay.dispatcher().slotShares().summary().pools >= Owners * 9 / 10);
+}
+
 TEST_CASE("the expected work stays true with many servers and widely spread work")
 {
     // Guards against estimates that grow to five times the true ones within 14 s.
