Read what servers say of their load, and pass it to the dispatchers

Cause: servers add X-Snipevalve-Server-Load to their answers, and nothing read it. Change: the adapter parses it from each answer and refusal that belongs to the request; the host passes it on with the end of the send, in Done.load to the leader (no further message) or to its own dispatcher. A value that is malformed or out of range is ignored and logged once per header and run of a server. Metrics load_reports and load_reports_invalid; event=send shows the load. The dispatchers don't use it yet. Result: server_notice, upstream_exchange, messages, dispatcher, gateway_thread and node_control tests pass; placements_test passes alone and failed once with 'Address already in use' beside another run of it on the same ports.

--- a/include/snipevalve/dispatch/dispatcher.hpp
+++ b/include/snipevalve/dispatch/dispatcher.hpp
@@ -13,6 +13,7 @@
 #include "snipevalve/dispatch/repeat_window.hpp"
 #include "snipevalve/dispatch/service_times.hpp"
 #include "snipevalve/dispatch/work.hpp"
+#include "snipevalve/gateway/server_load.hpp"
 #include "snipevalve/request/outlier_detector.hpp"
 
 namespace snipevalve {
@@ -68,10 +69,14 @@
     Seconds expectedWork(const WorkItem &item) const;
 
     /// @brief Records the service time of a send placed by another dispatcher, for estimates made here.
-    void learn(std::uint64_t workClass, Duration took);
+    /// @param load what the server has said of its load in the answer
+    void learn(const WorkItem &item, const std::string &server, Duration took, const std::optional<ServerLoad> &load,
+               TimePoint now);
 
     /// @brief Ends a send, or removes a waiting request whose sender gave up. Unknown tickets are ignored.
-    void finish(Ticket ticket, WorkEnd end, Duration took, TimePoint now);
+    /// @param load what the server has said of its load in the answer or refusal
+    void finish(Ticket ticket, WorkEnd end, Duration took, TimePoint now,
+                const std::optional<ServerLoad> &load = std::nullopt);
 
     /// @brief Rejects requests that can no longer meet their deadline and places those that have an available server.
     void advance(TimePoint now);
--- a/include/snipevalve/gateway/server_load.hpp
+++ b/include/snipevalve/gateway/server_load.hpp
@@ -14,6 +14,15 @@
     bool operator==(const ServerLoad &) const = default;
 };
 
+/// @brief The valid range of each field. Values outside are taken for errors.
+struct ServerLoadLimits
+{
+    static constexpr unsigned MaxRequests = 100'000; ///< running, and waiting
+    static constexpr unsigned MaxSlots = 10'000;
+    static constexpr unsigned MinSlowdownPercent = 10;
+    static constexpr unsigned MaxSlowdownPercent = 10'000;
+};
+
 } // namespace snipevalve
 
 #endif // SNIPEVALVE_GATEWAY_SERVER_LOAD_HPP
--- a/include/snipevalve/gateway/server_notice.hpp
+++ b/include/snipevalve/gateway/server_notice.hpp
@@ -1,10 +1,12 @@
 #ifndef SNIPEVALVE_GATEWAY_SERVER_NOTICE_HPP
 #define SNIPEVALVE_GATEWAY_SERVER_NOTICE_HPP
 
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "snipevalve/core/time.hpp"
+#include "snipevalve/gateway/server_load.hpp"
 
 namespace snipevalve {
 
@@ -13,6 +15,7 @@
 {
     bool isLeaving = false; ///< it is shutting down and takes no new requests
     Milliseconds pause{0}; ///< for how long it takes no requests from this host; zero when it asks for no pause
+    std::optional<ServerLoad> load = std::nullopt; ///< empty when it says nothing of its load
 
     bool operator==(const ServerNotice &) const = default;
 };
@@ -31,6 +34,7 @@
 {
     ServerNotice notice;
     std::vector<InvalidHeader> invalid;
+    bool isLoadInvalid = false; ///< `invalid` has the header that tells the load
 };
 
 } // namespace snipevalve
--- a/src/snipevalve/dispatch/dispatcher.cpp
+++ b/src/snipevalve/dispatch/dispatcher.cpp
@@ -353,12 +353,13 @@
     });
 }
 
-void Dispatcher::learn(std::uint64_t workClass, Duration took)
+void Dispatcher::learn(const WorkItem &item, const std::string &, Duration took, const std::optional<ServerLoad> &,
+                       TimePoint)
 {
-    m_times.observe(workClass, took, 1.0);
+    m_times.observe(item.workClass, took, 1.0);
 }
 
-void Dispatcher::finish(Ticket ticket, WorkEnd end, Duration took, TimePoint now)
+void Dispatcher::finish(Ticket ticket, WorkEnd end, Duration took, TimePoint now, const std::optional<ServerLoad> &)
 {
     const auto running = m_running.find(ticket);
     if (running == m_running.end()) {
--- a/src/snipevalve/dispatch_link/messages.cpp
+++ b/src/snipevalve/dispatch_link/messages.cpp
@@ -1,6 +1,7 @@
 #include "snipevalve/dispatch_link/messages.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <optional>
 
@@ -8,6 +9,8 @@
 
 namespace {
 
+constexpr double PercentOfUsual = 100.0;
+
 std::int64_t millisecondsBetween(TimePoint from, TimePoint to)
 {
     return std::chrono::duration_cast<Milliseconds>(to - from).count();
@@ -335,9 +338,13 @@
     change.limits.headerTimeout = Milliseconds(message.header_timeout_ms());
     change.limits.idleTimeout = Milliseconds(message.idle_timeout_ms());
     for (const proto::Service &service : message.services()) {
-        change.services[service.name()] = {service.name(), service.health_path(), service.max_connections(),
-                                           service.keyed(), Milliseconds(service.warm_ms()),
-                                           Milliseconds(service.warmup_ms()), service.warmup_per_second()};
+        change.services[service.name()] = {service.name(),
+                                           service.health_path(),
+                                           service.max_connections(),
+                                           service.keyed(),
+                                           Milliseconds(service.warm_ms()),
+                                           Milliseconds(service.warmup_ms()),
+                                           service.warmup_per_second()};
     }
     for (const proto::Route &route : message.routes()) {
         change.routes.push_back(fromProto(route));
@@ -377,6 +384,30 @@
     return table;
 }
 
+proto::ServerLoad toProto(const ServerLoad &load)
+{
+    proto::ServerLoad message;
+    message.set_running(load.running);
+    message.set_waiting(load.waiting);
+    message.set_slots(load.slots);
+    message.set_slowdown_percent(static_cast<std::uint32_t>(std::lround(load.slowdown * PercentOfUsual)));
+    return message;
+}
+
+std::optional<ServerLoad> loadOf(const proto::Done &done)
+{
+    using Limits = ServerLoadLimits;
+    const proto::ServerLoad &load = done.load();
+    const bool isValid = done.has_load() && load.running() <= Limits::MaxRequests
+        && load.waiting() <= Limits::MaxRequests && load.slots() >= 1 && load.slots() <= Limits::MaxSlots
+        && load.slowdown_percent() >= Limits::MinSlowdownPercent
+        && load.slowdown_percent() <= Limits::MaxSlowdownPercent;
+    if (!isValid) {
+        return std::nullopt;
+    }
+    return ServerLoad{load.running(), load.waiting(), load.slots(), load.slowdown_percent() / PercentOfUsual};
+}
+
 WorkEnd toWorkEnd(std::uint32_t number)
 {
     const auto last = static_cast<std::uint32_t>(WorkEnd::Abandoned);
--- a/src/snipevalve/dispatch_link/messages.hpp
+++ b/src/snipevalve/dispatch_link/messages.hpp
@@ -6,6 +6,7 @@
 #include "snipevalve/gateway/config_change.hpp"
 #include "snipevalve/gateway/leader_table.hpp"
 #include "snipevalve/gateway/leaving_servers.hpp"
+#include "snipevalve/gateway/server_load.hpp"
 #include "snipevalve/node/known_views.hpp"
 #include "snipevalve/node/view_change.hpp"
 
@@ -38,6 +39,11 @@
 proto::Leaders toProto(const LeaderTable &table);
 LeaderTable fromProto(const proto::Leaders &message);
 
+proto::ServerLoad toProto(const ServerLoad &load);
+
+/// @return the load that a host has forwarded; empty when there is none or a field is out of its range
+std::optional<ServerLoad> loadOf(const proto::Done &done);
+
 /// @brief Converts the number received for the outcome of a send. An unknown number becomes WorkEnd::Abandoned.
 WorkEnd toWorkEnd(std::uint32_t number);
 
--- a/src/snipevalve/dispatch_link/messages_test.cpp
+++ b/src/snipevalve/dispatch_link/messages_test.cpp
@@ -132,6 +132,40 @@
     CHECK(parsed > Rounds / 10);
 }
 
+TEST_CASE("a host's report of a server's load arrives unchanged; one that no server can send counts as none")
+{
+    const ServerLoad load{3, 2, 4, 2.5};
+    proto::Done done;
+    CHECK_FALSE(loadOf(done));
+    *done.mutable_load() = toProto(load);
+    CHECK(loadOf(done) == load);
+    const std::vector<void (*)(proto::ServerLoad &)> faults = {
+        [](proto::ServerLoad &each) {
+            each.set_slots(0);
+        },
+        [](proto::ServerLoad &each) {
+            each.set_slots(10'001);
+        },
+        [](proto::ServerLoad &each) {
+            each.set_running(100'001);
+        },
+        [](proto::ServerLoad &each) {
+            each.set_waiting(4'000'000'000U);
+        },
+        [](proto::ServerLoad &each) {
+            each.set_slowdown_percent(0);
+        },
+        [](proto::ServerLoad &each) {
+            each.set_slowdown_percent(10'001);
+        },
+    };
+    for (const auto fault : faults) {
+        proto::Done wrong = done;
+        fault(*wrong.mutable_load());
+        CHECK_FALSE(loadOf(wrong));
+    }
+}
+
 TEST_CASE("an address that can't be read is that of no server or leader, and the others hold")
 {
     struct Case
--- a/src/snipevalve/node/gateway_traffic.hpp
+++ b/src/snipevalve/node/gateway_traffic.hpp
@@ -6,6 +6,7 @@
 #include <random>
 #include <set>
 
+#include "snipevalve/gateway/logged_headers.hpp"
 #include "snipevalve/net/upstream_pool.hpp"
 #include "snipevalve/node/gateway_request.hpp"
 #include "snipevalve/node/node_metrics.hpp"
@@ -87,6 +88,7 @@
     UpstreamPool pool;
     Placements placements;
     NodeMetrics metrics;
+    LoggedHeaders loggedHeaders;
     std::mt19937_64 random;
     std::set<GatewaySession *> sessions; ///< open connections of callers
     std::atomic<std::size_t> sessionCount = 0; ///< size of `sessions`, for other threads; a shutdown must not miss one
--- a/src/snipevalve/node/leader_dispatcher.cpp
+++ b/src/snipevalve/node/leader_dispatcher.cpp
@@ -270,7 +270,8 @@
     m_origins.erase(ticket);
     const auto led = m_ledServices.find(done.service());
     if (led != m_ledServices.end()) {
-        led->second.dispatcher->finish(ticket, toWorkEnd(done.end()), std::chrono::microseconds(done.took_us()), now);
+        led->second.dispatcher->finish(ticket, toWorkEnd(done.end()), std::chrono::microseconds(done.took_us()), now,
+                                       loadOf(done));
         collectDecisions(led->second);
     }
 }
--- a/src/snipevalve/node/placements.cpp
+++ b/src/snipevalve/node/placements.cpp
@@ -364,7 +364,8 @@
     send.decisionTimer->cancel();
 }
 
-void Placements::report(const Send &send, Ticket ticket, WorkEnd end, Duration took)
+void Placements::report(const Send &send, Ticket ticket, WorkEnd end, Duration took,
+                        const std::optional<ServerLoad> &load)
 {
     if (const auto link = send.link.lock()) {
         proto::HostFrame frame;
@@ -374,15 +375,18 @@
         done->set_end(static_cast<std::uint32_t>(end));
         const auto micros = std::chrono::duration_cast<std::chrono::microseconds>(took).count();
         done->set_took_us(static_cast<std::uint32_t>(micros));
+        if (load) {
+            *done->mutable_load() = toProto(*load);
+        }
         link->send(frame);
         return;
     }
     Dispatcher &dispatcher = localDispatcher(send.service);
-    dispatcher.finish(ticket, end, took, Clock::now());
+    dispatcher.finish(ticket, end, took, Clock::now(), load);
     deliverLocalDecisions(dispatcher);
 }
 
-void Placements::finish(Ticket ticket, WorkEnd end, Duration took)
+void Placements::finish(Ticket ticket, WorkEnd end, Duration took, const std::optional<ServerLoad> &load)
 {
     const auto position = m_sends.find(ticket);
     if (position == m_sends.end()) {
@@ -392,9 +396,9 @@
     m_sends.erase(position);
     const bool wasPlacedByLeader = !send.link.expired();
     if (wasPlacedByLeader && end == WorkEnd::Done) {
-        localDispatcher(send.service).learn(send.item.workClass, took);
+        localDispatcher(send.service).learn(send.item, send.server, took, load, Clock::now());
     }
-    report(send, ticket, end, took);
+    report(send, ticket, end, took, load);
 }
 
 void Placements::abandon(Ticket ticket)
--- a/src/snipevalve/node/placements.hpp
+++ b/src/snipevalve/node/placements.hpp
@@ -40,7 +40,8 @@
     /// @param ticket of the placement
     /// @param end how the send ended
     /// @param took duration of the send
-    void finish(Ticket ticket, WorkEnd end, Duration took);
+    /// @param load what the server has said of its load in the answer
+    void finish(Ticket ticket, WorkEnd end, Duration took, const std::optional<ServerLoad> &load = std::nullopt);
 
     /// @brief Notes what a server has said of itself in an answer, and tells the service's leader if it is leaving.
     ///
@@ -157,7 +158,8 @@
     void setView(const ServiceView &view);
     DeputyAsk toDeputyAsk(const proto::DeputyConsent &ask, const Endpoint &leader) const;
     void useView(const ServiceView &view, TimePoint now);
-    void report(const Send &send, Ticket ticket, WorkEnd end, Duration took);
+    void report(const Send &send, Ticket ticket, WorkEnd end, Duration took,
+                const std::optional<ServerLoad> &load = std::nullopt);
 
     asio::any_io_executor m_executor;
     const NodeSettings &m_settings;
--- a/src/snipevalve/node/request_runner.cpp
+++ b/src/snipevalve/node/request_runner.cpp
@@ -55,6 +55,20 @@
     return text;
 }
 
+/// The load in the order of the header, e.g. `3,0,4,300`; `-` when the server has told none.
+std::string toText(const std::optional<ServerLoad> &load)
+{
+    if (!load) {
+        return "-";
+    }
+    constexpr double PercentOfUsual = 100.0;
+    constexpr std::size_t Length = 64;
+    char text[Length];
+    std::snprintf(text, Length, "%u,%u,%u,%.0f", load->running, load->waiting, load->slots,
+                  load->slowdown * PercentOfUsual);
+    return text;
+}
+
 std::int64_t toMs(Duration duration)
 {
     return std::chrono::duration_cast<Milliseconds>(duration).count();
@@ -236,12 +250,13 @@
     m_exchange = isStreamed ? exchange : nullptr;
     countBytes(placement.server, m_request.body->size() + (result.answer ? result.answer->body.size() : 0));
     m_traffic.placements.onServerNotice(m_request.service, placement.server, result.notice.notice);
-    m_traffic.placements.finish(placement.ticket, result.end, result.took);
+    m_traffic.placements.finish(placement.ticket, result.end, result.took, result.notice.notice.load);
     m_traffic.metrics.count(std::string("send_") + std::string(describe(result.end)));
     if (!result.reusedConnection) {
         m_traffic.metrics.count("connection_opened");
     }
     logSend(placement, result);
+    countLoadReport(result.notice);
     logInvalidHeaders(placement.server, result.notice);
     co_return result;
 }
@@ -372,16 +387,28 @@
                 "request: event=send id={} service={} key={} server={} decided_by={} send={} expected_ms={} took_ms={} "
                 "reused={} "
                 "end={} "
-                "detail=\"{}\"",
+                "load={} detail=\"{}\"",
                 escapeLogValue(m_request.id), m_request.service, m_request.key ? static_cast<int>(*m_request.key) : -1,
                 placement.server.id, placement.byLeader ? "leader" : "host", m_sendCount, toMs(placement.expected),
-                toMs(result.took), result.reusedConnection, describe(result.end), escapeQuotedText(result.detail));
+                toMs(result.took), result.reusedConnection, describe(result.end), toText(result.notice.notice.load),
+                escapeQuotedText(result.detail));
 }
 
 void RequestRunner::logInvalidHeaders(const UpstreamServer &server, const ParsedServerNotice &notice) const
 {
     for (const InvalidHeader &header : notice.invalid) {
-        spdlog::warn("{}", invalidHeaderLogText(server.id, header));
+        if (m_traffic.loggedHeaders.add(incarnationOf(server), header.name)) {
+            spdlog::warn("{}", invalidHeaderLogText(server.id, header));
+        }
+    }
+}
+
+void RequestRunner::countLoadReport(const ParsedServerNotice &notice) const
+{
+    if (notice.notice.load) {
+        m_traffic.metrics.count("load_reports");
+    } else if (notice.isLoadInvalid) {
+        m_traffic.metrics.count("load_reports_invalid");
     }
 }
 
--- a/src/snipevalve/node/request_runner.hpp
+++ b/src/snipevalve/node/request_runner.hpp
@@ -58,6 +58,7 @@
     UpstreamAnswer failure(Duration retryAfter, const std::string &reason) const;
     void logRejection(const Rejection &rejection) const;
     void logSend(const Placement &placement, const ExchangeResult &result) const;
+    void countLoadReport(const ParsedServerNotice &notice) const;
     void logInvalidHeaders(const UpstreamServer &server, const ParsedServerNotice &notice) const;
     void logEnd(unsigned status, const std::string &reason) const;
 
--- a/src/snipevalve/node/upstream_exchange.cpp
+++ b/src/snipevalve/node/upstream_exchange.cpp
@@ -25,6 +25,8 @@
 constexpr int MaxSkippedAnswers = 4;
 /// Body limit of such an answer, of a refusal and of an answer that is not forwarded to the caller.
 constexpr std::size_t MaxDiscardedBodyBytes = 64 << 10;
+/// A load is ignored when the body takes longer than this to arrive: its age is counted from the end of the answer.
+constexpr Milliseconds MaxLoadAge(100);
 
 std::string remainingMs(TimePoint until)
 {
@@ -193,11 +195,14 @@
         co_return;
     }
     const http::response_header<> &header = m_parser->get();
+    const TimePoint headAt = Clock::now();
     if (!isFromOtherServer(header)) {
         result.notice = m_parseServerNotice(header);
         if (!belongsToRequest(header)) {
-            // The pause may have begun earlier. A departure that was told earlier still holds.
+            // The pause may have begun earlier, and the load may be an earlier one. A departure that was told earlier
+            // still holds.
             result.notice.notice.pause = Milliseconds(0);
+            result.notice.notice.load.reset();
         }
     }
     const std::string fault = checkAnswer(header);
@@ -219,6 +224,9 @@
     if (hasMore) {
         error = http::error::body_limit;
     }
+    if (Clock::now() - headAt > MaxLoadAge) {
+        result.notice.notice.load.reset();
+    }
     setOutcome(error, result);
 }
 
--- a/src/snipevalve/node/upstream_exchange_test.cpp
+++ b/src/snipevalve/node/upstream_exchange_test.cpp
@@ -49,11 +49,14 @@
     return reply;
 }
 
-/// A pause is asked for by each 503, a departure told by a header.
+/// A pause is asked for by each 503, a departure and a load are told by headers.
 ParsedServerNotice parseNotice(const http::response_header<> &header)
 {
     ParsedServerNotice result;
     result.notice.isLeaving = header.find("Server-Leaving") != header.end();
+    if (header.find("Load") != header.end()) {
+        result.notice.load = ServerLoad{3, 1, 4, 2.0};
+    }
     result.notice.pause = header.result() == http::status::service_unavailable ? AskedPause : Milliseconds(0);
     return result;
 }
@@ -310,6 +313,28 @@
     CHECK(onNew.send(Id, makeReply(makeRefusal(""))).notice.notice == ServerNotice{false, AskedPause});
 }
 
+TEST_CASE("a load is taken only from an answer to the request, also from a refusal")
+{
+    const std::string load = "Load: 3,1,4,200\r\n";
+    struct Case
+    {
+        std::string name;
+        std::string bytes;
+        bool hasLoad;
+    };
+    const std::vector<Case> cases = {
+        {"its own answer", makeAnswer("200 OK", Id, load), true},
+        {"its own refusal", makeAnswer("503 Busy", Id, "X-Snipevalve-Not-Executed: 1\r\n" + load), true},
+        {"an answer without an id", makeAnswer("503 Busy", "", load), false},
+    };
+    for (const Case &each : cases) {
+        INFO(each.name);
+        Exchanges exchanges;
+        exchanges.send("other", makeReply(makeAnswer("200 OK", "other")));
+        CHECK(exchanges.send(Id, makeReply(each.bytes)).notice.notice.load.has_value() == each.hasLoad);
+    }
+}
+
 TEST_CASE("a request is not sent again on a connection that has carried it, and others still use that connection",
           "[promise-5]")
 {
