Choose servers by what they report of their load at this moment

Cause: one machine in five is three times as slow for 400 ms at a time. The learned slowness follows in ten answers, when the phase is over, and then keeps requests away from a server that is fast again. Change: LoadReports, one per server, tells how fast the server is at this moment and how many requests it has beyond the known ones; both fade to nothing within 0.4 s. Reports count relative to the server's own mean, so its usual speed is still learned from its answers alone. Claims of being faster than usual count only as far as answers were faster; what a slow phase takes off an answer's time is bounded by what such answers show. Existing dispatcher and play tests pass.

--- a/include/snipevalve/dispatch/dispatcher.hpp
+++ b/include/snipevalve/dispatch/dispatcher.hpp
@@ -11,6 +11,7 @@
 
 #include "snipevalve/dispatch/key_owners.hpp"
 #include "snipevalve/dispatch/repeat_window.hpp"
+#include "snipevalve/dispatch/server_loads.hpp"
 #include "snipevalve/dispatch/service_times.hpp"
 #include "snipevalve/dispatch/work.hpp"
 #include "snipevalve/gateway/server_load.hpp"
@@ -102,7 +103,8 @@
     struct ServerState
     {
         UpstreamServer server;
-        Slowness slowness;
+        Slowness slowness; ///< usual, without the momentary slowdowns that the server reports
+        LoadReports loads;
         OutlierDetector outliers{ejection()};
         double refusalRate = 0; ///< moving average of the share of sends that the server refused
         unsigned busy = 0;
@@ -156,6 +158,7 @@
     {
         bool isLate = false;
         bool isInOtherZone = false;
+        bool isSlowNow = false; ///< it reports to be slower or fuller than usual
         bool needsConnection = false;
         Seconds time{0};
         double busyShare = 0;
@@ -173,7 +176,7 @@
     bool hasFreeSlot(const ServerState &state, TimePoint now) const;
     bool canQueue(const ServerState &state, TimePoint now) const;
     bool admits(const ServerState &state, const WorkItem &item, TimePoint now) const;
-    Seconds expectedOn(const ServerState &state, const WorkItem &item) const;
+    Seconds expectedOn(const ServerState &state, const WorkItem &item, TimePoint now) const;
     double capacityOfQueue(const std::string &name) const;
     double freeSlots(const std::string &name, TimePoint now) const;
     Forecast forecast(const WorkItem &item, Seconds onTimeWorkAhead, Seconds lateWorkAhead, const ServerQueue &queue,
@@ -193,7 +196,9 @@
     void placeItems(const std::vector<const WorkItem *> &items, Candidates &candidates, bool mayQueue,
                     std::set<Ticket> &placed, TimePoint now);
     double timeFactor(const ServerState &state) const;
+    Seconds timeOn(const ServerState &state, Seconds work, TimePoint now) const;
     ServerState *bestAvailable(const WorkItem &item, const Candidates &candidates, TimePoint now);
+    void learnFrom(ServerState &state, const Running &ended, Duration work, bool hasReport, TimePoint now);
     void onSlotFreed(ServerState &state, Ticket ended, TimePoint now);
     std::vector<const WorkItem *> orderedItems(const ServerQueue &queue, TimePoint now) const;
     void rejectUnmeetable(const std::string &name, ServerQueue &queue, TimePoint now);
--- a/src/snipevalve/dispatch/dispatcher.cpp
+++ b/src/snipevalve/dispatch/dispatcher.cpp
@@ -183,7 +183,7 @@
 void Dispatcher::adopt(const WorkItem &item, const std::string &server, TimePoint now)
 {
     const auto position = m_servers.find(server);
-    const Seconds expected = position == m_servers.end() ? expectedWork(item) : expectedOn(position->second, item);
+    const Seconds expected = position == m_servers.end() ? expectedWork(item) : expectedOn(position->second, item, now);
     const TimePoint end = now + toDuration(expected * AdoptedLifetimeFactor);
     m_running[item.ticket] = {server, item.workClass, item.host, now, end, end, false, now};
     if (position != m_servers.end()) {
@@ -228,7 +228,7 @@
     }
     ++state.busy;
     state.lastUsedAt = now;
-    const Seconds expected = expectedOn(state, item);
+    const Seconds expected = expectedOn(state, item, now);
     m_running[item.ticket] = {state.server.id,
                               item.workClass,
                               item.host,
@@ -285,8 +285,8 @@
                 return;
             }
             ServerState *state = placed.contains(item->ticket) ? nullptr : bestAvailable(*item, candidates, now);
-            const bool meetsTarget =
-                state != nullptr && now + toDuration(expectedOn(*state, *item) * PlacementMargin) <= item->targetBy;
+            const bool meetsTarget = state != nullptr
+                && now + toDuration(expectedOn(*state, *item, now) * PlacementMargin) <= item->targetBy;
             if (state == nullptr || (onlyWithinTarget && !meetsTarget)) {
                 continue;
             }
@@ -353,13 +353,7 @@
     });
 }
 
-void Dispatcher::learn(const WorkItem &item, const std::string &, Duration took, const std::optional<ServerLoad> &,
-                       TimePoint)
-{
-    m_times.observe(item.workClass, took, 1.0);
-}
-
-void Dispatcher::finish(Ticket ticket, WorkEnd end, Duration took, TimePoint now, const std::optional<ServerLoad> &)
+void Dispatcher::finish(Ticket ticket, WorkEnd end, Duration took, TimePoint now, const std::optional<ServerLoad> &load)
 {
     const auto running = m_running.find(ticket);
     if (running == m_running.end()) {
@@ -377,6 +371,9 @@
         return;
     }
     ServerState &state = position->second;
+    if (load) {
+        state.loads.add(*load, state.busy, now);
+    }
     state.busy -= ended.holdsSlot && state.busy > 0 ? 1 : 0;
     onSlotFreed(state, ticket, now);
     switch (end) {
@@ -384,8 +381,7 @@
         state.lastAnswerByHost[ended.host] = now;
         state.newestAnsweredStart = std::max(state.newestAnsweredStart, ended.startedAt);
         if (!ended.isWaitingAtServer) {
-            const Duration work = std::min<Duration>(took, now - ended.slotSince);
-            state.slowness.observe(m_times.observe(ended.workClass, work, state.slowness.factor()));
+            learnFrom(state, ended, std::min<Duration>(took, now - ended.slotSince), load.has_value(), now);
         }
         state.outliers.onSuccess();
         state.refusalRate *= 1.0 - RefusalRateWeight;
--- a/src/snipevalve/dispatch/dispatcher_choice.cpp
+++ b/src/snipevalve/dispatch/dispatcher_choice.cpp
@@ -24,6 +24,9 @@
 constexpr Milliseconds ConnectionKeepAlive(2'400);
 /// Below this utilisation any server that meets the target is good enough, so the nearest one is taken.
 constexpr double LightLoadUtilisation = 0.7;
+/// While utilisation is low, a server that reports more than this above its usual time is avoided within its zone: to
+/// connect to another one costs less.
+constexpr double SlowNowFactor = 1.3;
 
 } // namespace
 
@@ -65,9 +68,9 @@
     return true;
 }
 
-Seconds Dispatcher::expectedOn(const ServerState &state, const WorkItem &item) const
+Seconds Dispatcher::expectedOn(const ServerState &state, const WorkItem &item, TimePoint now) const
 {
-    return m_times.expected(item.workClass, state.slowness.factor());
+    return state.loads.timeOf(m_times.expected(item.workClass, state.slowness.factor()), now);
 }
 
 Seconds Dispatcher::expectedWork(const WorkItem &item) const
@@ -196,20 +199,22 @@
 
 /// With many hosts and servers and few requests per pair, choosing by time alone is costly: with 70 hosts and 69
 /// servers nearly every request opened a connection, mostly to another zone. While utilisation is low, servers that
-/// meet the target are preferred if they are in the host's zone, then if the host still has a connection to them.
+/// meet the target are preferred if they are in the host's zone, then if they don't report to be slow, then if the host
+/// still has a connection to them.
 Dispatcher::Suitability Dispatcher::suitability(const ServerState &state, const WorkItem &item, Seconds time,
                                                 bool isLightlyLoaded, TimePoint now) const
 {
     const bool isInOtherZone = state.server.zone != item.zone;
     const double busyShare = static_cast<double>(state.busy) / std::max(1U, state.server.slots);
     if (!isLightlyLoaded) {
-        return {false, false, false, time * (isInOtherZone ? OtherZonePenalty : 1.0), busyShare};
+        return {false, false, false, false, time * (isInOtherZone ? OtherZonePenalty : 1.0), busyShare};
     }
     const auto answered = state.lastAnswerByHost.find(item.host);
     const bool needsConnection =
         answered == state.lastAnswerByHost.end() || now - answered->second > ConnectionKeepAlive;
     const bool isLate = now + toDuration(time * PlacementMargin) > item.targetBy;
-    return {isLate, isInOtherZone, needsConnection, time, busyShare};
+    const bool isSlowNow = time > expectedWork(item) * timeFactor(state) * SlowNowFactor;
+    return {isLate, isInOtherZone, isSlowNow, needsConnection, time, busyShare};
 }
 
 /// The servers of a queue that can take work now, and the time factor of the best busy one.
@@ -233,7 +238,8 @@
         } else if (isUsable(state, now)) {
             // The wait for a slot is about half a service time divided by the number of slots.
             const double untilFree = 1.0 + 1.0 / (2.0 * limitOf(state));
-            candidates.bestBusyFactor = std::min(candidates.bestBusyFactor, timeFactor(state) * untilFree);
+            candidates.bestBusyFactor =
+                std::min(candidates.bestBusyFactor, timeFactor(state) * state.loads.factor(now) * untilFree);
         }
     }
     return candidates;
@@ -245,6 +251,17 @@
     return state.slowness.factor() / (1.0 - state.refusalRate);
 }
 
+/// The time factor applied to `work`, with what the server reports of this moment: how fast it is, and how long a
+/// request waits there behind others that are unknown here.
+Seconds Dispatcher::timeOn(const ServerState &state, Seconds work, TimePoint now) const
+{
+    const Seconds usual = work * timeFactor(state);
+    const double unknown = state.loads.unknownRequests(now);
+    const double slots = std::max(1U, state.server.slots);
+    const double ahead = unknown > 0 ? std::max(0.0, state.busy + unknown + 1.0 - slots) : 0.0;
+    return state.loads.timeOf(usual, now) + usual * (ahead / slots) * state.loads.factor(now);
+}
+
 /// The most suitable available server. Null if there is none, or if waiting for a busy server meets the target and is
 /// faster while the best available server would miss it.
 Dispatcher::ServerState *Dispatcher::bestAvailable(const WorkItem &item, const Candidates &candidates, TimePoint now)
@@ -258,7 +275,7 @@
         if ((isAvoided && !item.key) || !admits(*state, item, now)) {
             continue;
         }
-        const Suitability fit = suitability(*state, item, work * timeFactor(*state), lightlyLoaded, now);
+        const Suitability fit = suitability(*state, item, timeOn(*state, work, now), lightlyLoaded, now);
         if (best == nullptr || fit < bestFit) {
             best = state;
             bestFit = fit;
@@ -267,7 +284,7 @@
     if (best == nullptr) {
         return nullptr;
     }
-    const Seconds timeOnBest = work * timeFactor(*best);
+    const Seconds timeOnBest = timeOn(*best, work, now);
     const Seconds timeOnBusy = work * candidates.bestBusyFactor;
     const bool isBetterToWait = now + toDuration(timeOnBest) > item.targetBy && timeOnBusy < timeOnBest
         && now + toDuration(timeOnBusy) <= item.targetBy;
