Keep the scale of expected work from drifting

Cause: the mean work of a class was an average of times divided by the server's slowness, and the slowness one of times divided by the mean. The mean of an inverse is above the inverse of the mean, so the means rose and the slownesses fell without end: at 260 requests a second whose times vary by 30 % the mean doubled in a minute. Whatever compares expected work with a target then takes all requests for late. Change: normal speed is the mean slowness of the answers, and the mean and the tests of refinements use a slowness averaged over forty answers, not ten.

--- a/include/snipevalve/dispatch/service_times.hpp
+++ b/include/snipevalve/dispatch/service_times.hpp
@@ -16,22 +16,28 @@
 public:
     explicit Slowness(double initial = 1.0)
         : m_factor(initial)
+        , m_steadyFactor(initial)
     {
     }
 
     void observe(double factor)
     {
         constexpr double Weight = 0.2; ///< the last ten observations make up nine tenths of the estimate
+        constexpr double SteadyWeight = 0.05; ///< the last forty
         constexpr double MinFactor = 0.1;
         constexpr double MaxFactor = 30.0; ///< a slower server is as good as unresponsive
-        m_factor += Weight * (std::clamp(factor, MinFactor, MaxFactor) - m_factor);
+        const double clamped = std::clamp(factor, MinFactor, MaxFactor);
+        m_factor += Weight * (clamped - m_factor);
+        m_steadyFactor += SteadyWeight * (clamped - m_steadyFactor);
     }
 
     /// @brief Decays the estimate of an idle server towards normal speed, so that it is tried again.
     void decay(Duration elapsed)
     {
         constexpr Seconds TimeConstant(4.0); ///< users report slow phases of 4 to 9 s
-        m_factor += (1.0 - m_factor) * std::min(1.0, Seconds(elapsed) / TimeConstant);
+        const double share = std::min(1.0, Seconds(elapsed) / TimeConstant);
+        m_factor += (1.0 - m_factor) * share;
+        m_steadyFactor += (1.0 - m_steadyFactor) * share;
     }
 
     double factor() const
@@ -39,8 +45,15 @@
         return m_factor;
     }
 
+    /// @brief The mean over more answers, which varies less with the work of the single requests.
+    double steadyFactor() const
+    {
+        return m_steadyFactor;
+    }
+
 private:
     double m_factor;
+    double m_steadyFactor;
 };
 
 } // namespace snipevalve
--- a/include/snipevalve/dispatch/work_estimates.hpp
+++ b/include/snipevalve/dispatch/work_estimates.hpp
@@ -58,7 +58,7 @@
     /// @param took service time
     /// @param slowness of the server
     /// @return the service time of this request divided by the one that was expected on a server of normal speed
-    double observe(const WorkTraits &traits, Duration took, double slowness);
+    double observe(const WorkTraits &traits, Duration took, const Slowness &slowness);
 
     /// @brief Notes that a request was refused because of its expected time.
     void onRejected(const WorkTraits &traits);
@@ -111,6 +111,10 @@
 
     std::map<std::uint64_t, Class> m_classes;
     std::vector<Cell> m_cells; ///< 48 KB; empty until a request has a key or a body
+    /// Mean slowness of the servers by their answers. Normal speed is the one of this mean. Without a fixed point, the
+    /// means and the slownesses would drift apart: both are averages of the other's quotient. At 260 requests a second
+    /// whose times vary by 30 %, the means doubled in a minute.
+    double m_usualSlowness = 1.0;
     std::uint64_t m_observations = 0;
     bool m_areAlike = true;
 };
--- a/src/snipevalve/dispatch/dispatcher_learning.cpp
+++ b/src/snipevalve/dispatch/dispatcher_learning.cpp
@@ -15,7 +15,7 @@
         }
         took = loads.usualTime(now - took, now);
     }
-    m_work.observe(traitsOf(item), took, 1.0);
+    m_work.observe(traitsOf(item), took, Slowness());
 }
 
 /// @param work time for which the request had a slot
@@ -24,7 +24,7 @@
 {
     const Duration usual = state.loads.usualTime(now - work, now);
     const double usualSlowness = state.slowness.factor();
-    const double slowness = m_work.observe(ended.traits, usual, usualSlowness);
+    const double slowness = m_work.observe(ended.traits, usual, state.slowness);
     if (hasReport && usual > Duration::zero()) {
         state.loads.observe(slowness / usualSlowness * (Seconds(work) / Seconds(usual)));
     }
--- a/src/snipevalve/dispatch/work_estimates.cpp
+++ b/src/snipevalve/dispatch/work_estimates.cpp
@@ -9,6 +9,9 @@
 namespace {
 
 constexpr double MinSlowness = 0.1;
+/// Weight of an answer in the mean slowness of all servers. A server that turns slow is found to be slow in ten
+/// answers; for all servers together it takes a hundred until their new speed counts as normal.
+constexpr double UsualSlownessWeight = 0.01;
 /// Weight of a request in the mean of its class: one in fifty; one of 3 to 5 times the mean adds at most a tenth.
 constexpr double MeanWeight = 0.02;
 /// Weight of a request in the estimate of its key or size, which has far fewer requests. A change of the cost is mostly
@@ -165,12 +168,16 @@
     return result;
 }
 
-double WorkEstimates::observe(const WorkTraits &traits, Duration took, double slowness)
+/// The mean and the test of a refinement use the steady slowness: while the differences between the requests are not
+/// explained, the other one varies with them, and the mean of its inverse is far above the inverse of its mean. With
+/// costs of 20 to 1, the mean of the class rose eightfold in 15 s. A refinement in use removes that variation.
+double WorkEstimates::observe(const WorkTraits &traits, Duration took, const Slowness &slowness)
 {
-    const Seconds work = Seconds(took) / std::max(slowness, MinSlowness);
+    m_usualSlowness += UsualSlownessWeight * (slowness.steadyFactor() - m_usualSlowness);
+    const Seconds work = Seconds(took) / std::max(slowness.steadyFactor() / m_usualSlowness, MinSlowness);
+    const Seconds workNow = Seconds(took) / std::max(slowness.factor() / m_usualSlowness, MinSlowness);
     Class &known = classOf(traits.workClass, work);
     const double factor = Seconds(took) / expected(traits);
-    const double share = work / known.mean;
     for (std::size_t at = 0; at < Refinements.size(); ++at) {
         const auto group = groupOf(traits, Refinements[at]);
         Cell *cell = group ? findOrTakeCell(*group) : nullptr;
@@ -178,6 +185,7 @@
             continue;
         }
         Test &test = known.tests[at];
+        const double share = (test.isUsed ? workNow : work) / known.mean;
         if (isUsable(cell)) {
             const double weight = std::max(TestWeight, 1.0 / ++test.count);
             test.meanError += weight * (squaredLog(share) - test.meanError);
