Count what servers still have to do in work, not in requests

Cause: where a request had to wait, the wait was half its own service time, whatever ran at the server, and full servers were compared by speed alone. Change: RemainingWork keeps the expected rests of the requests at each server; the time until a slot is free, stretched by the server's report, is added for full servers and replaces the half service time in forecasts. Existing dispatcher and play tests unchanged.

--- a/include/snipevalve/dispatch/dispatcher.hpp
+++ b/include/snipevalve/dispatch/dispatcher.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "snipevalve/dispatch/key_owners.hpp"
+#include "snipevalve/dispatch/remaining_work.hpp"
 #include "snipevalve/dispatch/repeat_window.hpp"
 #include "snipevalve/dispatch/server_loads.hpp"
 #include "snipevalve/dispatch/service_times.hpp"
@@ -109,6 +110,7 @@
         UpstreamServer server;
         Slowness slowness; ///< usual, without the momentary slowdowns that the server reports
         LoadReports loads;
+        RemainingWork remaining;
         OutlierDetector outliers{ejection()};
         double refusalRate = 0; ///< moving average of the share of sends that the server refused
         unsigned busy = 0;
@@ -201,6 +203,8 @@
     void placeItems(const std::vector<const WorkItem *> &items, Candidates &candidates, bool mayQueue,
                     std::set<Ticket> &placed, TimePoint now);
     double timeFactor(const ServerState &state) const;
+    std::optional<Seconds> untilSlotOf(const ServerState &state, TimePoint now) const;
+    Seconds timeUntilSlot(const std::string &name, Seconds usual, TimePoint now) const;
     Seconds timeOn(const ServerState &state, Seconds work, TimePoint now) const;
     ServerState *bestAvailable(const WorkItem &item, const Candidates &candidates, TimePoint now);
     void learnFrom(ServerState &state, const Running &ended, Duration work, bool hasReport, TimePoint now);
@@ -222,6 +226,10 @@
     double m_serviceCapacity = 0; ///< of all servers, as of the last advance()
     double m_serviceDemand = 0; ///< of all queues, as of the last advance()
     std::map<Ticket, Running> m_running;
+    /// The last answer of timeUntilSlot() for a service without keys; asked for each waiting request at the same time.
+    mutable std::optional<Seconds> m_untilAnySlot;
+    mutable TimePoint m_untilAnySlotAt;
+    mutable std::size_t m_untilAnySlotRunning = 0;
     std::vector<DispatchDecision> m_decisions;
 };
 
--- a/src/snipevalve/dispatch/dispatcher.cpp
+++ b/src/snipevalve/dispatch/dispatcher.cpp
@@ -188,6 +188,7 @@
     m_running[item.ticket] = {server, traitsOf(item), item.host, now, end, end, false, now};
     if (position != m_servers.end()) {
         ++position->second.busy;
+        position->second.remaining.add(item.ticket, expected / 2, true, now); // as far as is known, half of it is done
     }
 }
 
@@ -205,6 +206,7 @@
         const bool hasAnsweredLaterSend = state.newestAnsweredStart > running.startedAt;
         if (hasAnsweredLaterSend || now >= running.presumedLostAt) {
             running.holdsSlot = false;
+            state.remaining.remove(ticket);
             state.busy -= state.busy > 0 ? 1 : 0;
         }
     }
@@ -231,6 +233,7 @@
     }
     ++state.busy;
     state.lastUsedAt = now;
+    state.remaining.add(item.ticket, expectedOn(state, item, now), !mustWait, now);
     const Seconds expected = patientlyExpectedOn(state, item, now);
     m_running[item.ticket] = {state.server.id,
                               traitsOf(item),
@@ -407,20 +410,6 @@
     }
 }
 
-/// The next send that waits at the server starts when another one ends there. Its wait does not count as service time.
-void Dispatcher::onSlotFreed(ServerState &state, Ticket ended, TimePoint now)
-{
-    if (std::erase(state.queued, ended) > 0 || state.queued.empty()) {
-        return;
-    }
-    const auto next = m_running.find(state.queued.front());
-    state.queued.pop_front();
-    if (next != m_running.end()) {
-        next->second.isWaitingAtServer = false;
-        next->second.slotSince = now;
-    }
-}
-
 std::vector<DispatchDecision> Dispatcher::take()
 {
     std::vector<DispatchDecision> decisions;
--- a/src/snipevalve/dispatch/dispatcher_choice.cpp
+++ b/src/snipevalve/dispatch/dispatcher_choice.cpp
@@ -162,7 +162,7 @@
         return result;
     }
     const double unit = std::max(1.0, capacity);
-    const Seconds untilSlot = freeSlots(name, now) > 0 ? Seconds(0) : work / (2 * unit);
+    const Seconds untilSlot = freeSlots(name, now) > 0 ? Seconds(0) : timeUntilSlot(name, work / (2 * unit), now);
     const Seconds onTimeWait = untilSlot + onTimeWorkAhead / capacity;
     result.meetsTarget = now + toDuration(onTimeWait + work * WorkMargin) <= item.targetBy;
     const Seconds lateWait = lateWorkAhead / (capacity * shareForLateWork(queue, name));
@@ -260,14 +260,15 @@
 }
 
 /// The time factor applied to `work`, with what the server reports of this moment: how fast it is, and how long a
-/// request waits there behind others that are unknown here.
+/// request waits there behind others that are unknown here. With the wait for a slot, if the server is full.
 Seconds Dispatcher::timeOn(const ServerState &state, Seconds work, TimePoint now) const
 {
     const Seconds usual = work * timeFactor(state);
     const double unknown = state.loads.unknownRequests(now);
     const double slots = std::max(1U, state.server.slots);
     const double ahead = unknown > 0 ? std::max(0.0, state.busy + unknown + 1.0 - slots) : 0.0;
-    return state.loads.timeOf(usual, now) + usual * (ahead / slots) * state.loads.factor(now);
+    const Seconds wait = state.busy < limitOf(state) ? Seconds(0) : untilSlotOf(state, now).value_or(Seconds(0));
+    return wait + state.loads.timeOf(usual, now) + usual * (ahead / slots) * state.loads.factor(now);
 }
 
 /// The most suitable available server. Null if there is none, or if waiting for a busy server meets the target and is
