--- a/include/snipevalve/dispatch/dispatcher.hpp
+++ b/include/snipevalve/dispatch/dispatcher.hpp
@@ -11,11 +11,15 @@
 
 #include "snipevalve/dispatch/joined_servers.hpp"
 #include "snipevalve/dispatch/key_owners.hpp"
+#include "snipevalve/dispatch/remaining_work.hpp"
 #include "snipevalve/dispatch/repeat_window.hpp"
+#include "snipevalve/dispatch/server_loads.hpp"
 #include "snipevalve/dispatch/service_times.hpp"
 #include "snipevalve/dispatch/slot_shares.hpp"
 #include "snipevalve/dispatch/work.hpp"
+#include "snipevalve/dispatch/work_estimates.hpp"
 #include "snipevalve/dispatch/work_order.hpp"
+#include "snipevalve/gateway/server_load.hpp"
 #include "snipevalve/request/outlier_detector.hpp"
 
 namespace snipevalve {
@@ -77,11 +81,18 @@
     /// @brief What the request adds to the load of its key when keys are balanced over servers.
     Seconds balanceWork(const WorkItem &item) const;
 
+    /// @brief What is known of the work of requests.
+    const WorkEstimates &workEstimates() const;
+
     /// @brief Records the service time of a send placed by another dispatcher, for estimates made here.
-    void learn(std::uint64_t workClass, Duration took);
+    /// @param load what the server has said of its load in the answer
+    void learn(const WorkItem &item, const std::string &server, Duration took, const std::optional<ServerLoad> &load,
+               TimePoint now);
 
     /// @brief Ends a send, or removes a waiting request whose sender gave up. Unknown tickets are ignored.
-    void finish(Ticket ticket, WorkEnd end, Duration took, TimePoint now);
+    /// @param load what the server has said of its load in the answer or refusal
+    void finish(Ticket ticket, WorkEnd end, Duration took, TimePoint now,
+                const std::optional<ServerLoad> &load = std::nullopt);
 
     /// @brief Rejects requests that can no longer meet their deadline and places those that have an available server.
     void advance(TimePoint now);
@@ -107,7 +118,9 @@
     struct ServerState
     {
         UpstreamServer server;
-        Slowness slowness;
+        Slowness slowness; ///< usual, without the momentary slowdowns that the server reports
+        LoadReports loads;
+        RemainingWork remaining;
         OutlierDetector outliers{ejection()};
         double refusalRate = 0; ///< moving average of the share of sends that the server refused
         unsigned busy = 0;
@@ -121,7 +134,7 @@
     struct Running
     {
         std::string server;
-        std::uint64_t workClass = 0;
+        WorkTraits traits;
         std::uint32_t host = 0;
         TimePoint startedAt;
         TimePoint suspectAt; ///< from then on it frees its slot if the server has answered a later send
@@ -164,6 +177,7 @@
         bool isLate = false;
         int joinRank = 0; ///< see JoinedServers
         bool isInOtherZone = false;
+        bool isSlowNow = false; ///< it reports to be slower or fuller than usual
         bool needsConnection = false;
         Seconds time{0};
         double busyShare = 0;
@@ -182,7 +196,8 @@
     bool hasFreeSlot(const ServerState &state, TimePoint now) const;
     bool canQueue(const ServerState &state, TimePoint now) const;
     bool admits(const ServerState &state, const WorkItem &item, TimePoint now) const;
-    Seconds expectedOn(const ServerState &state, const WorkItem &item) const;
+    Seconds patientlyExpectedOn(const ServerState &state, const WorkItem &item, TimePoint now) const;
+    Seconds expectedOn(const ServerState &state, const WorkItem &item, TimePoint now) const;
     double capacityOfQueue(const std::string &name) const;
     double freeSlots(const std::string &name, TimePoint now) const;
     Forecast forecast(const WorkItem &item, const WorkAhead &ahead, bool isSubmission, const ServerQueue &queue,
@@ -206,14 +221,18 @@
     void placeItems(const std::vector<const WorkItem *> &items, Candidates &candidates, bool mayQueue,
                     std::set<Ticket> &placed, TimePoint now);
     double timeFactor(const ServerState &state) const;
+    std::optional<Seconds> untilSlotOf(const ServerState &state, TimePoint now) const;
+    Seconds timeUntilSlot(const std::string &name, Seconds usual, TimePoint now) const;
+    Seconds timeOn(const ServerState &state, Seconds work, TimePoint now) const;
     ServerState *bestAvailable(const WorkItem &item, const Candidates &candidates, TimePoint now);
+    void learnFrom(ServerState &state, const Running &ended, Duration work, bool hasReport, TimePoint now);
     void onSlotFreed(ServerState &state, Ticket ended, TimePoint now);
     std::vector<const WorkItem *> orderedItems(const ServerQueue &queue, const std::string &name, TimePoint now) const;
     void rejectUnmeetable(const std::string &name, ServerQueue &queue, TimePoint now);
     void requeueAll(TimePoint now);
 
     DispatcherOptions m_options;
-    ServiceTimes m_times;
+    WorkEstimates m_work;
     RepeatWindow m_repeats;
     JoinedServers m_joined;
     SlotShares m_shares;
@@ -228,6 +247,10 @@
     double m_serviceCapacity = 0; ///< of all servers, as of the last advance()
     double m_serviceDemand = 0; ///< of all queues, as of the last advance()
     std::map<Ticket, Running> m_running;
+    /// The last answer of timeUntilSlot() for a service without keys; asked for each waiting request at the same time.
+    mutable std::optional<Seconds> m_untilAnySlot;
+    mutable TimePoint m_untilAnySlotAt;
+    mutable std::size_t m_untilAnySlotRunning = 0;
     std::vector<DispatchDecision> m_decisions;
 };
 
--- a/src/snipevalve/dispatch/dispatcher.cpp
+++ b/src/snipevalve/dispatch/dispatcher.cpp
@@ -175,7 +175,7 @@
     const bool canMeet = prediction.meetsTarget || prediction.meetsDeadline;
     const bool isWorkTooLong = now + toDuration(expectedWork(item) * WorkMargin) > item.deadline;
     const bool isTrial = isWorkTooLong && queue.items.empty() && freeSlots(name, now) > 0;
-    if (!canMeet && !(isTrial && m_times.takeTrial(item.workClass, now))) {
+    if (!canMeet && !(isTrial && m_work.takeTrial(item.workClass, now))) {
         reject(item, m_isEvacuated ? RejectReason::NoServer : RejectReason::TooLate, prediction.retryAfter);
         return;
     }
@@ -189,12 +189,13 @@
 void Dispatcher::adopt(const WorkItem &item, const std::string &server, TimePoint now)
 {
     const auto position = m_servers.find(server);
-    const Seconds expected = position == m_servers.end() ? expectedWork(item) : expectedOn(position->second, item);
+    const Seconds expected = position == m_servers.end() ? expectedWork(item) : expectedOn(position->second, item, now);
     const TimePoint end = now + toDuration(expected * AdoptedLifetimeFactor);
-    m_running[item.ticket] = {server, item.workClass, item.host, now, end, end, false, now};
+    m_running[item.ticket] = {server, traitsOf(item), item.host, now, end, end, false, now};
     m_shares.onStart(item.ticket, server, item.priority);
     if (position != m_servers.end()) {
         ++position->second.busy;
+        position->second.remaining.add(item.ticket, expected / 2, true, now); // as far as is known, half of it is done
     }
 }
 
@@ -213,6 +214,7 @@
         if (hasAnsweredLaterSend || now >= running.presumedLostAt) {
             running.holdsSlot = false;
             m_shares.onEnd(ticket);
+            state.remaining.remove(ticket);
             state.busy -= state.busy > 0 ? 1 : 0;
         }
     }
@@ -220,6 +222,9 @@
 
 void Dispatcher::reject(const WorkItem &item, RejectReason reason, Seconds retryAfter)
 {
+    if (reason == RejectReason::TooLate) {
+        m_work.onRejected(traitsOf(item));
+    }
     constexpr double MinJitter = 0.8;
     constexpr double MaxJitter = 1.2; ///< spreads retries over two fifths of the wait, against retry waves
     std::uniform_real_distribution<double> jitter(MinJitter, MaxJitter);
@@ -238,9 +243,10 @@
     m_shares.onStart(item.ticket, state.server.id, item.priority);
     state.lastUsedAt = now;
     m_joined.onPlaced(state.server.id, now);
-    const Seconds expected = expectedOn(state, item);
+    state.remaining.add(item.ticket, expectedOn(state, item, now), !mustWait, now);
+    const Seconds expected = patientlyExpectedOn(state, item, now);
     m_running[item.ticket] = {state.server.id,
-                              item.workClass,
+                              traitsOf(item),
                               item.host,
                               now,
                               now + toDuration(expected * SuspectFactor),
@@ -295,8 +301,8 @@
                 return;
             }
             ServerState *state = placed.contains(item->ticket) ? nullptr : bestAvailable(*item, candidates, now);
-            const bool meetsTarget =
-                state != nullptr && now + toDuration(expectedOn(*state, *item) * PlacementMargin) <= item->targetBy;
+            const bool meetsTarget = state != nullptr
+                && now + toDuration(expectedOn(*state, *item, now) * PlacementMargin) <= item->targetBy;
             const bool isInOrder = meetsTarget || (candidates.areLateInOrder && !canMeetTarget(*item, now));
             if (state == nullptr || (onlyWithinTarget && !isInOrder)) {
                 continue;
@@ -353,12 +359,7 @@
     });
 }
 
-void Dispatcher::learn(std::uint64_t workClass, Duration took)
-{
-    m_times.observe(workClass, took, 1.0);
-}
-
-void Dispatcher::finish(Ticket ticket, WorkEnd end, Duration took, TimePoint now)
+void Dispatcher::finish(Ticket ticket, WorkEnd end, Duration took, TimePoint now, const std::optional<ServerLoad> &load)
 {
     const auto running = m_running.find(ticket);
     if (running == m_running.end()) {
@@ -377,6 +378,9 @@
         return;
     }
     ServerState &state = position->second;
+    if (load) {
+        state.loads.add(*load, state.busy, now);
+    }
     state.busy -= ended.holdsSlot && state.busy > 0 ? 1 : 0;
     onSlotFreed(state, ticket, now);
     switch (end) {
@@ -384,8 +388,7 @@
         state.lastAnswerByHost[ended.host] = now;
         state.newestAnsweredStart = std::max(state.newestAnsweredStart, ended.startedAt);
         if (!ended.isWaitingAtServer) {
-            const Duration work = std::min<Duration>(took, now - ended.slotSince);
-            state.slowness.observe(m_times.observe(ended.workClass, work, state.slowness.factor()));
+            learnFrom(state, ended, std::min<Duration>(took, now - ended.slotSince), load.has_value(), now);
         }
         state.outliers.onSuccess();
         state.refusalRate *= 1.0 - RefusalRateWeight;
@@ -408,20 +411,6 @@
     }
 }
 
-/// The next send that waits at the server starts when another one ends there. Its wait does not count as service time.
-void Dispatcher::onSlotFreed(ServerState &state, Ticket ended, TimePoint now)
-{
-    if (std::erase(state.queued, ended) > 0 || state.queued.empty()) {
-        return;
-    }
-    const auto next = m_running.find(state.queued.front());
-    state.queued.pop_front();
-    if (next != m_running.end()) {
-        next->second.isWaitingAtServer = false;
-        next->second.slotSince = now;
-    }
-}
-
 std::vector<DispatchDecision> Dispatcher::take()
 {
     std::vector<DispatchDecision> decisions;
--- a/src/snipevalve/dispatch/dispatcher_choice.cpp
+++ b/src/snipevalve/dispatch/dispatcher_choice.cpp
@@ -28,6 +28,9 @@
 constexpr double LightLoadUtilisation = 0.7;
 /// Told to callers of a service whose servers are all evacuated; nobody knows when the operators take a zone back.
 constexpr Seconds EvacuatedRetryAfter(1.0);
+/// While utilisation is low, a server that reports more than this above its usual time is avoided within its zone: to
+/// connect to another one costs less.
+constexpr double SlowNowFactor = 1.3;
 
 } // namespace
 
@@ -102,14 +105,22 @@
     return m_keyed ? server : SlotShares::Service;
 }
 
-Seconds Dispatcher::expectedOn(const ServerState &state, const WorkItem &item) const
+Seconds Dispatcher::expectedOn(const ServerState &state, const WorkItem &item, TimePoint now) const
 {
-    return m_times.expected(item.workClass, state.slowness.factor());
+    return state.loads.timeOf(expectedWork(item) * state.slowness.factor(), now);
+}
+
+/// The expected time for decisions about sends that take too long. A request that is expected to be cheap gets the time
+/// of its class: if the estimate is wrong, to give up the send would do the work twice.
+Seconds Dispatcher::patientlyExpectedOn(const ServerState &state, const WorkItem &item, TimePoint now) const
+{
+    const Seconds work = std::max(expectedWork(item), m_work.mean(item.workClass));
+    return state.loads.timeOf(work * state.slowness.factor(), now);
 }
 
 Seconds Dispatcher::expectedWork(const WorkItem &item) const
 {
-    return m_times.expected(item.workClass, 1.0);
+    return m_work.expected(traitsOf(item));
 }
 
 double Dispatcher::capacityOf(const std::string &server) const
@@ -227,6 +238,7 @@
     Forecast result;
     if (m_isEvacuated) {
         result.wait = EvacuatedRetryAfter;
+        result.retryAfter = EvacuatedRetryAfter;
         return result;
     }
     const Seconds work = expectedWork(item);
@@ -240,7 +252,8 @@
         return result;
     }
     const double unit = std::max(1.0, capacity);
-    const Seconds untilSlot = outlook.untilSlot.value_or(freeSlots(name, now) > 0 ? Seconds(0) : work / (2 * unit));
+    const Seconds untilAnySlot = freeSlots(name, now) > 0 ? Seconds(0) : timeUntilSlot(name, work / (2 * unit), now);
+    const Seconds untilSlot = outlook.untilSlot.value_or(untilAnySlot);
     const double margin = isSubmission && outlook.isLimited ? LimitedWaitMargin : 1.0;
     const Seconds onTimeWait = (untilSlot + ahead.onTime(outlook.competesFrom) / capacity) * margin;
     result.meetsTarget = now + toDuration(onTimeWait + work * WorkMargin) <= item.targetBy;
@@ -297,7 +310,8 @@
 
 /// With many hosts and servers and few requests per pair, choosing by time alone is costly: with 70 hosts and 69
 /// servers nearly every request opened a connection, mostly to another zone. While utilisation is low, servers that
-/// meet the target are preferred if they are in the host's zone, then if the host still has a connection to them.
+/// meet the target are preferred if they are in the host's zone, then if they don't report to be slow, then if the host
+/// still has a connection to them.
 Dispatcher::Suitability Dispatcher::suitability(const ServerState &state, const WorkItem &item, Seconds time,
                                                 bool isLightlyLoaded, TimePoint now) const
 {
@@ -305,7 +319,7 @@
     const double busyShare = static_cast<double>(state.busy) / std::max(1U, state.server.slots);
     const bool hasJoined = m_joined.contains(state.server.id);
     if (!isLightlyLoaded && !hasJoined) {
-        return {false, 0, false, false, time * (isInOtherZone ? OtherZonePenalty : 1.0), busyShare};
+        return {false, 0, false, false, false, time * (isInOtherZone ? OtherZonePenalty : 1.0), busyShare};
     }
     const auto answered = state.lastAnswerByHost.find(item.host);
     const bool needsConnection =
@@ -314,9 +328,10 @@
     const int joinRank =
         isLate ? 0 : m_joined.rank(state.server.id, !isInOtherZone, !needsConnection, m_options.slotShare, now);
     if (!isLightlyLoaded) {
-        return {false, joinRank, false, false, time * (isInOtherZone ? OtherZonePenalty : 1.0), busyShare};
+        return {false, joinRank, false, false, false, time * (isInOtherZone ? OtherZonePenalty : 1.0), busyShare};
     }
-    return {isLate, joinRank, isInOtherZone, needsConnection, time, busyShare};
+    const bool isSlowNow = time > expectedWork(item) * timeFactor(state) * SlowNowFactor;
+    return {isLate, joinRank, isInOtherZone, isSlowNow, needsConnection, time, busyShare};
 }
 
 /// The servers of a queue that can take work now, and the time factor of the best busy one.
@@ -341,7 +356,8 @@
         } else if (isUsable(state, now)) {
             // The wait for a slot is about half a service time divided by the number of slots.
             const double untilFree = 1.0 + 1.0 / (2.0 * limitOf(state));
-            candidates.bestBusyFactor = std::min(candidates.bestBusyFactor, timeFactor(state) * untilFree);
+            candidates.bestBusyFactor =
+                std::min(candidates.bestBusyFactor, timeFactor(state) * state.loads.factor(now) * untilFree);
         }
     }
     return candidates;
@@ -353,6 +369,18 @@
     return state.slowness.factor() / (1.0 - state.refusalRate);
 }
 
+/// The time factor applied to `work`, with what the server reports of this moment: how fast it is, and how long a
+/// request waits there behind others that are unknown here. With the wait for a slot, if the server is full.
+Seconds Dispatcher::timeOn(const ServerState &state, Seconds work, TimePoint now) const
+{
+    const Seconds usual = work * timeFactor(state);
+    const double unknown = state.loads.unknownRequests(now);
+    const double slots = std::max(1U, state.server.slots);
+    const double ahead = unknown > 0 ? std::max(0.0, state.busy + unknown + 1.0 - slots) : 0.0;
+    const Seconds wait = state.busy < limitOf(state) ? Seconds(0) : untilSlotOf(state, now).value_or(Seconds(0));
+    return wait + state.loads.timeOf(usual, now) + usual * (ahead / slots) * state.loads.factor(now);
+}
+
 /// The most suitable available server. Null if there is none, or if waiting for a busy server meets the target and is
 /// faster while the best available server would miss it.
 Dispatcher::ServerState *Dispatcher::bestAvailable(const WorkItem &item, const Candidates &candidates, TimePoint now)
@@ -366,7 +394,7 @@
         if ((isAvoided && !item.key) || !admits(*state, item, now)) {
             continue;
         }
-        const Suitability fit = suitability(*state, item, work * timeFactor(*state), lightlyLoaded, now);
+        const Suitability fit = suitability(*state, item, timeOn(*state, work, now), lightlyLoaded, now);
         if (best == nullptr || fit < bestFit) {
             best = state;
             bestFit = fit;
@@ -375,7 +403,7 @@
     if (best == nullptr) {
         return nullptr;
     }
-    const Seconds timeOnBest = work * timeFactor(*best);
+    const Seconds timeOnBest = timeOn(*best, work, now);
     const Seconds timeOnBusy = work * candidates.bestBusyFactor;
     const bool isBetterToWait = now + toDuration(timeOnBest) > item.targetBy && timeOnBusy < timeOnBest
         && now + toDuration(timeOnBusy) <= item.targetBy;
--- a/src/snipevalve/dispatch/service_times_test.cpp
+++ b/src/snipevalve/dispatch/service_times_test.cpp
@@ -33,18 +33,18 @@
     std::lognormal_distribution<double> factor(-spread.sigma * spread.sigma / 2, spread.sigma);
     std::uniform_real_distribution<double> share(0, 1);
     const std::vector<double> speeds{0.6, 1.0, 1.4};
-    ServiceTimes times;
+    WorkEstimates times;
     std::vector<Slowness> servers(Servers);
     for (int request = 0; request < 30 * 400; ++request) {
         const std::size_t server = random() % Servers;
         const double tail = share(random) < spread.tailShare ? spread.tailFactor : 1.0;
         const Seconds took(Work * factor(random) * tail * speeds[server % speeds.size()]);
-        const double slowness = servers[server].factor();
-        servers[server].observe(times.observe(Lookup, std::chrono::duration_cast<Duration>(took), slowness));
+        servers[server].observe(
+            times.observe({Lookup, {}, 0}, std::chrono::duration_cast<Duration>(took), servers[server]));
     }
     const double trueMean = Work * (1 + spread.tailShare * (spread.tailFactor - 1));
-    CHECK(times.expected(Lookup, 1.0).count() > trueMean / 2);
-    CHECK(times.expected(Lookup, 1.0).count() < trueMean * 2);
+    CHECK(times.mean(Lookup).count() > trueMean / 2);
+    CHECK(times.mean(Lookup).count() < trueMean * 2);
     double sum = 0;
     for (const Slowness &server : servers) {
         sum += server.factor();
--- a/src/snipevalve/dispatch_link/messages.cpp
+++ b/src/snipevalve/dispatch_link/messages.cpp
@@ -1,6 +1,7 @@
 #include "snipevalve/dispatch_link/messages.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <optional>
 
@@ -8,6 +9,8 @@
 
 namespace {
 
+constexpr double PercentOfUsual = 100.0;
+
 std::int64_t millisecondsBetween(TimePoint from, TimePoint to)
 {
     return std::chrono::duration_cast<Milliseconds>(to - from).count();
@@ -104,6 +107,7 @@
     if (item.key) {
         ask.set_key(*item.key);
     }
+    ask.set_body_bytes(item.bodyBytes);
     ask.set_target_ms(static_cast<std::int32_t>(millisecondsBetween(now, item.targetBy)));
     ask.set_deadline_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(0, millisecondsBetween(now, item.deadline))));
     for (const std::string &server : item.avoid) {
@@ -121,6 +125,7 @@
     if (ask.has_key()) {
         item.key = static_cast<std::uint16_t>(ask.key());
     }
+    item.bodyBytes = ask.body_bytes();
     item.zone = zone;
     item.targetBy = now + Milliseconds(ask.target_ms());
     item.deadline = now + Milliseconds(ask.deadline_ms());
@@ -397,6 +402,30 @@
     return {message.era(), message.revision(), {message.zones().begin(), message.zones().end()}};
 }
 
+proto::ServerLoad toProto(const ServerLoad &load)
+{
+    proto::ServerLoad message;
+    message.set_running(load.running);
+    message.set_waiting(load.waiting);
+    message.set_slots(load.slots);
+    message.set_slowdown_percent(static_cast<std::uint32_t>(std::lround(load.slowdown * PercentOfUsual)));
+    return message;
+}
+
+std::optional<ServerLoad> loadOf(const proto::Done &done)
+{
+    using Limits = ServerLoadLimits;
+    const proto::ServerLoad &load = done.load();
+    const bool isValid = done.has_load() && load.running() <= Limits::MaxRequests
+        && load.waiting() <= Limits::MaxRequests && load.slots() >= 1 && load.slots() <= Limits::MaxSlots
+        && load.slowdown_percent() >= Limits::MinSlowdownPercent
+        && load.slowdown_percent() <= Limits::MaxSlowdownPercent;
+    if (!isValid) {
+        return std::nullopt;
+    }
+    return ServerLoad{load.running(), load.waiting(), load.slots(), load.slowdown_percent() / PercentOfUsual};
+}
+
 WorkEnd toWorkEnd(std::uint32_t number)
 {
     const auto last = static_cast<std::uint32_t>(WorkEnd::Abandoned);
--- a/src/snipevalve/dispatch_link/messages.hpp
+++ b/src/snipevalve/dispatch_link/messages.hpp
@@ -7,6 +7,7 @@
 #include "snipevalve/gateway/evacuations.hpp"
 #include "snipevalve/gateway/leader_table.hpp"
 #include "snipevalve/gateway/leaving_servers.hpp"
+#include "snipevalve/gateway/server_load.hpp"
 #include "snipevalve/node/known_views.hpp"
 #include "snipevalve/node/view_change.hpp"
 
@@ -41,6 +42,11 @@
 proto::Evacuations toProto(const Evacuations &evacuations);
 Evacuations fromProto(const proto::Evacuations &message);
 
+proto::ServerLoad toProto(const ServerLoad &load);
+
+/// @return the load that a host has forwarded; empty when there is none or a field is out of its range
+std::optional<ServerLoad> loadOf(const proto::Done &done);
+
 /// @brief Converts the number received for the outcome of a send. An unknown number becomes WorkEnd::Abandoned.
 WorkEnd toWorkEnd(std::uint32_t number);
 
--- a/src/snipevalve/node/leader_dispatcher.cpp
+++ b/src/snipevalve/node/leader_dispatcher.cpp
@@ -269,7 +269,8 @@
     m_origins.erase(ticket);
     const auto led = m_ledServices.find(done.service());
     if (led != m_ledServices.end()) {
-        led->second.dispatcher->finish(ticket, toWorkEnd(done.end()), std::chrono::microseconds(done.took_us()), now);
+        led->second.dispatcher->finish(ticket, toWorkEnd(done.end()), std::chrono::microseconds(done.took_us()), now,
+                                       loadOf(done));
         collectDecisions(led->second);
     }
 }
@@ -520,6 +521,8 @@
         led.dispatcher->advance(now);
         led.reserveLog.update(service, led.dispatcher->slotShares().summary(), now);
         collectDecisions(led);
+        led.estimateLog.update(service, led.dispatcher->workEstimates(),
+                               m_configs.empty() ? nullptr : m_configs.back().get(), now);
     }
     sendViews(now);
     flush();
--- a/src/snipevalve/node/leader_dispatcher.hpp
+++ b/src/snipevalve/node/leader_dispatcher.hpp
@@ -12,6 +12,7 @@
 #include "snipevalve/dispatch_link/frame_channel.hpp"
 #include "snipevalve/dispatch_link/messages.hpp"
 #include "snipevalve/gateway/leaving_servers.hpp"
+#include "snipevalve/node/estimate_log.hpp"
 #include "snipevalve/node/node_settings.hpp"
 #include "snipevalve/node/slot_reserve_log.hpp"
 #include "snipevalve/ownership/key_authority.hpp"
@@ -136,6 +137,7 @@
         bool isViewSent = false; ///< a whole view has been sent; deltas follow
         TimePoint viewSentAt;
         SlotReserveLog reserveLog;
+        EstimateLog estimateLog;
     };
 
     Awaitable<void> serveHost(std::shared_ptr<FrameChannel> channel);
