--- a/src/snipevalve/dispatch/recent_demand.cpp
+++ b/src/snipevalve/dispatch/recent_demand.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-/// Averages over about ten requests of a server that gets 2.5 a second; half as long as the users' bursts.
+/// Averages over about ten requests of a server that gets 2.5 a second.
 constexpr Seconds TimeConstant(2.0);
 constexpr Seconds FastTimeConstant(0.3);
 /// An average over fewer milliseconds than this is not extrapolated.
--- a/src/snipevalve/dispatch/slot_shares.cpp
+++ b/src/snipevalve/dispatch/slot_shares.cpp
@@ -20,7 +20,7 @@
 constexpr double MinSlackShare = 0.25;
 /// Priorities without requests for this long are forgotten.
 constexpr Seconds KindLifetime(10.0);
-/// With 136 servers and 20 ms, the reserves took 1 % of a core; urgent arrivals update theirs at once.
+/// Bounds the time that many servers take; an urgent arrival updates the reserve of its own server at once.
 constexpr Milliseconds UpdateInterval(100);
 constexpr double NegligibleRate = 0.01; ///< requests per second; the demand of a pool below it is forgotten
 constexpr double MaxBalanceWeight = 2.0;
