--- a/include/snipevalve/ownership/detail/key_authority_impl.hpp
+++ b/include/snipevalve/ownership/detail/key_authority_impl.hpp
@@ -861,6 +861,10 @@
     if (!mayMove || !isAnyEvacuated) {
         return;
     }
+    const std::map<std::string, double> capacities = usableCapacities(demand);
+    if (capacities.empty()) {
+        return;
+    }
     std::vector<OwnedRange> leaving;
     std::vector<OwnedRange> staying = unmovableRanges(now);
     std::map<std::string, int> releases;
@@ -879,7 +883,7 @@
     }
     m_recentOwners.expire(now);
     const std::vector<float> highest = detail::highestLoads(demand.fastAverage, demand.slowAverage);
-    for (const KeyMove &keyMove : planKeyExits(leaving, staying, highest, usableCapacities(demand), m_recentOwners)) {
+    for (const KeyMove &keyMove : planKeyExits(leaving, staying, highest, capacities, m_recentOwners)) {
         if (++releases[keyMove.from] <= MaxReleaseCalls) {
             move(keyMove, "as its zone is evacuated", now);
         }
--- a/src/snipevalve/dispatch_link/messages_test.cpp
+++ b/src/snipevalve/dispatch_link/messages_test.cpp
@@ -223,6 +223,18 @@
     }
 }
 
+TEST_CASE("evacuations reach the hosts with era and revision, also an empty list")
+{
+    for (const Evacuations &sent : {Evacuations{3, 7, {"a", "b c"}}, Evacuations{3, 8, {}}}) {
+        proto::LeaderFrame frame;
+        *frame.mutable_evacuations() = toProto(sent);
+        proto::LeaderFrame received;
+        REQUIRE(received.ParseFromString(frame.SerializeAsString()));
+        REQUIRE(received.has_evacuations());
+        CHECK(fromProto(received.evacuations()) == sent);
+    }
+}
+
 TEST_CASE("a departure reaches the leader with its time and with what told it", "[promise-6]")
 {
     const TimePoint now{std::chrono::hours(1)};
