Pace requests to cold servers

A cold server crashes when it gets much more than warmup_per_s requests a second, and nothing bounded what it got. WarmupPace keeps a token bucket for each cold server in the dispatcher that decides; forecasts and the balance of keys count a cold server with the capacity that its pace allows. warmup_s, warmup_per_s and the bounds warmup_overage and warmup_slack are read; invalid values are findings. A host without a leader uses half of its even share of the limit.

The end of a server's cold time moving later is now a change of its entry. The test that asserted the opposite for a rise from 0 to 500 ms is replaced: countdowns are still no change, a rise is one.

Tests: warmup_pace (40 servers that return cold in a burst, keyed and unkeyed: never above 14 in any second with 0 to 900 ms on the way), dispatcher, joined_servers, server_directory, platform_documents, placements pass.

--- a/include/snipevalve/dispatch/dispatcher.hpp
+++ b/include/snipevalve/dispatch/dispatcher.hpp
@@ -13,6 +13,7 @@
 #include "snipevalve/dispatch/key_owners.hpp"
 #include "snipevalve/dispatch/repeat_window.hpp"
 #include "snipevalve/dispatch/service_times.hpp"
+#include "snipevalve/dispatch/warmup_pace.hpp"
 #include "snipevalve/dispatch/work.hpp"
 #include "snipevalve/request/outlier_detector.hpp"
 
@@ -74,6 +75,9 @@
     /// @brief Ends a send, or removes a waiting request whose sender gave up. Unknown tickets are ignored.
     void finish(Ticket ticket, WorkEnd end, Duration took, TimePoint now);
 
+    /// @brief The limits on requests to cold servers.
+    WarmupPace &pace();
+
     /// @brief Rejects requests that can no longer meet their deadline and places those that have an available server.
     void advance(TimePoint now);
 
@@ -84,7 +88,8 @@
     std::size_t running() const;
 
     /// @brief The server's slots divided by its slowness: its capacity in slots of a server of normal speed.
-    double capacityOf(const std::string &server) const;
+    /// @param now when a cold server's pace limits it; by default none does
+    double capacityOf(const std::string &server, TimePoint now = TimePoint::max()) const;
 
 private:
     /// Ejections are short: users' faults last a few seconds, and the keys of an ejected server have no other owner.
@@ -171,19 +176,20 @@
     bool canQueue(const ServerState &state, TimePoint now) const;
     bool admits(const ServerState &state, const WorkItem &item, TimePoint now) const;
     Seconds expectedOn(const ServerState &state, const WorkItem &item) const;
-    double capacityOfQueue(const std::string &name) const;
+    double capacityOfQueue(const std::string &name, TimePoint now) const;
+    double capacityOf(const ServerState &state, double slots, TimePoint now) const;
     double freeSlots(const std::string &name, TimePoint now) const;
     Forecast forecast(const WorkItem &item, Seconds onTimeWorkAhead, Seconds lateWorkAhead, const ServerQueue &queue,
                       const std::string &name, TimePoint now) const;
     Forecast forecast(const WorkItem &item, const ServerQueue &queue, const std::string &name, TimePoint now) const;
     bool canMeetTarget(const WorkItem &item, TimePoint now) const;
     std::optional<TimePoint> orphanedUntil(const WorkItem &item) const;
-    double shareForLateWork(const ServerQueue &queue, const std::string &name) const;
+    double shareForLateWork(const ServerQueue &queue, const std::string &name, TimePoint now) const;
     void decayDemand(ServerQueue &queue, TimePoint now) const;
     void updateTotals(TimePoint now);
     bool precedes(const WorkItem &left, const WorkItem &right, TimePoint now) const;
     std::string queueName(const WorkItem &item);
-    void reject(const WorkItem &item, RejectReason reason, Seconds retryAfter);
+    void reject(const WorkItem &item, RejectReason reason, Seconds retryAfter, TimePoint now);
     void place(const WorkItem &item, ServerState &state, TimePoint now);
     void serveQueue(const std::string &name, ServerQueue &queue, TimePoint now);
     Candidates candidatesFor(const std::string &queueName, bool mayQueue, TimePoint now);
@@ -200,6 +206,7 @@
     ServiceTimes m_times;
     RepeatWindow m_repeats;
     JoinedServers m_joined;
+    WarmupPace m_pace;
     std::mt19937_64 m_random;
     bool m_keyed = false;
     KeyOwners m_owners;
--- a/include/snipevalve/node/node_settings.hpp
+++ b/include/snipevalve/node/node_settings.hpp
@@ -34,6 +34,8 @@
     Milliseconds drainBound{2'000}; ///< a server that leaves gets no new work after this time
     double retryRatio = 0.2; ///< retries allowed per request
     double retrySlack = 0; ///< retries allowed on top of the ratio in each window, over all hosts
+    double warmupOverage = 1.5; ///< a cold server gets its rate times this, and `warmupSlack`, in any second at most
+    double warmupSlack = 8; ///< in requests
     Milliseconds retryWindow{10'000}; ///< length of the sliding window in which retries are counted
 };
 
--- a/src/snipevalve/dispatch/dispatcher.cpp
+++ b/src/snipevalve/dispatch/dispatcher.cpp
@@ -80,6 +80,7 @@
 void Dispatcher::setServers(const std::vector<UpstreamServer> &servers, TimePoint now)
 {
     m_joined.setServers(servers, now);
+    m_pace.setServers(servers, now);
     std::set<std::string> listedIds;
     for (const UpstreamServer &server : servers) {
         listedIds.insert(server.id);
@@ -155,7 +156,7 @@
 void Dispatcher::submit(WorkItem item, TimePoint now)
 {
     if (item.repeat && !item.isRepeatCounted && !m_repeats.take(now)) {
-        reject(item, RejectReason::RetryBudget, expectedWork(item));
+        reject(item, RejectReason::RetryBudget, expectedWork(item), now);
         return;
     }
     if (!item.repeat) {
@@ -166,12 +167,12 @@
     decayDemand(queue, now);
     const auto dark = orphanedUntil(item);
     if (dark && *dark + toDuration(expectedWork(item) * WorkMargin) > item.deadline) {
-        reject(item, RejectReason::NoOwner, *dark - now);
+        reject(item, RejectReason::NoOwner, *dark - now, now);
         return;
     }
     const Forecast prediction = forecast(item, queue, name, now);
     if (!prediction.meetsTarget && !prediction.meetsDeadline) {
-        reject(item, RejectReason::TooLate, prediction.wait);
+        reject(item, RejectReason::TooLate, prediction.wait, now);
         return;
     }
     if (prediction.meetsTarget) {
@@ -187,6 +188,7 @@
     const Seconds expected = position == m_servers.end() ? expectedWork(item) : expectedOn(position->second, item);
     const TimePoint end = now + toDuration(expected * AdoptedLifetimeFactor);
     m_running[item.ticket] = {server, item.workClass, item.host, now, end, end, false, now};
+    m_pace.onSent(server, expectedWork(item), now);
     if (position != m_servers.end()) {
         ++position->second.busy;
     }
@@ -211,11 +213,12 @@
     }
 }
 
-void Dispatcher::reject(const WorkItem &item, RejectReason reason, Seconds retryAfter)
+void Dispatcher::reject(const WorkItem &item, RejectReason reason, Seconds retryAfter, TimePoint now)
 {
     constexpr double MinJitter = 0.8;
     constexpr double MaxJitter = 1.2; ///< spreads retries over two fifths of the wait, against retry waves
     std::uniform_real_distribution<double> jitter(MinJitter, MaxJitter);
+    m_pace.onRefused(queueName(item), now);
     const auto queue = m_queues.find(queueName(item));
     const auto waiting = queue == m_queues.end() ? 0 : static_cast<std::uint32_t>(queue->second.items.size());
     m_decisions.push_back(Rejection{item.ticket, reason, toDuration(retryAfter * jitter(m_random)), waiting});
@@ -230,6 +233,7 @@
     ++state.busy;
     state.lastUsedAt = now;
     m_joined.onPlaced(state.server.id, now);
+    m_pace.onSent(state.server.id, expectedWork(item), now);
     const Seconds expected = expectedOn(state, item);
     m_running[item.ticket] = {state.server.id,
                               item.workClass,
@@ -310,7 +314,7 @@
     for (const WorkItem *item : orderedItems(queue, now)) {
         const Forecast prediction = forecast(*item, onTimeWorkAhead, lateWorkAhead, queue, name, now);
         if (!prediction.meetsDeadline) {
-            reject(*item, RejectReason::TooLate, prediction.wait);
+            reject(*item, RejectReason::TooLate, prediction.wait, now);
             unmeetable.insert(item->ticket);
             continue;
         }
@@ -323,7 +327,7 @@
 
 void Dispatcher::updateTotals(TimePoint now)
 {
-    m_serviceCapacity = capacityOfQueue({});
+    m_serviceCapacity = capacityOfQueue({}, now);
     m_serviceDemand = 0;
     for (auto &[name, queue] : m_queues) {
         decayDemand(queue, now);
@@ -389,11 +393,13 @@
             state.slowness.observe(m_times.observe(ended.workClass, work, state.slowness.factor()));
         }
         state.outliers.onSuccess();
+        m_pace.onAnswer(ended.server);
         state.refusalRate *= 1.0 - RefusalRateWeight;
         break;
     case WorkEnd::Unreachable:
     case WorkEnd::Lost:
         state.outliers.onFailure(now);
+        m_pace.onFailure(ended.server, end == WorkEnd::Lost, now);
         break;
     case WorkEnd::Refused:
         // A refusal comes back at once, so trying costs little; servers that refuse less are preferred.
@@ -430,6 +436,11 @@
     return decisions;
 }
 
+WarmupPace &Dispatcher::pace()
+{
+    return m_pace;
+}
+
 const RepeatWindow &Dispatcher::repeats() const
 {
     return m_repeats;
--- a/src/snipevalve/dispatch/dispatcher_choice.cpp
+++ b/src/snipevalve/dispatch/dispatcher_choice.cpp
@@ -60,9 +60,9 @@
 }
 
 /// Whether the limits of this server beyond its number of slots allow it to take the item now.
-bool Dispatcher::admits(const ServerState &, const WorkItem &, TimePoint) const
+bool Dispatcher::admits(const ServerState &state, const WorkItem &, TimePoint now) const
 {
-    return true;
+    return m_pace.admits(state.server.id, now);
 }
 
 Seconds Dispatcher::expectedOn(const ServerState &state, const WorkItem &item) const
@@ -75,25 +75,30 @@
     return m_times.expected(item.workClass, 1.0);
 }
 
-double Dispatcher::capacityOf(const std::string &server) const
+/// The server's slots, weighted by its speed, as far as its pace allows to use them.
+double Dispatcher::capacityOf(const ServerState &state, double slots, TimePoint now) const
+{
+    const double capacity = slots / state.slowness.factor();
+    return std::min(capacity, m_pace.capacity(state.server.id, now).value_or(capacity));
+}
+
+double Dispatcher::capacityOf(const std::string &server, TimePoint now) const
 {
     const auto position = m_servers.find(server);
-    if (position == m_servers.end() || position->second.isLeaving) {
-        return 0;
-    }
-    return position->second.server.slots / position->second.slowness.factor();
+    const bool isUsed = position != m_servers.end() && !position->second.isLeaving;
+    return isUsed ? capacityOf(position->second, position->second.server.slots, now) : 0;
 }
 
 /// The slots of the queue's servers, each weighted by the server's speed.
-double Dispatcher::capacityOfQueue(const std::string &name) const
+double Dispatcher::capacityOfQueue(const std::string &name, TimePoint now) const
 {
     if (!name.empty()) {
         const auto owner = m_servers.find(name);
-        return owner == m_servers.end() ? 0 : limitOf(owner->second) / owner->second.slowness.factor();
+        return owner == m_servers.end() ? 0 : capacityOf(owner->second, limitOf(owner->second), now);
     }
     double capacity = 0;
     for (const auto &[id, state] : m_servers) {
-        capacity += state.isLeaving ? 0 : limitOf(state) / state.slowness.factor();
+        capacity += state.isLeaving ? 0 : capacityOf(state, limitOf(state), now);
     }
     return capacity;
 }
@@ -101,7 +106,8 @@
 double Dispatcher::freeSlots(const std::string &name, TimePoint now) const
 {
     const auto freeOf = [this, now](const ServerState &state) {
-        return hasFreeSlot(state, now) ? limitOf(state) - state.busy : 0;
+        const bool isFree = hasFreeSlot(state, now) && m_pace.admits(state.server.id, now);
+        return isFree ? limitOf(state) - state.busy : 0;
     };
     if (!name.empty()) {
         const auto owner = m_servers.find(name);
@@ -129,10 +135,10 @@
 
 /// The share of the slots that on-time demand leaves for late work. Keyed services use the totals of the whole
 /// service: a full server hands keys over within a second if other servers have room.
-double Dispatcher::shareForLateWork(const ServerQueue &queue, const std::string &name) const
+double Dispatcher::shareForLateWork(const ServerQueue &queue, const std::string &name, TimePoint now) const
 {
     const double work = name.empty() ? queue.onTimeDemand : m_serviceDemand;
-    const double capacity = name.empty() ? capacityOfQueue(name) : m_serviceCapacity;
+    const double capacity = name.empty() ? capacityOfQueue(name, now) : m_serviceCapacity;
     return capacity <= 0 ? MinShareForLateWork : std::max(MinShareForLateWork, 1.0 - work / capacity);
 }
 
@@ -142,7 +148,7 @@
                                           const ServerQueue &queue, const std::string &name, TimePoint now) const
 {
     Forecast result;
-    const double capacity = capacityOfQueue(name);
+    const double capacity = capacityOfQueue(name, now);
     const Seconds work = expectedWork(item);
     if (capacity <= 0) {
         // It is unknown when a key without an owner gets one; its request waits for that.
@@ -151,10 +157,11 @@
         return result;
     }
     const double unit = std::max(1.0, capacity);
-    const Seconds untilSlot = freeSlots(name, now) > 0 ? Seconds(0) : work / (2 * unit);
+    const Seconds untilFree = freeSlots(name, now) > 0 ? Seconds(0) : work / (2 * unit);
+    const Seconds untilSlot = std::max(untilFree, m_pace.wait(name, now));
     const Seconds onTimeWait = untilSlot + onTimeWorkAhead / capacity;
     result.meetsTarget = now + toDuration(onTimeWait + work * WorkMargin) <= item.targetBy;
-    const Seconds lateWait = lateWorkAhead / (capacity * shareForLateWork(queue, name));
+    const Seconds lateWait = lateWorkAhead / (capacity * shareForLateWork(queue, name, now));
     result.wait = result.meetsTarget ? onTimeWait : onTimeWait + lateWait;
     result.meetsDeadline = now + toDuration(result.wait + work * WorkMargin) <= item.deadline;
     return result;
--- a/src/snipevalve/gateway/server_directory.cpp
+++ b/src/snipevalve/gateway/server_directory.cpp
@@ -79,10 +79,11 @@
 {
     m_past.erase(id);
     Entry &used = m_entries[id];
-    // The remaining warm-up time counts down with each heartbeat, so a difference in it alone is not a change.
+    // The remaining warm-up time counts down with each heartbeat; only a later end of it is a change.
     UpstreamServer before = used.last.server;
+    const bool endsLater = entry.server.warmupLeft > before.warmupLeft;
     before.warmupLeft = entry.server.warmupLeft;
-    m_changed = m_changed || before != entry.server;
+    m_changed = m_changed || endsLater || before != entry.server;
     used.last = std::move(entry);
     used.lapsedAt.reset();
 }
--- a/src/snipevalve/node/control/node_control.hpp
+++ b/src/snipevalve/node/control/node_control.hpp
@@ -954,6 +954,7 @@
         }
         // Only this host's own reads count: relaying what another leader confirmed would hide the delay of each hop.
         m_desk.setStoreReadTime(std::min(m_configWatcher.upToDateAt(), m_leaderWatcher.upToDateAt()));
+        m_desk.setEntryReadTime(m_serverWatcher.upToDateAt());
         m_desk.setLeaseRenewalTime(m_ledServices.empty() ? TimePoint() : m_lease.answeredAt());
         m_desk.advance();
     }
--- a/src/snipevalve/node/control/service_leader.hpp
+++ b/src/snipevalve/node/control/service_leader.hpp
@@ -276,7 +276,8 @@
         std::map<std::string, double> byServer;
         const Dispatcher *dispatcher = m_desk.dispatcher(m_service.name);
         for (const UpstreamServer &server : m_servers) {
-            byServer[server.id] = dispatcher == nullptr ? server.slots : dispatcher->capacityOf(server.id);
+            byServer[server.id] =
+                dispatcher == nullptr ? server.slots : dispatcher->capacityOf(server.id, Clock::now());
         }
         return byServer;
     }
--- a/src/snipevalve/node/gateway_thread.cpp
+++ b/src/snipevalve/node/gateway_thread.cpp
@@ -102,7 +102,7 @@
 {
     asio::post(m_context, [this, config = std::move(config)]() {
         m_traffic.config = config;
-        m_traffic.placements.setConfigKnown();
+        m_traffic.placements.setConfig(config);
     });
 }
 
--- a/src/snipevalve/node/leader_dispatcher.cpp
+++ b/src/snipevalve/node/leader_dispatcher.cpp
@@ -6,6 +6,7 @@
 #include "snipevalve/gateway/server_notice_log.hpp"
 #include "snipevalve/net/accept.hpp"
 #include "snipevalve/net/log_failure.hpp"
+#include "snipevalve/node/warmup_limits.hpp"
 
 namespace snipevalve {
 
@@ -362,6 +363,7 @@
     options.seed = m_seed;
     LedService &led = m_ledServices[service];
     led.dispatcher = std::make_unique<Dispatcher>(options);
+    setWarmupLimits(service, *led.dispatcher);
     led.view.service = service;
     led.sentView.service = service;
 }
@@ -426,6 +428,9 @@
     if (m_configs.size() > KeptConfigs) {
         m_configs.pop_front();
     }
+    for (const auto &[service, led] : m_ledServices) {
+        setWarmupLimits(service, *led.dispatcher);
+    }
     flush();
 }
 
@@ -445,6 +450,27 @@
     m_storeReadTime = current;
 }
 
+void LeaderDispatcher::setEntryReadTime(TimePoint current)
+{
+    m_entryReadTime = current;
+}
+
+void LeaderDispatcher::setWarmupLimits(const std::string &service, Dispatcher &dispatcher) const
+{
+    const GatewayService *config = m_configs.empty() ? nullptr : m_configs.back()->service(service);
+    if (config != nullptr) {
+        dispatcher.pace().setLimits(warmupLimitsOf(*config, m_settings), 1.0);
+    }
+}
+
+void LeaderDispatcher::advancePaces(TimePoint now)
+{
+    for (const auto &[service, led] : m_ledServices) {
+        led.dispatcher->pace().advance(m_entryReadTime, now);
+        logWarmupEvents(service, led.dispatcher->pace().takeEvents(), "leader");
+    }
+}
+
 std::uint64_t LeaderDispatcher::configVersion() const
 {
     return m_configs.empty() ? 0 : m_configs.back()->version;
@@ -504,6 +530,7 @@
 void LeaderDispatcher::advance()
 {
     const TimePoint now = Clock::now();
+    advancePaces(now);
     for (auto &[service, led] : m_ledServices) {
         led.dispatcher->advance(now);
         collectDecisions(led);
--- a/src/snipevalve/node/leader_dispatcher.hpp
+++ b/src/snipevalve/node/leader_dispatcher.hpp
@@ -86,6 +86,9 @@
     /// @brief Sets the time at which configuration and leaders were last known to be up to date with the store.
     void setStoreReadTime(TimePoint current);
 
+    /// @brief Sets the time at which the servers' entries were last known to be up to date with the store.
+    void setEntryReadTime(TimePoint current);
+
     /// @brief Sets the time at which the store last renewed this host's lease; the clock's epoch without a lease.
     void setLeaseRenewalTime(TimePoint renewedAt);
 
@@ -140,6 +143,8 @@
     void onWantedViews(const std::shared_ptr<Host> &host, const proto::HostFrame &frame);
     void onHostGone(const std::shared_ptr<Host> &host);
     void collectDecisions(LedService &led);
+    void setWarmupLimits(const std::string &service, Dispatcher &dispatcher) const;
+    void advancePaces(TimePoint now);
     void flush();
     void sendViews(TimePoint now);
     void addConfigChange(Host &host, std::uint64_t base) const;
@@ -160,6 +165,7 @@
     std::deque<std::shared_ptr<const GatewayConfig>> m_configs; ///< the latest versions in ascending order
     LeaderTable m_leaders;
     TimePoint m_storeReadTime;
+    TimePoint m_entryReadTime;
     TimePoint m_leaseRenewedAt; ///< zero without a lease
 };
 
--- a/src/snipevalve/node/placements.cpp
+++ b/src/snipevalve/node/placements.cpp
@@ -7,6 +7,7 @@
 
 #include "snipevalve/core/log_text.hpp"
 #include "snipevalve/gateway/server_notice_log.hpp"
+#include "snipevalve/node/warmup_limits.hpp"
 
 namespace snipevalve {
 
@@ -49,6 +50,7 @@
         options.slotShare = InitialSlotShare;
         options.seed = m_seed;
         dispatcher = std::make_unique<Dispatcher>(options);
+        setWarmupLimits(service, *dispatcher);
     }
     return *dispatcher;
 }
@@ -473,6 +475,15 @@
     updateLinks();
 }
 
+void Placements::setConfig(std::shared_ptr<const GatewayConfig> config)
+{
+    m_config = std::move(config);
+    for (const auto &[service, dispatcher] : m_localDispatchers) {
+        setWarmupLimits(service, *dispatcher);
+    }
+    setConfigKnown();
+}
+
 void Placements::setConfigKnown()
 {
     if (!m_isConfigKnown) {
@@ -481,6 +492,15 @@
     }
 }
 
+void Placements::setWarmupLimits(const std::string &service, Dispatcher &dispatcher) const
+{
+    const GatewayService *config = m_config == nullptr ? nullptr : m_config->service(service);
+    if (config != nullptr) {
+        const double share = localWarmupShare(m_isHostCountKnown ? m_hostCount : 0);
+        dispatcher.pace().setLimits(warmupLimitsOf(*config, m_settings), share);
+    }
+}
+
 void Placements::connectTo(const Endpoint &endpoint)
 {
     if (m_links.contains(endpoint)) {
@@ -584,6 +604,7 @@
 
 void Placements::onFrame(LeaderLink &link, const proto::LeaderFrame &frame)
 {
+    m_isHostCountKnown = m_isHostCountKnown || frame.hosts() > 0;
     m_hostCount = std::max<std::uint32_t>(1, frame.hosts());
     for (const proto::View &view : frame.views()) {
         m_nextAskOfDenier.erase(view.service());
@@ -667,6 +688,7 @@
     }
     Dispatcher &dispatcher = localDispatcher(view.service);
     dispatcher.setSlotShare(std::min(1.0, LocalShareFactor / m_hostCount));
+    setWarmupLimits(view.service, dispatcher);
     dispatcher.setServers(servers, now);
     if (view.keyed) {
         dispatcher.setOwners(view.owners, now);
@@ -765,6 +787,7 @@
         reviewWaiting(now);
     }
     for (auto &[service, dispatcher] : m_localDispatchers) {
+        dispatcher->pace().advance(TimePoint(), now);
         dispatcher->advance(now);
         deliverLocalDecisions(*dispatcher);
     }
--- a/src/snipevalve/node/placements.hpp
+++ b/src/snipevalve/node/placements.hpp
@@ -63,6 +63,9 @@
     /// than this host, and after that it is empty for a while.
     void connectToSeeds(const std::vector<Endpoint> &seeds);
 
+    /// @brief Sets the configuration, which is known from now on.
+    void setConfig(std::shared_ptr<const GatewayConfig> config);
+
     /// @brief Tells that a configuration is known, so that seeds are only needed while there are no leaders.
     void setConfigKnown();
 
@@ -141,6 +144,7 @@
     bool addLeaving(const std::string &service, const UpstreamServer &server, LeavingSource source);
     void tellLeaving(LeaderLink &link, const std::string &service) const;
     Dispatcher &localDispatcher(const std::string &service);
+    void setWarmupLimits(const std::string &service, Dispatcher &dispatcher) const;
     LeaderLink *leaderLinkOf(const std::string &service) const;
     LeaderLink *leaderLinkForAsk(const std::string &service, TimePoint now);
     bool isLed(const std::string &service) const;
@@ -163,12 +167,14 @@
     const NodeSettings &m_settings;
     std::uint64_t m_seed;
     Ticket m_lastTicket = 0;
+    bool m_isHostCountKnown = false;
     std::uint32_t m_hostCount = 1; ///< number of hosts that share the servers, as last told by a leader
     std::map<Ticket, Send> m_sends;
     std::map<std::string, std::unique_ptr<Dispatcher>> m_localDispatchers; ///< by service
     std::map<std::string, Endpoint> m_leaders; ///< by service
     std::set<Endpoint> m_seeds;
     bool m_isConfigKnown = false;
+    std::shared_ptr<const GatewayConfig> m_config; ///< null until one is known
     std::map<Endpoint, std::shared_ptr<LeaderLink>> m_links;
     KnownViews m_views;
     LeavingServers m_leaving;
