Narrow the first keys of cold servers, and pace servers that return

A cold server has room for a few requests a second; the first keys are narrowed until they fit. A server of a zone that is no longer evacuated joins anew, so it gets requests at low load too. The wait for a confirming entry follows the heartbeat interval of the settings, and hosts drain the events of their dispatchers, which would have grown without end.

--- a/include/snipevalve/dispatch/dispatcher.hpp
+++ b/include/snipevalve/dispatch/dispatcher.hpp
@@ -76,7 +76,10 @@
     void finish(Ticket ticket, WorkEnd end, Duration took, TimePoint now);
 
     /// @brief The limits on requests to cold servers.
-    WarmupPace &pace();
+    WarmupPace &pace()
+    {
+        return m_pace;
+    }
 
     /// @brief Rejects requests that can no longer meet their deadline and places those that have an available server.
     void advance(TimePoint now);
--- a/include/snipevalve/dispatch/joined_servers.hpp
+++ b/include/snipevalve/dispatch/joined_servers.hpp
@@ -25,7 +25,8 @@
     static constexpr Milliseconds ZoneInterval{500}; ///< from any host of its zone
     static constexpr Milliseconds AnyInterval{1'000}; ///< from any host
 
-    /// @brief Sets the servers of the service. Those of the first list have not joined, except those that are cold.
+    /// @brief Sets the servers of the service. Those of the first list have not joined, except those that are cold. A
+    /// server whose zone is no longer evacuated joins anew.
     void setServers(const std::vector<UpstreamServer> &servers, TimePoint now);
 
     /// @brief Records that the server has been given a request.
@@ -39,8 +40,14 @@
     int rank(const std::string &server, bool isInZone, bool isConnected, double share, TimePoint now) const;
 
 private:
+    struct Listed
+    {
+        std::int64_t incarnation = 0;
+        bool isEvacuated = false;
+    };
+
     bool m_hasList = false; ///< a list with servers has been set
-    std::map<std::string, std::int64_t> m_incarnations; ///< of all listed servers, by id
+    std::map<std::string, Listed> m_listed; ///< by id
     std::map<std::string, TimePoint> m_usedAt; ///< of the joined servers, by id: since when they have got no request
 };
 
--- a/include/snipevalve/dispatch/warmup_pace.hpp
+++ b/include/snipevalve/dispatch/warmup_pace.hpp
@@ -20,7 +20,7 @@
     double overage = 1.5; ///< a cold server crashes above perSecond * overage + slack requests in any second
     double slack = 8;
     Milliseconds time{0}; ///< how long a server is cold after its start
-    Milliseconds margin{1'000}; ///< a server may be cold for this much longer than its entry tells
+    Milliseconds heartbeat{1'000}; ///< a server may be cold for this much longer than its entry tells
 
     bool operator==(const WarmupLimits &) const = default;
 };
@@ -49,8 +49,8 @@
 class WarmupPace
 {
 public:
-    /// A change of a server's state is in its entry after this time: a heartbeat, the store's lag and the watch.
-    static constexpr Milliseconds EntryLag{2'300};
+    /// A change of a server's state is known after a heartbeat and this time, for the store's lag and the watch.
+    static constexpr Milliseconds EntryLag{1'400};
     /// Consecutive failed sends after which a server may have restarted.
     static constexpr unsigned SuspectFailures = 3;
 
@@ -98,7 +98,7 @@
         std::optional<TimePoint> goneSince;
         TimePoint reportedUntil;
         TimePoint assumedUntil;
-        TimePoint assumedAt; ///< an entry that is current as of EntryLag after this tells whether it is cold
+        TimePoint assumedAt; ///< an entry that is current as of a heartbeat and EntryLag later tells whether it is cold
         double tokens = 0;
         TimePoint tokensAt;
         unsigned failures = 0; ///< consecutive
@@ -116,7 +116,7 @@
     double tokensOf(const Server &server, TimePoint now) const;
     void report(Server &server, const UpstreamServer &entry, bool isQuiet, TimePoint now);
     void assumeCold(Server &server, TimePoint now);
-    void startPacing(Server &server, bool isQuiet, TimePoint now) const;
+    void startPacing(Server &server, bool isQuiet, TimePoint now);
     void noteState(const std::string &id, Server &server, TimePoint now);
 
     WarmupLimits m_limits;
@@ -124,6 +124,7 @@
     double m_rate = 0; ///< tokens per second
     double m_burst = 0; ///< most tokens that a bucket holds
     bool m_hasList = false;
+    TimePoint m_noneColdFrom; ///< no server is known to be cold from then on
     Seconds m_meanWork{0.1}; ///< of one request; the initial value is replaced within about fifty requests
     std::map<std::string, Server> m_servers; ///< by id
     std::vector<WarmupEvent> m_events;
--- a/include/snipevalve/ownership/first_keys.hpp
+++ b/include/snipevalve/ownership/first_keys.hpp
@@ -56,6 +56,9 @@
                                   const RecentOwners &recent) const;
 
 private:
+    std::optional<FirstKeys> findFitting(const std::vector<KeyDonor> &donors, const std::string &server,
+                                         std::uint32_t wanted, double room, const RecentOwners &recent,
+                                         std::optional<FirstKeys> &lightest) const;
     double loadOf(std::uint32_t from, std::uint32_t end) const;
 
     std::vector<double> m_loadBefore; ///< by key: the load of all lower keys
--- a/src/snipevalve/dispatch/dispatcher.cpp
+++ b/src/snipevalve/dispatch/dispatcher.cpp
@@ -436,11 +436,6 @@
     return decisions;
 }
 
-WarmupPace &Dispatcher::pace()
-{
-    return m_pace;
-}
-
 const RepeatWindow &Dispatcher::repeats() const
 {
     return m_repeats;
--- a/src/snipevalve/dispatch/joined_servers.cpp
+++ b/src/snipevalve/dispatch/joined_servers.cpp
@@ -7,19 +7,20 @@
 
 void JoinedServers::setServers(const std::vector<UpstreamServer> &servers, TimePoint now)
 {
-    std::map<std::string, std::int64_t> listed;
+    std::map<std::string, Listed> listed;
     for (const UpstreamServer &server : servers) {
-        listed.emplace(server.id, server.incarnation);
-        const auto known = m_incarnations.find(server.id);
-        const bool isNew = known == m_incarnations.end() || known->second != server.incarnation;
+        listed.emplace(server.id, Listed{server.incarnation, server.evacuated});
+        const auto known = m_listed.find(server.id);
+        const bool isNew = known == m_listed.end() || known->second.incarnation != server.incarnation
+            || (known->second.isEvacuated && !server.evacuated);
         if (isNew && (m_hasList || server.warmupLeft.count() > 0)) {
             m_usedAt[server.id] = now;
         }
     }
     m_hasList = m_hasList || !servers.empty();
-    m_incarnations = std::move(listed);
+    m_listed = std::move(listed);
     std::erase_if(m_usedAt, [this](const auto &entry) {
-        return !m_incarnations.contains(entry.first);
+        return !m_listed.contains(entry.first);
     });
 }
 
--- a/src/snipevalve/dispatch/warmup_pace.cpp
+++ b/src/snipevalve/dispatch/warmup_pace.cpp
@@ -40,7 +40,7 @@
 }
 
 /// @param isQuiet whether the server has certainly had no request for a second
-void WarmupPace::startPacing(Server &server, bool isQuiet, TimePoint now) const
+void WarmupPace::startPacing(Server &server, bool isQuiet, TimePoint now)
 {
     // The first token comes after a second, unless the server was quiet.
     server.tokens = isQuiet ? m_burst : 1.0 - m_rate;
@@ -51,11 +51,12 @@
 {
     const bool wasCold = now < server.coldUntil();
     if (entry.warmupLeft != server.reported && entry.warmupLeft.count() > 0) {
-        server.reportedUntil = now + entry.warmupLeft + m_limits.margin;
+        server.reportedUntil = now + entry.warmupLeft + m_limits.heartbeat;
     } else if (entry.warmupLeft != server.reported) {
         server.reportedUntil = now; // the entry has counted down to the end
     }
     server.reported = entry.warmupLeft;
+    m_noneColdFrom = std::max(m_noneColdFrom, server.reportedUntil);
     if (!wasCold && now < server.coldUntil()) {
         startPacing(server, isQuiet, now);
     }
@@ -65,6 +66,7 @@
 {
     server.assumedUntil = std::max(server.assumedUntil, now + m_limits.time);
     server.assumedAt = now;
+    m_noneColdFrom = std::max(m_noneColdFrom, server.assumedUntil);
 }
 
 void WarmupPace::setServers(const std::vector<UpstreamServer> &servers, TimePoint now)
@@ -107,7 +109,7 @@
 void WarmupPace::advance(TimePoint readAt, TimePoint now)
 {
     for (auto &[id, server] : m_servers) {
-        if (now < server.assumedUntil && readAt >= server.assumedAt + EntryLag) {
+        if (now < server.assumedUntil && readAt >= server.assumedAt + m_limits.heartbeat + EntryLag) {
             server.assumedUntil = now;
         }
         noteState(id, server, now);
@@ -128,7 +130,10 @@
 
 const WarmupPace::Server *WarmupPace::coldServer(const std::string &id, TimePoint now) const
 {
-    const auto known = m_limits.perSecond > 0 ? m_servers.find(id) : m_servers.end();
+    if (m_limits.perSecond <= 0 || now >= m_noneColdFrom) {
+        return nullptr;
+    }
+    const auto known = m_servers.find(id);
     return known != m_servers.end() && now < known->second.coldUntil() ? &known->second : nullptr;
 }
 
--- a/src/snipevalve/dispatch/warmup_pace_test.cpp
+++ b/src/snipevalve/dispatch/warmup_pace_test.cpp
@@ -229,6 +229,16 @@
         pace.advance(Start + 4 * Second, Start + 4 * Second);
         CHECK_FALSE(pace.isCold("a0", Start + 4 * Second));
     }
+    SECTION("a server that returns to the list is cold until an entry read later says otherwise")
+    {
+        pace.setServers(serversOf("a", 2, Milliseconds(0)), Start);
+        pace.setServers(serversOf("a", 1, Milliseconds(0)), Start + Second);
+        pace.setServers(serversOf("a", 2, Milliseconds(0)), Start + 2 * Second);
+        CHECK(pace.isCold("a1", Start + 3 * Second));
+        CHECK_FALSE(pace.isCold("a0", Start + 3 * Second));
+        pace.advance(Start + 5 * Second, Start + 5 * Second);
+        CHECK_FALSE(pace.isCold("a1", Start + 5 * Second));
+    }
     SECTION("a server that fails several requests is cold until an entry read later says otherwise")
     {
         pace.setServers(serversOf("a", 1, Milliseconds(0)), Start);
--- a/src/snipevalve/node/placements.cpp
+++ b/src/snipevalve/node/placements.cpp
@@ -788,6 +788,10 @@
     }
     for (auto &[service, dispatcher] : m_localDispatchers) {
         dispatcher->pace().advance(TimePoint(), now);
+        const std::vector<WarmupEvent> events = dispatcher->pace().takeEvents();
+        if (!isLed(service)) {
+            logWarmupEvents(service, events, "host");
+        }
         dispatcher->advance(now);
         deliverLocalDecisions(*dispatcher);
     }
--- a/src/snipevalve/node/warmup_limits.cpp
+++ b/src/snipevalve/node/warmup_limits.cpp
@@ -13,7 +13,7 @@
     limits.overage = settings.warmupOverage;
     limits.slack = settings.warmupSlack;
     limits.time = service.warmupTime;
-    limits.margin = settings.heartbeatInterval;
+    limits.heartbeat = settings.heartbeatInterval;
     return limits;
 }
 
--- a/src/snipevalve/ownership/first_keys.cpp
+++ b/src/snipevalve/ownership/first_keys.cpp
@@ -15,6 +15,8 @@
 constexpr double HotRequests = 3.0;
 /// A part of the first keys brings at most this share of a server's mean load: the new owner may be cold or slow.
 constexpr double MaxLoadShare = 0.5;
+/// A server with little room, as a cold one, gets narrower parts, down to this share of the mean number of keys.
+constexpr double MinWidthShare = 0.04;
 /// A donor keeps at least this part of its keys and of its load.
 constexpr double KeptShare = 0.5;
 /// Windows are compared at distances of this part of their width.
@@ -50,24 +52,37 @@
     return m_loadBefore[end] - m_loadBefore[from];
 }
 
-/// Prefers the window without hot keys that has the most load within the limit, of the first donor that has one; else
-/// the window of any donor with the least load.
+/// Narrows the parts until one fits, or else takes the lightest one.
 std::optional<FirstKeys> FirstKeysSearch::find(const std::vector<KeyDonor> &donors, const std::string &server,
                                                double room, const RecentOwners &recent) const
 {
-    const double maxLoad = std::min(room, MaxLoadShare * m_meanLoad);
     std::optional<FirstKeys> lightest;
+    for (double share = WidthShare; share >= MinWidthShare; share /= 2) {
+        const auto width = std::max(1U, static_cast<std::uint32_t>(share * m_meanWidth));
+        if (const auto fitting = findFitting(donors, server, width, room, recent, lightest)) {
+            return fitting;
+        }
+    }
+    return lightest;
+}
+
+/// The window without hot keys that has the most load within the limit, of the first donor that has one.
+/// @param lightest the lightest window that was found so far, with or without hot keys
+std::optional<FirstKeys> FirstKeysSearch::findFitting(const std::vector<KeyDonor> &donors, const std::string &server,
+                                                      std::uint32_t wanted, double room, const RecentOwners &recent,
+                                                      std::optional<FirstKeys> &lightest) const
+{
+    const double maxLoad = std::min(room, MaxLoadShare * m_meanLoad);
     for (const KeyDonor &donor : donors) {
         std::uint32_t owned = 0;
         for (const KeyRange &range : donor.ranges) {
             owned += range.size();
         }
-        const auto mayGive = static_cast<std::uint32_t>((1.0 - KeptShare) * owned);
-        const std::uint32_t wanted = std::min(mayGive, static_cast<std::uint32_t>(WidthShare * m_meanWidth));
+        const std::uint32_t mayGive = std::min(wanted, static_cast<std::uint32_t>((1.0 - KeptShare) * owned));
         std::optional<FirstKeys> best;
         for (const KeyRange &range : recent.without(donor.ranges, server)) {
-            const std::uint32_t width = std::min(wanted, range.size());
-            if (width == 0 || width < TokenWidthShare * m_meanWidth) {
+            const std::uint32_t width = std::min(mayGive, range.size());
+            if (width == 0 || width < MinWidthShare * m_meanWidth) {
                 continue; // so few keys would get hardly any request
             }
             const std::uint32_t end = range.from + range.size();
@@ -89,7 +104,7 @@
             return best;
         }
     }
-    return lightest;
+    return std::nullopt;
 }
 
 } // namespace snipevalve
--- a/src/snipevalve/ownership/first_keys_test.cpp
+++ b/src/snipevalve/ownership/first_keys_test.cpp
@@ -203,6 +203,11 @@
     CHECK(first->from == "hot");
     CHECK(!first->keys.contains(10'000));
     CHECK(first->keys.size() == 5'570);
+    // A cold server gets so many keys as its pace allows, here the load of 2,000 keys.
+    const auto few = search.find(donors, "cold", 0.2, {});
+    REQUIRE(few);
+    CHECK(few->load <= 0.2);
+    CHECK(few->keys.size() >= 1'000);
     CHECK(search.isNeeded(0, 0));
     CHECK(search.isNeeded(3, 0.1)); // keys that were hot once
     CHECK(!search.isNeeded(8'192, 0));
