Refuse at once when the pace keeps all servers from taking a request

On a host without a leader whose share of the pace is nothing, requests to an unkeyed service with only cold servers were predicted to get a slot soon and waited until shortly before their deadlines. The forecast now counts the shortest wait that the pace imposes on all servers.

New test, keyed and unkeyed; warmup_pace, dispatcher and joined_servers tests pass.

--- a/include/snipevalve/dispatch/dispatcher.hpp
+++ b/include/snipevalve/dispatch/dispatcher.hpp
@@ -182,6 +182,7 @@
     double capacityOfQueue(const std::string &name, TimePoint now) const;
     double capacityOf(const ServerState &state, double slots, TimePoint now) const;
     double freeSlots(const std::string &name, TimePoint now) const;
+    Seconds paceWait(const std::string &name, TimePoint now) const;
     Forecast forecast(const WorkItem &item, Seconds onTimeWorkAhead, Seconds lateWorkAhead, const ServerQueue &queue,
                       const std::string &name, TimePoint now) const;
     Forecast forecast(const WorkItem &item, const ServerQueue &queue, const std::string &name, TimePoint now) const;
--- a/include/snipevalve/dispatch/warmup_pace.hpp
+++ b/include/snipevalve/dispatch/warmup_pace.hpp
@@ -67,6 +67,12 @@
 
     bool isCold(const std::string &server, TimePoint now) const;
 
+    /// @brief Whether some server may be cold. A quick check for services without cold servers.
+    bool mayAnyBeCold(TimePoint now) const
+    {
+        return m_limits.perSecond > 0 && now < m_noneColdFrom;
+    }
+
     /// @brief Whether the server may get one more request now.
     bool admits(const std::string &server, TimePoint now) const;
 
--- a/src/snipevalve/dispatch/dispatcher_choice.cpp
+++ b/src/snipevalve/dispatch/dispatcher_choice.cpp
@@ -120,6 +120,21 @@
     return free;
 }
 
+/// How long the pace of cold servers keeps all servers of the queue from taking a request.
+Seconds Dispatcher::paceWait(const std::string &name, TimePoint now) const
+{
+    if (!name.empty() || !m_pace.mayAnyBeCold(now)) {
+        return m_pace.wait(name, now);
+    }
+    std::optional<Seconds> shortest;
+    for (const auto &[id, state] : m_servers) {
+        if (!state.isLeaving) {
+            shortest = std::min(shortest.value_or(Seconds::max()), m_pace.wait(id, now));
+        }
+    }
+    return shortest.value_or(Seconds(0));
+}
+
 bool Dispatcher::canMeetTarget(const WorkItem &item, TimePoint now) const
 {
     return now + toDuration(expectedWork(item) * WorkMargin) <= item.targetBy;
@@ -158,7 +173,7 @@
     }
     const double unit = std::max(1.0, capacity);
     const Seconds untilFree = freeSlots(name, now) > 0 ? Seconds(0) : work / (2 * unit);
-    const Seconds untilSlot = std::max(untilFree, m_pace.wait(name, now));
+    const Seconds untilSlot = std::max(untilFree, paceWait(name, now));
     const Seconds onTimeWait = untilSlot + onTimeWorkAhead / capacity;
     result.meetsTarget = now + toDuration(onTimeWait + work * WorkMargin) <= item.targetBy;
     const Seconds lateWait = lateWorkAhead / (capacity * shareForLateWork(queue, name, now));
--- a/src/snipevalve/dispatch/warmup_pace.cpp
+++ b/src/snipevalve/dispatch/warmup_pace.cpp
@@ -130,7 +130,7 @@
 
 const WarmupPace::Server *WarmupPace::coldServer(const std::string &id, TimePoint now) const
 {
-    if (m_limits.perSecond <= 0 || now >= m_noneColdFrom) {
+    if (!mayAnyBeCold(now)) {
         return nullptr;
     }
     const auto known = m_servers.find(id);
--- a/src/snipevalve/dispatch/warmup_pace_test.cpp
+++ b/src/snipevalve/dispatch/warmup_pace_test.cpp
@@ -177,6 +177,31 @@
     CHECK(refused + dispatcher.waiting() == 10);
 }
 
+TEST_CASE("a host that may send nothing to cold servers refuses requests at once when all are cold")
+{
+    // Guards against: the requests wait for a server until their deadlines.
+    const bool isKeyed = GENERATE(false, true);
+    Dispatcher dispatcher({});
+    dispatcher.pace().setLimits(limits(), 1.0 / 71);
+    dispatcher.setServers(serversOf("a", 3, Milliseconds(9'000)), Start);
+    if (isKeyed) {
+        dispatcher.setOwners(KeyOwners({{{0, 65'535}, "a0"}}), Start);
+    }
+    WorkItem work;
+    work.ticket = 1;
+    work.targetBy = Start + Milliseconds(500);
+    work.deadline = Start + Milliseconds(6'000);
+    if (isKeyed) {
+        work.key = static_cast<std::uint16_t>(7);
+    }
+    dispatcher.submit(work, Start);
+    const auto decisions = dispatcher.take();
+    REQUIRE(decisions.size() == 1);
+    const auto *rejection = std::get_if<Rejection>(&decisions.front());
+    REQUIRE(rejection != nullptr);
+    CHECK(rejection->retryAfter >= Milliseconds(7'000)); // they are cold for ten seconds
+}
+
 TEST_CASE("the pace holds over a change of the leader, the store's absence and hosts without a leader")
 {
     WarmupPace pace;
