--- a/include/snipevalve/dispatch/dispatcher.hpp
+++ b/include/snipevalve/dispatch/dispatcher.hpp
@@ -16,6 +16,7 @@
 #include "snipevalve/dispatch/server_loads.hpp"
 #include "snipevalve/dispatch/service_times.hpp"
 #include "snipevalve/dispatch/slot_shares.hpp"
+#include "snipevalve/dispatch/warmup_pace.hpp"
 #include "snipevalve/dispatch/work.hpp"
 #include "snipevalve/dispatch/work_estimates.hpp"
 #include "snipevalve/dispatch/work_order.hpp"
@@ -94,6 +95,12 @@
     void finish(Ticket ticket, WorkEnd end, Duration took, TimePoint now,
                 const std::optional<ServerLoad> &load = std::nullopt);
 
+    /// @brief The limits on requests to cold servers.
+    WarmupPace &pace()
+    {
+        return m_pace;
+    }
+
     /// @brief Rejects requests that can no longer meet their deadline and places those that have an available server.
     void advance(TimePoint now);
 
@@ -104,7 +111,8 @@
     std::size_t running() const;
 
     /// @brief The server's slots divided by its slowness: its capacity in slots of a server of normal speed.
-    double capacityOf(const std::string &server) const;
+    /// @param now when a cold server's pace limits it; by default none does
+    double capacityOf(const std::string &server, TimePoint now = TimePoint::max()) const;
 
 private:
     /// Ejections are short: users' faults last a few seconds, and the keys of an ejected server have no other owner.
@@ -198,14 +206,16 @@
     bool admits(const ServerState &state, const WorkItem &item, TimePoint now) const;
     Seconds patientlyExpectedOn(const ServerState &state, const WorkItem &item, TimePoint now) const;
     Seconds expectedOn(const ServerState &state, const WorkItem &item, TimePoint now) const;
-    double capacityOfQueue(const std::string &name) const;
+    double capacityOfQueue(const std::string &name, TimePoint now) const;
+    double capacityOf(const ServerState &state, double slots, TimePoint now) const;
     double freeSlots(const std::string &name, TimePoint now) const;
+    Seconds paceWait(const std::string &name, TimePoint now) const;
     Forecast forecast(const WorkItem &item, const WorkAhead &ahead, bool isSubmission, const ServerQueue &queue,
                       const std::string &name, TimePoint now) const;
     Forecast forecast(const WorkItem &item, const ServerQueue &queue, const std::string &name, TimePoint now) const;
     bool canMeetTarget(const WorkItem &item, TimePoint now) const;
     std::optional<TimePoint> orphanedUntil(const WorkItem &item) const;
-    double shareForLateWork(const ServerQueue &queue, const std::string &name) const;
+    double shareForLateWork(const ServerQueue &queue, const std::string &name, TimePoint now) const;
     double shareForLateUrgentWork(int priority, TimePoint now) const;
     void decayDemand(ServerQueue &queue, TimePoint now) const;
     void normaliseSlowness();
@@ -214,7 +224,7 @@
     WorkOrder orderOf(const ServerQueue &queue, const std::string &name, TimePoint now) const;
     const std::string &poolOf(const std::string &server) const;
     std::string queueName(const WorkItem &item);
-    void reject(const WorkItem &item, RejectReason reason, Seconds retryAfter);
+    void reject(const WorkItem &item, RejectReason reason, Seconds retryAfter, TimePoint now);
     void place(const WorkItem &item, ServerState &state, TimePoint now);
     void serveQueue(const std::string &name, ServerQueue &queue, TimePoint now);
     Candidates candidatesFor(const std::string &queueName, bool mayQueue, TimePoint now);
@@ -236,6 +246,7 @@
     RepeatWindow m_repeats;
     JoinedServers m_joined;
     SlotShares m_shares;
+    WarmupPace m_pace;
     std::mt19937_64 m_random;
     bool m_keyed = false;
     bool m_isEvacuated = false; ///< requests that would wait for a server are refused
--- a/src/snipevalve/dispatch/dispatcher.cpp
+++ b/src/snipevalve/dispatch/dispatcher.cpp
@@ -34,42 +34,6 @@
 
 } // namespace
 
-std::string_view describe(RejectReason reason)
-{
-    switch (reason) {
-    case RejectReason::NoServer:
-        return "no usable server";
-    case RejectReason::NoOwner:
-        return "no server holds the key";
-    case RejectReason::TooLate:
-        return "the wait is longer than the request's time";
-    case RejectReason::RetryBudget:
-        return "no repeated send left";
-    case RejectReason::Stopping:
-        return "the host is about to end";
-    case RejectReason::Paused:
-        return "the server asks for a pause";
-    }
-    return "";
-}
-
-std::string_view describe(WorkEnd end)
-{
-    switch (end) {
-    case WorkEnd::Done:
-        return "done";
-    case WorkEnd::Refused:
-        return "refused";
-    case WorkEnd::Unreachable:
-        return "unreachable";
-    case WorkEnd::Lost:
-        return "lost";
-    case WorkEnd::Abandoned:
-        return "abandoned";
-    }
-    return "";
-}
-
 Dispatcher::Dispatcher(DispatcherOptions options)
     : m_options(options)
     , m_repeats(options.repeats)
@@ -80,6 +44,7 @@
 void Dispatcher::setServers(const std::vector<UpstreamServer> &servers, TimePoint now)
 {
     m_joined.setServers(servers, now);
+    m_pace.setServers(servers, now);
     std::set<std::string> listedIds;
     for (const UpstreamServer &server : servers) {
         listedIds.insert(server.id);
@@ -156,7 +121,7 @@
 void Dispatcher::submit(WorkItem item, TimePoint now)
 {
     if (item.repeat && !item.isRepeatCounted && !m_repeats.take(now)) {
-        reject(item, RejectReason::RetryBudget, expectedWork(item));
+        reject(item, RejectReason::RetryBudget, expectedWork(item), now);
         return;
     }
     if (!item.repeat) {
@@ -168,7 +133,7 @@
     m_shares.onDemand(name, item, expectedWork(item), now);
     const auto dark = orphanedUntil(item);
     if (dark && *dark + toDuration(expectedWork(item) * WorkMargin) > item.deadline) {
-        reject(item, RejectReason::NoOwner, *dark - now);
+        reject(item, RejectReason::NoOwner, *dark - now, now);
         return;
     }
     const Forecast prediction = forecast(item, queue, name, now);
@@ -176,7 +141,7 @@
     const bool isWorkTooLong = now + toDuration(expectedWork(item) * WorkMargin) > item.deadline;
     const bool isTrial = isWorkTooLong && queue.items.empty() && freeSlots(name, now) > 0;
     if (!canMeet && !(isTrial && m_work.takeTrial(item.workClass, now))) {
-        reject(item, m_isEvacuated ? RejectReason::NoServer : RejectReason::TooLate, prediction.retryAfter);
+        reject(item, m_isEvacuated ? RejectReason::NoServer : RejectReason::TooLate, prediction.retryAfter, now);
         return;
     }
     if (prediction.meetsTarget) {
@@ -193,6 +158,7 @@
     const TimePoint end = now + toDuration(expected * AdoptedLifetimeFactor);
     m_running[item.ticket] = {server, traitsOf(item), item.host, now, end, end, false, now};
     m_shares.onStart(item.ticket, server, item.priority);
+    m_pace.onSent(server, expectedWork(item), now);
     if (position != m_servers.end()) {
         ++position->second.busy;
         position->second.remaining.add(item.ticket, expected / 2, true, now); // as far as is known, half of it is done
@@ -220,7 +186,7 @@
     }
 }
 
-void Dispatcher::reject(const WorkItem &item, RejectReason reason, Seconds retryAfter)
+void Dispatcher::reject(const WorkItem &item, RejectReason reason, Seconds retryAfter, TimePoint now)
 {
     if (reason == RejectReason::TooLate) {
         m_work.onRejected(traitsOf(item));
@@ -228,6 +194,7 @@
     constexpr double MinJitter = 0.8;
     constexpr double MaxJitter = 1.2; ///< spreads retries over two fifths of the wait, against retry waves
     std::uniform_real_distribution<double> jitter(MinJitter, MaxJitter);
+    m_pace.onRefused(queueName(item), now);
     const auto queue = m_queues.find(queueName(item));
     const auto waiting = queue == m_queues.end() ? 0 : static_cast<std::uint32_t>(queue->second.items.size());
     m_decisions.push_back(Rejection{item.ticket, reason, toDuration(retryAfter * jitter(m_random)), waiting});
@@ -243,6 +210,7 @@
     m_shares.onStart(item.ticket, state.server.id, item.priority);
     state.lastUsedAt = now;
     m_joined.onPlaced(state.server.id, now);
+    m_pace.onSent(state.server.id, expectedWork(item), now);
     state.remaining.add(item.ticket, expectedOn(state, item, now), !mustWait, now);
     const Seconds expected = patientlyExpectedOn(state, item, now);
     m_running[item.ticket] = {state.server.id,
@@ -324,7 +292,7 @@
     for (const WorkItem *item : orderedItems(queue, name, now)) {
         const Forecast prediction = forecast(*item, ahead, false, queue, name, now);
         if (!prediction.meetsDeadline) {
-            reject(*item, m_isEvacuated ? RejectReason::NoServer : RejectReason::TooLate, prediction.retryAfter);
+            reject(*item, m_isEvacuated ? RejectReason::NoServer : RejectReason::TooLate, prediction.retryAfter, now);
             unmeetable.insert(item->ticket);
             continue;
         }
@@ -391,11 +359,13 @@
             learnFrom(state, ended, std::min<Duration>(took, now - ended.slotSince), load.has_value(), now);
         }
         state.outliers.onSuccess();
+        m_pace.onAnswer(ended.server);
         state.refusalRate *= 1.0 - RefusalRateWeight;
         break;
     case WorkEnd::Unreachable:
     case WorkEnd::Lost:
         state.outliers.onFailure(now);
+        m_pace.onFailure(ended.server, end == WorkEnd::Lost, now);
         break;
     case WorkEnd::Refused:
         // A refusal comes back at once, so trying costs little; servers that refuse less are preferred.
--- a/src/snipevalve/dispatch/dispatcher_choice.cpp
+++ b/src/snipevalve/dispatch/dispatcher_choice.cpp
@@ -80,11 +80,12 @@
 }
 
 /// Whether the limits of this server beyond its number of slots allow it to take the item now.
-bool Dispatcher::admits(const ServerState &state, const WorkItem &item, TimePoint) const
+bool Dispatcher::admits(const ServerState &state, const WorkItem &item, TimePoint now) const
 {
     const bool mustWait = state.busy >= limitOf(state);
-    return !m_options.reservesSlots
+    const bool isWithinShare = !m_options.reservesSlots
         || m_shares.admits(poolOf(state.server.id), item.priority, expectedWork(item), mustWait);
+    return isWithinShare && m_pace.admits(state.server.id, now);
 }
 
 const SlotShares &Dispatcher::slotShares() const
@@ -123,25 +124,30 @@
     return m_work.expected(traitsOf(item));
 }
 
-double Dispatcher::capacityOf(const std::string &server) const
+/// The server's slots, weighted by its speed, as far as its pace allows to use them.
+double Dispatcher::capacityOf(const ServerState &state, double slots, TimePoint now) const
+{
+    const double capacity = slots / state.slowness.factor();
+    return std::min(capacity, m_pace.capacity(state.server.id, now).value_or(capacity));
+}
+
+double Dispatcher::capacityOf(const std::string &server, TimePoint now) const
 {
     const auto position = m_servers.find(server);
-    if (position == m_servers.end() || position->second.isLeaving) {
-        return 0;
-    }
-    return position->second.server.slots / position->second.slowness.factor();
+    const bool isUsed = position != m_servers.end() && !position->second.isLeaving;
+    return isUsed ? capacityOf(position->second, position->second.server.slots, now) : 0;
 }
 
 /// The slots of the queue's servers, each weighted by the server's speed.
-double Dispatcher::capacityOfQueue(const std::string &name) const
+double Dispatcher::capacityOfQueue(const std::string &name, TimePoint now) const
 {
     if (!name.empty()) {
         const auto owner = m_servers.find(name);
-        return owner == m_servers.end() ? 0 : limitOf(owner->second) / owner->second.slowness.factor();
+        return owner == m_servers.end() ? 0 : capacityOf(owner->second, limitOf(owner->second), now);
     }
     double capacity = 0;
     for (const auto &[id, state] : m_servers) {
-        capacity += state.isLeaving ? 0 : limitOf(state) / state.slowness.factor();
+        capacity += state.isLeaving ? 0 : capacityOf(state, limitOf(state), now);
     }
     return capacity;
 }
@@ -149,7 +155,8 @@
 double Dispatcher::freeSlots(const std::string &name, TimePoint now) const
 {
     const auto freeOf = [this, now](const ServerState &state) {
-        return hasFreeSlot(state, now) ? limitOf(state) - state.busy : 0;
+        const bool isFree = hasFreeSlot(state, now) && m_pace.admits(state.server.id, now);
+        return isFree ? limitOf(state) - state.busy : 0;
     };
     if (!name.empty()) {
         const auto owner = m_servers.find(name);
@@ -162,6 +169,21 @@
     return free;
 }
 
+/// How long the pace of cold servers keeps all servers of the queue from taking a request.
+Seconds Dispatcher::paceWait(const std::string &name, TimePoint now) const
+{
+    if (!name.empty() || !m_pace.mayAnyBeCold(now)) {
+        return m_pace.wait(name, now);
+    }
+    std::optional<Seconds> shortest;
+    for (const auto &[id, state] : m_servers) {
+        if (!state.isLeaving) {
+            shortest = std::min(shortest.value_or(Seconds::max()), m_pace.wait(id, now));
+        }
+    }
+    return shortest.value_or(Seconds(0));
+}
+
 bool Dispatcher::canMeetTarget(const WorkItem &item, TimePoint now) const
 {
     return now + toDuration(expectedWork(item) * WorkMargin) <= item.targetBy;
@@ -177,10 +199,10 @@
 
 /// The share of the slots that on-time demand leaves for late work. Keyed services use the totals of the whole
 /// service: a full server hands keys over within a second if other servers have room.
-double Dispatcher::shareForLateWork(const ServerQueue &queue, const std::string &name) const
+double Dispatcher::shareForLateWork(const ServerQueue &queue, const std::string &name, TimePoint now) const
 {
     const double work = name.empty() ? queue.onTimeDemand : m_serviceDemand;
-    const double capacity = name.empty() ? capacityOfQueue(name) : m_serviceCapacity;
+    const double capacity = name.empty() ? capacityOfQueue(name, now) : m_serviceCapacity;
     return capacity <= 0 ? MinShareForLateWork : std::max(MinShareForLateWork, 1.0 - work / capacity);
 }
 
@@ -213,7 +235,7 @@
 void Dispatcher::updateTotals(TimePoint now)
 {
     normaliseSlowness();
-    m_serviceCapacity = capacityOfQueue({});
+    m_serviceCapacity = capacityOfQueue({}, now);
     m_serviceDemand = 0;
     for (auto &[name, queue] : m_queues) {
         decayDemand(queue, now);
@@ -244,7 +266,7 @@
     const Seconds work = expectedWork(item);
     const SlotShares::Outlook outlook =
         m_options.reservesSlots ? m_shares.outlook(name, item.priority, work) : SlotShares::Outlook();
-    const double capacity = capacityOfQueue(name) * outlook.capacityShare;
+    const double capacity = capacityOfQueue(name, now) * outlook.capacityShare;
     if (capacity <= 0) {
         // It is unknown when a key without an owner gets one; its request waits for that.
         result.meetsTarget = canMeetTarget(item, now);
@@ -253,12 +275,12 @@
     }
     const double unit = std::max(1.0, capacity);
     const Seconds untilAnySlot = freeSlots(name, now) > 0 ? Seconds(0) : timeUntilSlot(name, work / (2 * unit), now);
-    const Seconds untilSlot = outlook.untilSlot.value_or(untilAnySlot);
+    const Seconds untilSlot = std::max(outlook.untilSlot.value_or(untilAnySlot), paceWait(name, now));
     const double margin = isSubmission && outlook.isLimited ? LimitedWaitMargin : 1.0;
     const Seconds onTimeWait = (untilSlot + ahead.onTime(outlook.competesFrom) / capacity) * margin;
     result.meetsTarget = now + toDuration(onTimeWait + work * WorkMargin) <= item.targetBy;
     const double lateShare =
-        outlook.isProtected ? shareForLateUrgentWork(item.priority, now) : shareForLateWork(queue, name);
+        outlook.isProtected ? shareForLateUrgentWork(item.priority, now) : shareForLateWork(queue, name, now);
     const Seconds lateWait = ahead.late(outlook.competesFrom) / (capacity * lateShare);
     result.wait = result.meetsTarget ? onTimeWait : onTimeWait + lateWait;
     result.retryAfter = std::max(result.wait, outlook.slotInterval);
@@ -292,7 +314,7 @@
 WorkOrder Dispatcher::orderOf(const ServerQueue &queue, const std::string &name, TimePoint now) const
 {
     const bool defersLessUrgent = m_options.reservesSlots && m_shares.isActive(name);
-    WorkOrder order(defersLessUrgent, defersLessUrgent ? capacityOfQueue(name) : 0, now);
+    WorkOrder order(defersLessUrgent, defersLessUrgent ? capacityOfQueue(name, now) : 0, now);
     for (const WorkItem &item : queue.items) {
         if (!defersLessUrgent) {
             break;
