--- a/tests/process/node_deployment.hpp
+++ b/tests/process/node_deployment.hpp
@@ -30,9 +30,10 @@
 class NodeDeployment
 {
 public:
-    NodeDeployment(const std::string &name, std::uint8_t network, int nodes)
+    NodeDeployment(const std::string &name, std::uint8_t network, int nodes, NodeLimits limits = {})
         : m_folder(std::string(TEST_FOLDER) + "/" + name)
         , m_network(network)
+        , m_limits(limits)
         , platform(network)
     {
         std::filesystem::create_directories(m_folder);
@@ -46,7 +47,8 @@
     {
         const std::string address = addressOf(index);
         const std::string path = m_folder + "/node-" + std::to_string(index) + ".toml";
-        writeNodeSettings(path, "node-" + std::to_string(index), address, platform.storeEndpoint());
+        writeNodeSettings(path, "node-" + std::to_string(index), address, platform.storeEndpoint(), std::nullopt,
+                          m_limits);
         const std::string program = std::string(BINARY_FOLDER) + "/snipevalve-node";
         std::filesystem::remove(m_folder + "/node-" + std::to_string(index) + ".log");
         Process process(program, {"--settings=" + path}, m_folder + "/node-" + std::to_string(index) + ".log");
@@ -125,6 +127,7 @@
 private:
     std::string m_folder;
     std::uint8_t m_network;
+    NodeLimits m_limits;
     std::atomic<int> m_lastId = 0;
     std::map<int, Process> m_nodes;
 
--- a/tests/standins/node_settings_file.cpp
+++ b/tests/standins/node_settings_file.cpp
@@ -5,7 +5,7 @@
 namespace snipevalve::standins {
 
 void writeNodeSettings(const std::string &path, const std::string &node, const std::string &address,
-                       const Endpoint &store, const std::optional<Endpoint> &controlProxy)
+                       const Endpoint &store, const std::optional<Endpoint> &controlProxy, const NodeLimits &limits)
 {
     const Endpoint control{address, NodeControlPort};
     std::ofstream file(path);
@@ -14,8 +14,9 @@
          << "bounds = [\"grace_s=6\",\"retry_budget_slack=60\",\"hold_max_ms=10000\"]\n[listen]\nfront = \"" << address
          << ":" << NodeCallersPort << "\"\nready = \"" << address << ":" << NodeReadinessPort << "\"\ncontrol = \""
          << toString(controlProxy.value_or(control)) << "\"\n[bind]\ncontrol = \"" << toString(control) << "\"\n"
-         << "[limits]\ncpu_share = 1.0\ncores = 1\nmemory_mb = 260\nmax_fds = 1000\n[platform]\naddress = \""
-         << toString(store) << "\"\nttl_min_ms = 1000\n";
+         << "[limits]\ncpu_share = 1.0\ncores = 1\nmemory_mb = " << limits.memoryMb
+         << "\nmax_fds = " << limits.descriptors << "\n[platform]\naddress = \"" << toString(store)
+         << "\"\nttl_min_ms = 1000\n";
 }
 
 std::string smallConfig(std::uint64_t version, std::uint64_t routes)
