Hold what callers send and don't read on one account (node)

Cause: bodies were counted by size after they had arrived, trailers, buffers, heads and connections not at all; a growing string held a body twice; a crowd that stopped short of its end kept other uploads out for 30 s. Change: MemoryAccount is asked before bytes are read and counts connections, heads with trailers, bodies by capacity and answers. When it is full, stalled connections are turned away, the largest first; a small request also takes the place of a large one that still arrives; otherwise the asker gets 503. Bodies are held in blocks that never move, and sent from them. Trailers have to fit into what the head leaves of its limit. Callers take three quarters of the descriptors; then stalled and idle connections give way, and others wait in the backlog.

--- a/src/snipevalve/net/accept.cpp
+++ b/src/snipevalve/net/accept.cpp
@@ -4,12 +4,18 @@
 
 namespace snipevalve {
 
-Awaitable<void> acceptConnections(Tcp::acceptor &acceptor, std::function<void(Tcp::socket)> onConnection)
+Awaitable<void> acceptConnections(Tcp::acceptor &acceptor, std::function<void(Tcp::socket)> onConnection,
+                                  std::function<bool()> mayAccept)
 {
     constexpr Milliseconds PauseAfterFailure(20);
     asio::steady_timer timer(acceptor.get_executor());
     while (acceptor.is_open()) {
         ErrorCode error;
+        if (mayAccept && !mayAccept()) {
+            timer.expires_after(PauseAfterFailure);
+            co_await timer.async_wait(awaitInto(error));
+            continue;
+        }
         Tcp::socket socket = co_await acceptor.async_accept(awaitInto(error));
         if (!error) {
             onConnection(std::move(socket));
--- a/src/snipevalve/node/gateway_request.hpp
+++ b/src/snipevalve/node/gateway_request.hpp
@@ -9,6 +9,7 @@
 #include "snipevalve/core/time.hpp"
 #include "snipevalve/gateway/gateway_config.hpp"
 #include "snipevalve/net/asio.hpp"
+#include "snipevalve/net/byte_blocks.hpp"
 #include "snipevalve/node/header_names.hpp"
 
 namespace snipevalve {
@@ -17,7 +18,7 @@
 struct GatewayRequest
 {
     http::request_header<> header;
-    std::shared_ptr<const std::string> body = std::make_shared<const std::string>();
+    std::shared_ptr<const ByteBlocks> body = std::make_shared<const ByteBlocks>();
     std::string id;
     std::shared_ptr<const GatewayConfig> config; ///< keeps `route` alive
     const GatewayRoute *route = nullptr;
--- a/src/snipevalve/node/gateway_session.cpp
+++ b/src/snipevalve/node/gateway_session.cpp
@@ -1,6 +1,7 @@
 #include "snipevalve/node/gateway_session.hpp"
 
 #include <algorithm>
+#include <array>
 
 #include <spdlog/spdlog.h>
 
@@ -14,8 +15,6 @@
 
 namespace {
 
-/// Request bodies may take the process's memory limit divided by this; the rest is for answers, connections and state.
-constexpr std::size_t BodyMemoryDivisor = 4;
 /// How long writing an answer, or one part of it, may take.
 constexpr Milliseconds WriteTimeout(10'000);
 /// How long reading a request body may take. The caller's deadline is no bound here, as it may be longer.
@@ -28,6 +27,9 @@
 GatewaySession::GatewaySession(GatewayTraffic &traffic, Tcp::socket socket)
     : m_traffic(traffic)
     , m_stream(std::move(socket))
+    , m_holder(traffic.memory, Clock::now(), [this]() {
+        return turnAway();
+    })
 {
     m_traffic.sessions.insert(this);
     m_traffic.sessionCount = m_traffic.sessions.size();
@@ -63,6 +65,35 @@
     }
 }
 
+void GatewaySession::setPhase(HolderPhase phase)
+{
+    m_phase = phase;
+    m_holder.setPhase(phase, Clock::now());
+}
+
+/// Ends the read or write that the session waits for, to give back its memory. A request that is being read is refused
+/// then, and an answer that is being written is cut.
+bool GatewaySession::turnAway()
+{
+    ErrorCode error;
+    const bool hasArrived = m_stream.socket().available(error) > 0;
+    if (m_phase == HolderPhase::Running || (m_phase == HolderPhase::Idle && hasArrived)) {
+        return false;
+    }
+    constexpr std::array<std::string_view, 4> PhaseNames{"idle", "receiving", "running", "sending"};
+    const std::string_view phase = PhaseNames[static_cast<std::size_t>(m_phase)];
+    spdlog::warn("session: event=turned_away phase={} held_bytes={} all_held_bytes={} connections={}", phase,
+                 m_holder.total(), m_traffic.memory.totalHeld(), m_traffic.sessions.size());
+    m_traffic.metrics.count("turned_away_" + std::string(phase));
+    if (m_phase == HolderPhase::Receiving) {
+        m_stream.cancel();
+    } else {
+        resetOnClose(m_stream.socket()); // what has been written of an answer must not look complete
+        m_stream.close();
+    }
+    return true;
+}
+
 bool GatewaySession::mayKeepConnection() const
 {
     return !m_traffic.stopping && m_parser && m_parser->is_done() && m_parser->get().keep_alive();
@@ -78,6 +109,13 @@
     m_config = m_traffic.config;
     m_parser.reset();
     m_hasAnswered = false;
+    m_holder.set(HeldBytes::Body, 0);
+    m_holder.set(HeldBytes::Answer, 0);
+    if (m_buffer.size() == 0) {
+        m_buffer.shrink_to_fit();
+    }
+    m_holder.set(HeldBytes::Head, m_buffer.capacity());
+    setPhase(HolderPhase::Idle);
     if (m_buffer.size() == 0) {
         constexpr std::size_t InitialReadBytes = 4 << 10;
         m_isIdle = true;
@@ -91,25 +129,45 @@
         m_buffer.commit(count);
     }
     m_config = m_traffic.config;
+    setPhase(HolderPhase::Receiving);
     m_buffer.max_size(m_buffer.size() + limits().maxHeaderBytes + MaxUnparsedBytes);
+    const auto data = m_buffer.cdata();
+    const bool isHeadWhole = findHeadEnd({static_cast<const char *>(data.data()), data.size()}).has_value();
+    if (!isHeadWhole
+        && !m_holder.ask(HeldBytes::Head, m_buffer.capacity() + 2 * limits().maxHeaderBytes, Clock::now())) {
+        error = make_error_code(boost::system::errc::no_buffer_space);
+        co_return false;
+    }
     m_stream.expires_after(limits().headerTimeout);
     m_isReading = true;
     co_await readUntilHeadEnd(m_stream, m_buffer, limits().maxHeaderBytes, error);
     m_isReading = false;
+    if (m_holder.isTurnedAway()) {
+        error = make_error_code(boost::system::errc::no_buffer_space);
+    }
     co_return !error;
 }
 
-/// Whether the bodies of other requests take all the memory that is meant for bodies. One request alone always gets the
-/// memory for its own.
-bool GatewaySession::isBodyMemoryUsed(const ScopedAddition &heldBytes) const
+/// Whether there is memory for what the next read can bring.
+bool GatewaySession::mayReadBody()
 {
-    return m_traffic.bodyBytes - heldBytes.amount() > m_traffic.settings.memoryBytes / BodyMemoryDivisor;
+    const TimePoint now = Clock::now();
+    const std::size_t readBytes = m_buffer.max_size();
+    const bool mayHoldBody = m_holder.ask(HeldBytes::Body, m_parser->get().body().capacityWith(readBytes), now);
+    return mayHoldBody
+        && m_holder.ask(HeldBytes::Head, std::max(m_buffer.capacity(), m_buffer.max_size()) + m_headBytes, now);
 }
 
-/// @param heldBytes counts the bytes of the body
 /// @param error no_buffer_space if there is no memory for the rest
-Awaitable<bool> GatewaySession::readBody(ScopedAddition &heldBytes, ErrorCode &error)
+Awaitable<bool> GatewaySession::readBody(ErrorCode &error)
 {
+    if (m_parser->is_done()) {
+        co_return true;
+    }
+    if (!mayReadBody()) {
+        error = make_error_code(boost::system::errc::no_buffer_space);
+        co_return false;
+    }
     if (beast::iequals(m_parser->get()[http::field::expect], "100-continue")) {
         const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
         co_await asio::async_write(m_stream, asio::buffer(interim), awaitInto(error));
@@ -117,13 +175,16 @@
     m_stream.expires_after(BodyTimeout);
     m_isReading = true;
     while (!error && !m_parser->is_done()) {
+        const std::size_t before = m_parser->get().body().size();
         co_await http::async_read_some(m_stream, m_buffer, *m_parser, awaitInto(error));
-        heldBytes.setAmount(m_parser->get().body().size());
-        if (!error && !m_parser->is_done() && isBodyMemoryUsed(heldBytes)) {
+        m_holder.onProgress(m_parser->get().body().size() - before, Clock::now());
+        const bool isRefused = m_holder.isTurnedAway() || (!error && !m_parser->is_done() && !mayReadBody());
+        if (isRefused) {
             error = make_error_code(boost::system::errc::no_buffer_space);
         }
     }
     m_isReading = false;
+    m_holder.set(HeldBytes::Body, m_parser->get().body().capacity());
     co_return !error;
 }
 
@@ -134,6 +195,9 @@
         if (error == http::error::header_limit) {
             co_return co_await refuse(http::status::request_header_fields_too_large, "the header is too long");
         }
+        if (error == boost::system::errc::no_buffer_space) {
+            co_return co_await refuse(http::status::service_unavailable, "too much is held for other callers");
+        }
         if (m_isEnding && m_buffer.size() > 0) {
             co_return co_await refuse(http::status::service_unavailable, "the host is stopping");
         }
@@ -145,6 +209,10 @@
     if (const auto fault = findHeadFault(text.substr(0, findHeadEnd(text).value_or(0)))) {
         co_return co_await refuse(http::status::bad_request, *fault);
     }
+    const std::size_t headBytes = findHeadEnd(text).value_or(0);
+    constexpr std::size_t CopiesOfHead = 3; // the parser's, the request's, and that for the server
+    m_headBytes = headBytes * CopiesOfHead;
+    m_holder.set(HeldBytes::Head, m_buffer.capacity() + m_headBytes);
     m_parser = std::make_unique<Parser>();
     m_parser->header_limit(limits().maxHeaderBytes);
     m_parser->body_limit(limits().maxBodyBytes);
@@ -155,6 +223,9 @@
         const auto status = isTooLong ? http::status::payload_too_large : http::status::bad_request;
         co_return co_await refuse(status, "the request can't be read: " + error.message());
     }
+    // A chunk's header and the trailers have to fit into what the head leaves of its limit.
+    constexpr std::size_t MinUnparsedBytes = 4 << 10;
+    m_buffer.max_size(std::max({m_buffer.size(), limits().maxHeaderBytes - headBytes, MinUnparsedBytes}));
     GatewayRequest request;
     request.header = m_parser->get().base();
     request.arrivedAt = arrivedAt;
@@ -168,13 +239,10 @@
         co_return co_await refuse(fault->status, fault->reason, request.id);
     }
     request.targetBy -= m_traffic.retryAges.observe(request.route->name, request.callerTimeout);
-    ScopedAddition heldBytes(m_traffic.bodyBytes, 0);
-    if (!m_parser->is_done() && isBodyMemoryUsed(heldBytes)) {
-        co_return co_await refuse(http::status::service_unavailable, "too many bodies are held", request.id);
-    }
-    if (!co_await readBody(heldBytes, error)) {
+    if (!co_await readBody(error)) {
         if (error == boost::system::errc::no_buffer_space) {
-            co_return co_await refuse(http::status::service_unavailable, "too many bodies are held", request.id);
+            co_return co_await refuse(http::status::service_unavailable, "too much is held for other callers",
+                                      request.id);
         }
         if (m_isEnding) {
             co_return co_await refuse(http::status::service_unavailable, "the host is stopping", request.id);
@@ -186,13 +254,14 @@
         }
         co_return false;
     }
-    request.body = std::make_shared<const std::string>(std::move(m_parser->get().body()));
+    request.body = std::make_shared<const ByteBlocks>(std::move(m_parser->get().body()));
     co_return co_await serve(std::move(request));
 }
 
 Awaitable<bool> GatewaySession::serve(GatewayRequest request)
 {
-    const auto runner = std::make_shared<RequestRunner>(m_traffic, std::move(request));
+    setPhase(HolderPhase::Running);
+    const auto runner = std::make_shared<RequestRunner>(m_traffic, std::move(request), m_holder);
     m_runner = runner;
     m_stream.expires_never();
     spawnMember(m_traffic.executor, shared_from_this(), &GatewaySession::watchCaller, runner);
@@ -242,13 +311,16 @@
         response.body().more = !isLast;
         const TimePoint longestWrite = Clock::now() + WriteTimeout;
         m_stream.expires_at(runner.hasMore() ? std::min(longestWrite, runner.request().deadline) : longestWrite);
+        setPhase(HolderPhase::Sending);
         co_await http::async_write(m_stream, serializer, awaitInto(error));
+        setPhase(HolderPhase::Running); // waits for the server, not for the caller
         if (error == http::error::need_buffer) {
             error = {};
         }
         if (!error && !isLast) {
             part = co_await runner.readMore(error);
             isLast = part.empty();
+            m_holder.set(HeldBytes::Answer, part.capacity() + MaxUnparsedBytes);
         }
     }
     if (error) {
@@ -283,6 +355,10 @@
 {
     spdlog::warn("request: event=refuse id={} status={} config={} reason=\"{}\"", escapeLogValue(id),
                  static_cast<unsigned>(status), m_config ? m_config->version : 0, escapeQuotedText(reason));
+    if (m_parser) {
+        m_parser->get().body().clear();
+        m_holder.set(HeldBytes::Body, 0);
+    }
     m_traffic.metrics.count("refused_" + std::to_string(static_cast<unsigned>(status)));
     http::response<http::string_body> response(status, 11);
     if (!id.empty()) {
@@ -298,6 +374,8 @@
 
 Awaitable<bool> GatewaySession::send(http::response<http::string_body> response)
 {
+    setPhase(HolderPhase::Sending);
+    m_holder.set(HeldBytes::Answer, response.body().capacity());
     response.prepare_payload();
     response.keep_alive(mayKeepConnection());
     m_stream.expires_after(WriteTimeout);
--- a/src/snipevalve/node/gateway_session.hpp
+++ b/src/snipevalve/node/gateway_session.hpp
@@ -25,14 +25,15 @@
     void endRequest();
 
 private:
-    using Parser = MessageParser<true, ReceivedBody>;
+    using Parser = MessageParser<true, BlockBody>;
 
     /// @brief Reads and serves one request.
     /// @return false when the connection must be closed
     Awaitable<bool> serveOne();
     Awaitable<bool> readHead(ErrorCode &error);
-    Awaitable<bool> readBody(ScopedAddition &heldBytes, ErrorCode &error);
-    bool isBodyMemoryUsed(const ScopedAddition &heldBytes) const;
+    Awaitable<bool> readBody(ErrorCode &error);
+    bool mayReadBody();
+    bool turnAway();
     Awaitable<bool> serve(GatewayRequest request);
     Awaitable<void> watchCaller(std::shared_ptr<RequestRunner> runner);
     Awaitable<bool> refuse(http::status status, const std::string &reason, const std::string &id = {});
@@ -40,10 +41,14 @@
     Awaitable<bool> stream(RequestRunner &runner, UpstreamAnswer answer);
     bool mayKeepConnection() const;
     const CallerLimits &limits() const;
+    void setPhase(HolderPhase phase);
 
     GatewayTraffic &m_traffic;
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
+    MemoryHolder m_holder;
+    std::size_t m_headBytes = 0; ///< of all copies of the head of the current request
+    HolderPhase m_phase = HolderPhase::Idle;
     std::unique_ptr<Parser> m_parser;
     std::weak_ptr<RequestRunner> m_runner; ///< of the current request
     bool m_isIdle = false; ///< waiting for a request
--- a/src/snipevalve/node/gateway_thread.cpp
+++ b/src/snipevalve/node/gateway_thread.cpp
@@ -74,7 +74,10 @@
     const auto onConnection = [this](Tcp::socket socket) {
         startSession(std::move(socket));
     };
-    asio::co_spawn(m_context, acceptConnections(m_acceptor, onConnection), asio::detached);
+    const auto mayAccept = [this]() {
+        return m_traffic.memory.mayConnect(Clock::now());
+    };
+    asio::co_spawn(m_context, acceptConnections(m_acceptor, onConnection, mayAccept), asio::detached);
     asio::co_spawn(m_context, advance(), asio::detached);
     m_thread = std::thread([this]() {
         m_context.run();
@@ -95,6 +98,9 @@
         timer.expires_after(AdvanceInterval);
         co_await timer.async_wait(awaitInto(ignored));
         m_traffic.placements.advance();
+        for (const HeldBytes kind : AllHeldBytes) {
+            m_traffic.metrics.setLevel("held_bytes_" + std::string(describe(kind)), m_traffic.memory.held(kind));
+        }
     }
 }
 
--- a/src/snipevalve/node/gateway_traffic.hpp
+++ b/src/snipevalve/node/gateway_traffic.hpp
@@ -6,6 +6,7 @@
 #include <random>
 #include <set>
 
+#include "snipevalve/net/memory_account.hpp"
 #include "snipevalve/net/upstream_pool.hpp"
 #include "snipevalve/node/gateway_request.hpp"
 #include "snipevalve/node/node_metrics.hpp"
@@ -33,17 +34,6 @@
         m_total -= m_amount;
     }
 
-    void setAmount(std::size_t amount)
-    {
-        m_total += amount - m_amount;
-        m_amount = amount;
-    }
-
-    std::size_t amount() const
-    {
-        return m_amount;
-    }
-
     ScopedAddition(const ScopedAddition &) = delete;
     ScopedAddition &operator=(const ScopedAddition &) = delete;
 
@@ -67,6 +57,12 @@
     /// Idle connections kept open to each server; servers run 2 to 4 requests at once.
     static constexpr std::size_t IdleConnectionsPerServer = 4;
 
+    /// Descriptors that connections of callers may take; the rest is for servers, other hosts and the store.
+    static constexpr std::size_t callersOf(std::size_t descriptors)
+    {
+        return descriptors / 4 * 3;
+    }
+
     GatewayTraffic(asio::any_io_executor traffic, const NodeSettings &nodeSettings, const HeaderNames &headerNames,
                    ServerNoticeParser noticeParser, std::uint64_t seed)
         : executor(traffic)
@@ -76,6 +72,7 @@
         , pool(traffic, nodeSettings.address, IdleConnectionsPerServer)
         , placements(traffic, nodeSettings, seed)
         , random(seed)
+        , memory(MemoryAccountOptions::forProcess(nodeSettings.memoryBytes, callersOf(nodeSettings.maxDescriptors)))
     {
     }
 
@@ -88,10 +85,10 @@
     Placements placements;
     NodeMetrics metrics;
     std::mt19937_64 random;
+    MemoryAccount memory; ///< what is held for callers and servers
     std::set<GatewaySession *> sessions; ///< open connections of callers
     std::atomic<std::size_t> sessionCount = 0; ///< size of `sessions`, for other threads; a shutdown must not miss one
     RetryAgeEstimator retryAges;
-    std::size_t bodyBytes = 0; ///< received so far of the bodies of current requests
     std::size_t bufferedAnswers = 0; ///< number of sends whose answers are being buffered
     bool stopping = false; ///< connections are closed after their next answer
     StopTimes stopTimes;
--- a/src/snipevalve/node/node_metrics.cpp
+++ b/src/snipevalve/node/node_metrics.cpp
@@ -33,6 +33,12 @@
     m_events[event] += times;
 }
 
+void NodeMetrics::setLevel(const std::string &name, std::uint64_t value)
+{
+    const std::lock_guard lock(m_mutex);
+    m_levels[name] = value;
+}
+
 std::string NodeMetrics::toText() const
 {
     const std::lock_guard lock(m_mutex);
@@ -43,6 +49,9 @@
     for (const auto &[event, count] : m_events) {
         text << "snipevalve_events_total{event=\"" << event << "\"} " << count << "\n";
     }
+    for (const auto &[name, value] : m_levels) {
+        text << "snipevalve_" << name << " " << value << "\n";
+    }
     for (const auto &[outcome, histogram] : m_latencies) {
         std::uint64_t sum = 0;
         for (std::size_t at = 0; at < histogram.counts.size(); ++at) {
--- a/src/snipevalve/node/node_metrics.hpp
+++ b/src/snipevalve/node/node_metrics.hpp
@@ -24,6 +24,9 @@
     /// @brief Counts an event, e.g. `answer_cut` or `connection_opened`.
     void count(const std::string &event, std::uint64_t times = 1);
 
+    /// @brief Sets a value that goes up and down, e.g. `held_bytes_bodies`.
+    void setLevel(const std::string &name, std::uint64_t value);
+
     /// @return the metrics in the Prometheus text format
     std::string toText() const;
 
@@ -42,6 +45,7 @@
     std::map<std::string, Histogram> m_latencies; ///< by class of status, e.g. `2xx`, or `closed`
     std::map<unsigned, std::uint64_t> m_statuses; ///< number of requests by status
     std::map<std::string, std::uint64_t> m_events;
+    std::map<std::string, std::uint64_t> m_levels;
 };
 
 } // namespace snipevalve
--- a/src/snipevalve/node/request_runner.cpp
+++ b/src/snipevalve/node/request_runner.cpp
@@ -62,9 +62,10 @@
 
 } // namespace
 
-RequestRunner::RequestRunner(GatewayTraffic &traffic, GatewayRequest request)
+RequestRunner::RequestRunner(GatewayTraffic &traffic, GatewayRequest request, MemoryHolder &holder)
     : m_traffic(traffic)
     , m_request(std::move(request))
+    , m_holder(holder)
     , m_life(traitsOf(m_request))
     , m_attemptBudget(attemptBudgetOf(m_request))
 {
@@ -212,7 +213,7 @@
     m_server = placement.server;
     m_isAnswered = false;
     const auto exchange = std::make_shared<UpstreamExchange>(m_traffic.executor, m_traffic.pool, m_traffic.names,
-                                                             m_traffic.parseServerNotice, m_request);
+                                                             m_traffic.parseServerNotice, m_request, &m_holder);
     m_exchange = exchange;
     const auto timer = std::make_shared<asio::steady_timer>(
         m_traffic.executor,
--- a/src/snipevalve/node/request_runner.hpp
+++ b/src/snipevalve/node/request_runner.hpp
@@ -17,7 +17,8 @@
 public:
     /// @param traffic must outlive this object
     /// @param request the request, with its route resolved and its body read
-    RequestRunner(GatewayTraffic &traffic, GatewayRequest request);
+    /// @param holder counts what is held for the caller; must outlive run() and the streaming
+    RequestRunner(GatewayTraffic &traffic, GatewayRequest request, MemoryHolder &holder);
 
     /// @brief Runs the request until its final answer.
     /// @return the answer for the caller; must not be sent when the caller has disconnected
@@ -63,6 +64,7 @@
 
     GatewayTraffic &m_traffic;
     GatewayRequest m_request;
+    MemoryHolder &m_holder;
     RequestLife m_life;
     RetryBudget m_attemptBudget; ///< of this request alone, from the route's `maxAttempts`
     std::shared_ptr<UpstreamExchange> m_exchange; ///< set during a send and while its answer is streamed
--- a/src/snipevalve/node/upstream_exchange.cpp
+++ b/src/snipevalve/node/upstream_exchange.cpp
@@ -41,12 +41,14 @@
 }
 
 UpstreamExchange::UpstreamExchange(asio::any_io_executor executor, UpstreamPool &pool, const HeaderNames &names,
-                                   ServerNoticeParser parseServerNotice, const GatewayRequest &request)
+                                   ServerNoticeParser parseServerNotice, const GatewayRequest &request,
+                                   MemoryHolder *holder)
     : m_executor(executor)
     , m_pool(pool)
     , m_names(names)
     , m_parseServerNotice(parseServerNotice)
     , m_request(request)
+    , m_holder(holder)
     , m_sendEnded(std::move(executor))
 {
 }
@@ -73,10 +75,9 @@
     m_message.keep_alive(true);
     m_message.set(m_names.deadline, remainingMs(m_request.deadline));
     m_message.set(m_names.expectedServer, server.id);
-    m_body = m_request.body;
-    m_message.body() = {m_body->data(), m_body->size()};
-    if (!m_body->empty() || m_request.header.method() != http::verb::get) {
-        m_message.content_length(m_body->size());
+    m_message.body() = m_request.body;
+    if (m_request.body->size() > 0 || m_request.header.method() != http::verb::get) {
+        m_message.content_length(m_request.body->size());
     }
     m_connection->stream.expires_at(until);
     m_sendEnded.expires_at(TimePoint::max());
@@ -184,6 +185,18 @@
     }
 }
 
+/// Asks to hold the next bytes of the answer. Without room for them, the answer is buffered up to a small size only,
+/// and passed on in parts if it is longer.
+bool UpstreamExchange::mayBufferMore(std::size_t limit) const
+{
+    constexpr std::size_t AlwaysBuffered = 16 << 10;
+    constexpr std::size_t ReadBytes = 16 << 10;
+    const std::string &body = m_parser->get().body();
+    const std::size_t needed = 2 * std::min(body.size() + ReadBytes, limit); // a string grows by doubling
+    const bool mayHold = m_holder == nullptr || m_holder->ask(HeldBytes::Answer, needed, Clock::now());
+    return mayHold || body.size() <= AlwaysBuffered;
+}
+
 Awaitable<void> UpstreamExchange::receive(ExchangeResult &result, std::size_t bufferLimit)
 {
     ErrorCode error;
@@ -204,7 +217,7 @@
     const bool isForwardable = !isRefusal(header) && fault.empty() && !promisesNotExecuted(header.result());
     const std::size_t limit = isForwardable ? bufferLimit : MaxDiscardedBodyBytes;
     const std::string &body = m_parser->get().body();
-    while (!m_parser->is_done() && !error && body.size() <= limit) {
+    while (!m_parser->is_done() && !error && body.size() <= limit && mayBufferMore(limit)) {
         co_await http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser, awaitInto(error));
     }
     const bool hasMore = !error && !m_parser->is_done();
--- a/src/snipevalve/node/upstream_exchange.hpp
+++ b/src/snipevalve/node/upstream_exchange.hpp
@@ -8,6 +8,7 @@
 
 #include "snipevalve/dispatch/work.hpp"
 #include "snipevalve/gateway/server_notice.hpp"
+#include "snipevalve/net/memory_account.hpp"
 #include "snipevalve/net/message_parser.hpp"
 #include "snipevalve/net/upstream_pool.hpp"
 #include "snipevalve/node/gateway_request.hpp"
@@ -52,7 +53,8 @@
 {
 public:
     UpstreamExchange(asio::any_io_executor executor, UpstreamPool &pool, const HeaderNames &names,
-                     ServerNoticeParser parseServerNotice, const GatewayRequest &request);
+                     ServerNoticeParser parseServerNotice, const GatewayRequest &request,
+                     MemoryHolder *holder = nullptr);
 
     /// @brief Sends the request and reads the answer, or the beginning of a long one.
     /// @param server where to send the request
@@ -83,6 +85,7 @@
     Awaitable<void> send();
     Awaitable<void> waitForSend();
     Awaitable<void> receive(ExchangeResult &result, std::size_t bufferLimit);
+    bool mayBufferMore(std::size_t limit) const;
     Awaitable<void> receiveHead(ErrorCode &error);
     Awaitable<void> discardAnswer(ErrorCode &error);
     bool answersOtherRequest() const;
@@ -99,12 +102,12 @@
     const HeaderNames &m_names;
     ServerNoticeParser m_parseServerNotice;
     const GatewayRequest &m_request;
+    MemoryHolder *m_holder; ///< of the caller's connection; null: answers are not counted
     std::string m_serverId;
     Endpoint m_endpoint;
     TimePoint m_until; ///< time limit for the exchange
     std::unique_ptr<UpstreamConnection> m_connection;
-    std::shared_ptr<const std::string> m_body; ///< may still be read when the request has ended
-    http::request<http::span_body<const char>> m_message; ///< refers to `m_body`
+    http::request<SharedBlockBody> m_message; ///< may still be read when the request has ended
     std::unique_ptr<MessageParser<false, ReceivedBody>> m_parser;
     asio::steady_timer m_sendEnded;
     ErrorCode m_sendError;
