Count no answer whose connection failed during the upload, and none with a status out of range

Cause: the kernel reports a reset only to the pending write; the read then ends as if the server had closed, and only the read's error was looked at. Statuses below 100 and above 599 were passed on. Change: an answer that ends with its connection is whole only if the request had been sent whole without an error; else it is lost, and a streamed one resets the caller's connection. A status out of 100 to 599 is no answer in the node, the entry process and control calls. ScriptedServer can answer a head without reading the body.

--- a/include/snipevalve/net/message_head.hpp
+++ b/include/snipevalve/net/message_head.hpp
@@ -30,6 +30,9 @@
 /// @brief Whether a read failed because the peer sent a malformed message, and not because it closed the connection.
 bool isParseError(const ErrorCode &error);
 
+/// @brief Whether a status code is one of RFC 9110, section 15: from 100 to 599. A message with another is no response.
+bool isValidStatus(unsigned status);
+
 /// @brief Whether a header applies to a single connection only and must not be forwarded (RFC 9110, section 7.6.1).
 bool isHopByHop(http::field field);
 
--- a/src/snipevalve/entry/forwarder.cpp
+++ b/src/snipevalve/entry/forwarder.cpp
@@ -2,6 +2,8 @@
 
 #include <charconv>
 
+#include "snipevalve/net/message_head.hpp"
+
 namespace snipevalve {
 
 namespace {
@@ -226,6 +228,10 @@
             co_return;
         }
     }
+    if (!isValidStatus(attempt.parser->get().result_int())) {
+        error = http::error::bad_status;
+        co_return;
+    }
     if (attempt.parser->need_eof() && !attempt.parser->is_done()) {
         // A body delimited by the end of the connection can't be told from a truncated one.
         error = http::error::partial_message;
--- a/src/snipevalve/net/cut_reply_test.cpp
+++ b/src/snipevalve/net/cut_reply_test.cpp
@@ -86,6 +86,17 @@
     }
 }
 
+TEST_CASE("a reply whose status is out of range counts as none")
+{
+    ScriptedServer server({"127.0.0.1", 0});
+    for (const std::string status : {"000", "001", "099", "600", "999"}) {
+        INFO(status);
+        ScriptedReply reply;
+        reply.start = "HTTP/1.1 " + status + " Odd\r\nContent-Length: 2\r\n\r\n{}";
+        CHECK(callScripted(server, reply).status().code() == absl::StatusCode::kUnavailable);
+    }
+}
+
 // Guards against replies to calls to servers or the store that fill the memory or end the process.
 TEST_CASE("a reply that can't be held counts as none, and at once")
 {
--- a/src/snipevalve/net/http_client.cpp
+++ b/src/snipevalve/net/http_client.cpp
@@ -1,6 +1,7 @@
 #include "snipevalve/net/http_client.hpp"
 
 #include "snipevalve/net/idle_connection.hpp"
+#include "snipevalve/net/message_head.hpp"
 #include "snipevalve/net/message_parser.hpp"
 #include "snipevalve/net/tcp_options.hpp"
 
@@ -125,6 +126,9 @@
     if (error) {
         co_return absl::UnavailableError("no answer from " + toString(endpoint) + ": " + error.message());
     }
+    if (!isValidStatus(parser.get().result_int())) {
+        co_return absl::UnavailableError("no answer from " + toString(endpoint) + ": its status is out of range");
+    }
     HttpReply reply;
     reply.status = parser.get().result_int();
     reply.headers = selectHeaders(parser.get(), call.replyHeaders);
--- a/src/snipevalve/net/message_head.cpp
+++ b/src/snipevalve/net/message_head.cpp
@@ -143,6 +143,13 @@
         && error != http::error::end_of_stream && error != http::error::partial_message;
 }
 
+bool isValidStatus(unsigned status)
+{
+    constexpr unsigned Lowest = 100;
+    constexpr unsigned Highest = 599;
+    return status >= Lowest && status <= Highest;
+}
+
 bool isHopByHop(http::field field)
 {
     switch (field) {
--- a/src/snipevalve/node/upstream_exchange.cpp
+++ b/src/snipevalve/node/upstream_exchange.cpp
@@ -158,6 +158,10 @@
         if (error) {
             co_return;
         }
+        if (!isValidStatus(m_parser->get().result_int())) {
+            error = http::error::bad_status;
+            co_return;
+        }
         const bool isInterim = http::to_status_class(m_parser->get().result()) == http::status_class::informational;
         if (!isInterim && !answersOtherRequest()) {
             co_return;
@@ -259,6 +263,10 @@
         part = std::move(m_parser->get().body());
         m_parser->get().body().clear();
     }
+    if (!error && part.empty() && mayBePartial()) {
+        error = http::error::partial_message;
+        m_connection->stream.close();
+    }
     const bool isOver = error || part.empty();
     if (isOver) {
         if (!m_sendDone) {
@@ -320,6 +328,14 @@
     return {};
 }
 
+/// Whether an answer that ended with its connection may lack its end: the connection may have failed. The kernel
+/// reports a reset only once, to the write of the request if there is one; the read then ends as if the server had
+/// closed.
+bool UpstreamExchange::mayBePartial() const
+{
+    return m_parser->need_eof() && (!m_sendDone || m_sendError);
+}
+
 void UpstreamExchange::setOutcome(const ErrorCode &error, ExchangeResult &result)
 {
     if (m_cancelled) {
@@ -338,6 +354,11 @@
         result.detail = error.message();
         return;
     }
+    if (mayBePartial()) {
+        result.end = WorkEnd::Lost;
+        result.detail = "the connection ended before the request was sent whole";
+        return;
+    }
     auto &message = m_parser->get();
     if (isRefusal(message)) {
         result.end = WorkEnd::Refused;
--- a/src/snipevalve/node/upstream_exchange.hpp
+++ b/src/snipevalve/node/upstream_exchange.hpp
@@ -94,6 +94,7 @@
     bool belongsToRequest(const http::response_header<> &header) const;
     bool isRefusal(const http::response_header<> &header) const;
     std::string checkAnswer(const http::response_header<> &header) const;
+    bool mayBePartial() const;
     void setOutcome(const ErrorCode &error, ExchangeResult &result);
     void returnConnection();
 
--- a/src/snipevalve/node/upstream_exchange_test.cpp
+++ b/src/snipevalve/node/upstream_exchange_test.cpp
@@ -102,6 +102,7 @@
         request.header.method(kind == RequestKind::Unsafe ? http::verb::post : http::verb::get);
         request.header.target("/");
         request.header.set(m_names.requestId, id);
+        request.body = body;
         const auto exchange =
             std::make_shared<UpstreamExchange>(m_context.get_executor(), m_pool, m_names, parseNotice, request);
         UpstreamServer target;
@@ -129,6 +130,7 @@
     ScriptedServer server;
     std::size_t bufferLimit = BufferLimit; ///< longer answers are streamed
     ErrorCode streamError; ///< of the last answer, if it was streamed
+    std::shared_ptr<const ByteBlocks> body = std::make_shared<const ByteBlocks>(); ///< of all requests
     EndExchange endWhileConnecting = nullptr; ///< called before there is a connection, unless null
 
 private:
@@ -281,6 +283,60 @@
     }
 }
 
+// Guards against a partial answer that looks complete: the kernel reports a reset only once, to the write of the
+// upload, and the read then ends as if the server had closed the connection.
+TEST_CASE("an answer that ends with its connection counts only if the upload was sent whole", "[promise-3]")
+{
+    using Finish = ScriptedReply::Finish;
+    struct Case
+    {
+        std::string name;
+        std::string fields;
+        std::size_t uploadBytes;
+        Finish finish;
+        bool isWhole;
+    };
+    constexpr std::size_t Unread = 16 << 20; ///< more than the socket buffers take
+    const std::vector<Case> cases = {
+        {"reset during the upload", "", Unread, Finish::Reset, false},
+        {"closed during the upload", "", Unread, Finish::Close, false},
+        {"closed without an upload", "", 0, Finish::Close, true},
+        {"with a length, closed during the upload", "Content-Length: 4096\r\n", Unread, Finish::Close, true},
+    };
+    for (const std::size_t bufferLimit : {BufferLimit, std::size_t(0)}) { // read whole, and streamed
+        for (const Case &each : cases) {
+            for (const Milliseconds lateAfter : {Milliseconds(0), Milliseconds(20)}) {
+                INFO(each.name << ", buffer limit " << bufferLimit << ", " << lateAfter.count() << " ms");
+                Exchanges exchanges;
+                exchanges.bufferLimit = bufferLimit;
+                exchanges.server.setAnswersHeads(true);
+                auto upload = std::make_shared<ByteBlocks>();
+                upload->append(asio::buffer(std::string(each.uploadBytes, 'u')));
+                exchanges.body = upload;
+                ScriptedReply reply = makeReply("HTTP/1.1 200 OK\r\nX-Snipevalve-Request-Id: " + Id
+                                                    + "\r\nX-Snipevalve-Response-Stamp: s\r\n" + each.fields + "\r\n"
+                                                    + std::string(2'048, 'a'),
+                                                std::string(2'048, 'b'));
+                reply.lateAfter = lateAfter;
+                reply.finish = each.finish;
+                const ExchangeResult result = exchanges.send(Id, reply);
+                CHECK((result.end == WorkEnd::Done && !exchanges.streamError) == each.isWhole);
+            }
+        }
+    }
+}
+
+TEST_CASE("a status out of range is no answer", "[promise-3]")
+{
+    for (const std::string status : {"000", "001", "099", "600", "999"}) {
+        INFO(status);
+        Exchanges exchanges;
+        const ExchangeResult result = exchanges.send(Id, makeReply(makeAnswer(status + " Odd", Id)));
+        CHECK(result.end == WorkEnd::Lost);
+        CHECK_FALSE(exchanges.send("next", makeReply(makeAnswer("200 OK", "next"))).reusedConnection);
+    }
+}
+
 TEST_CASE("a pause is taken only from an answer to the request", "[promise-3]")
 {
     const std::string other = "other";
--- a/tests/standins/scripted_server.cpp
+++ b/tests/standins/scripted_server.cpp
@@ -27,6 +27,11 @@
     m_script = std::move(script);
 }
 
+void ScriptedServer::setAnswersHeads(bool answersHeads)
+{
+    m_answersHeads = answersHeads;
+}
+
 Endpoint ScriptedServer::endpoint() const
 {
     const Tcp::endpoint local = m_acceptor.local_endpoint();
@@ -81,7 +86,11 @@
     while (!error) {
         http::request_parser<http::string_body> parser;
         parser.body_limit(std::numeric_limits<std::uint64_t>::max());
-        co_await http::async_read(*socket, buffer, parser, awaitInto(error));
+        if (m_answersHeads) {
+            co_await http::async_read_header(*socket, buffer, parser, awaitInto(error));
+        } else {
+            co_await http::async_read(*socket, buffer, parser, awaitInto(error));
+        }
         if (error) {
             break;
         }
--- a/tests/standins/scripted_server.hpp
+++ b/tests/standins/scripted_server.hpp
@@ -1,6 +1,7 @@
 #ifndef SNIPEVALVE_STANDINS_SCRIPTED_SERVER_HPP
 #define SNIPEVALVE_STANDINS_SCRIPTED_SERVER_HPP
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <string>
@@ -45,6 +46,9 @@
     /// @brief Replaces the script; it applies to the requests that arrive from now on.
     void setScript(Script script);
 
+    /// @brief Answers requests as soon as their head has arrived, and reads none of their bodies.
+    void setAnswersHeads(bool answersHeads);
+
     /// @return the address at which it listens, with the port that it got if the given one was 0
     Endpoint endpoint() const;
 
@@ -63,6 +67,7 @@
     Tcp::acceptor m_acceptor;
     mutable std::mutex m_mutex;
     Script m_script;
+    std::atomic<bool> m_answersHeads = false;
     int m_requests = 0;
     int m_connections = 0;
     std::thread m_thread;
