Hold what callers send and don't read on an account in the entry process, too

Cause: the entry process counted nothing; a stalled upload that is passed on to a server kept one of its permits for the idle timeout of 60 s, so that a dozen of them shut a service off. Change: each traffic thread has its share of one account by the new settings entry.memory_mb and entry.max_connections; heads with trailers, bodies, answers and connections are asked for before they are read. While a request waits for a server, stalled uploads to that server are turned away. The test now sets the two settings to the bounds that it checks; crowds and bounds are as before.

--- a/include/snipevalve/net/memory_account.hpp
+++ b/include/snipevalve/net/memory_account.hpp
@@ -122,6 +122,10 @@
     /// @return whether the connection has been turned away during its current request
     bool isTurnedAway() const;
 
+    /// @brief Turns the connection away if it makes no progress.
+    void turnAwayIfStalled(TimePoint now);
+
+    std::size_t held(HeldBytes kind) const;
     std::size_t total() const;
 
     /// Memory of a connection without a request, with its session and coroutines, in bytes: 8 kB were measured.
--- a/include/snipevalve/settings/settings.hpp
+++ b/include/snipevalve/settings/settings.hpp
@@ -31,6 +31,8 @@
     std::uint64_t entryMaxHeaderBytes = 16 << 10;
     std::uint64_t entryReplayBytes = 64 << 10;
     std::uint64_t entryQueueLength = 64;
+    std::uint64_t entryMemoryMb = 256;
+    std::uint64_t entryMaxConnections = 10'000;
     Milliseconds entryIdleTimeout{60'000};
     Milliseconds entryDrainDelay{1000};
     Milliseconds entryStopTimeout{30'000};
--- a/src/snipevalve/entry/entry_process.cpp
+++ b/src/snipevalve/entry/entry_process.cpp
@@ -53,7 +53,10 @@
     const auto onConnection = [this](Tcp::socket socket) {
         startSession(std::move(socket));
     };
-    asio::co_spawn(m_context, acceptConnections(m_acceptor, onConnection), asio::detached);
+    const auto mayAccept = [this]() {
+        return m_threadState.memory.mayConnect(Clock::now());
+    };
+    asio::co_spawn(m_context, acceptConnections(m_acceptor, onConnection, mayAccept), asio::detached);
     m_thread = std::thread([this]() {
         m_context.run();
     });
@@ -112,6 +115,11 @@
     return m_threadState.metrics;
 }
 
+std::size_t TrafficThread::heldBytes(HeldBytes kind) const
+{
+    return m_threadState.memory.held(kind);
+}
+
 EntryProcess::EntryProcess(asio::io_context &context, const Settings &settings)
     : m_context(context)
     , m_settings(settings)
@@ -267,6 +275,9 @@
         for (const TrafficThread &thread : m_threads) {
             nlohmann::json metrics = nlohmann::json::parse(thread.metrics().toJson());
             metrics["connections"] = thread.sessions();
+            for (const HeldBytes kind : AllHeldBytes) {
+                metrics["heldBytes"][std::string(describe(kind))] = thread.heldBytes(kind);
+            }
             threads.push_back(metrics);
         }
         const nlohmann::json body = {{"host", m_settings.hostName},
--- a/src/snipevalve/entry/entry_process.hpp
+++ b/src/snipevalve/entry/entry_process.hpp
@@ -37,6 +37,9 @@
     std::size_t sessions() const;
     const EntryMetrics &metrics() const;
 
+    /// @return bytes held for callers and servers; thread-safe
+    std::size_t heldBytes(HeldBytes kind) const;
+
 private:
     void startSession(Tcp::socket socket);
 
--- a/src/snipevalve/entry/forwarder.cpp
+++ b/src/snipevalve/entry/forwarder.cpp
@@ -30,10 +30,12 @@
 
 } // namespace
 
-Forwarder::Forwarder(TrafficThreadState &threadState, CallerRequest &request, BodySource &bodySource)
+Forwarder::Forwarder(TrafficThreadState &threadState, CallerRequest &request, BodySource &bodySource,
+                     MemoryHolder *holder)
     : m_threadState(threadState)
     , m_request(request)
     , m_bodySource(bodySource)
+    , m_holder(holder)
 {
 }
 
@@ -194,6 +196,19 @@
     }
     attempt.parser.reset();
     attempt.bodySendStarted = true;
+    UpstreamState &server = m_threadState.upstreamState(*attempt.destination.server);
+    if (m_holder != nullptr) {
+        server.uploads.insert(m_holder);
+    }
+    co_await sendParts(attempt, message, serializer, error);
+    server.uploads.erase(m_holder);
+    co_return true;
+}
+
+Awaitable<void> Forwarder::sendParts(Attempt &attempt, http::request<http::buffer_body> &message,
+                                     http::request_serializer<http::buffer_body> &serializer, ErrorCode &error)
+{
+    UpstreamConnection &connection = *attempt.connection;
     std::string part = m_request.body;
     if (part.empty() && !co_await m_bodySource.next(part)) {
         error = http::error::partial_message;
@@ -213,7 +228,6 @@
             error = http::error::partial_message;
         }
     }
-    co_return true;
 }
 
 Awaitable<void> Forwarder::readResponse(Attempt &attempt, ErrorCode &error)
--- a/src/snipevalve/entry/forwarder.hpp
+++ b/src/snipevalve/entry/forwarder.hpp
@@ -49,7 +49,8 @@
 class Forwarder
 {
 public:
-    Forwarder(TrafficThreadState &threadState, CallerRequest &request, BodySource &bodySource);
+    Forwarder(TrafficThreadState &threadState, CallerRequest &request, BodySource &bodySource,
+              MemoryHolder *holder = nullptr);
 
     /// @param until the deadline of this attempt
     Awaitable<Attempt> runAttempt(TimePoint until);
@@ -62,6 +63,8 @@
     Destination findDestination() const;
     Awaitable<void> exchange(Attempt &attempt, TimePoint until);
     Awaitable<bool> sendBuffered(Attempt &attempt, ErrorCode &error);
+    Awaitable<void> sendParts(Attempt &attempt, http::request<http::buffer_body> &message,
+                              http::request_serializer<http::buffer_body> &serializer, ErrorCode &error);
     Awaitable<bool> sendStreamed(Attempt &attempt, ErrorCode &error);
     Awaitable<void> readResponse(Attempt &attempt, ErrorCode &error);
     template <typename Message>
@@ -70,6 +73,7 @@
     TrafficThreadState &m_threadState;
     CallerRequest &m_request;
     BodySource &m_bodySource;
+    MemoryHolder *m_holder; ///< of the caller; null: its upload is never turned away
 };
 
 } // namespace snipevalve
--- a/src/snipevalve/entry/metrics.cpp
+++ b/src/snipevalve/entry/metrics.cpp
@@ -37,6 +37,18 @@
     ++m_badRequests;
 }
 
+void EntryMetrics::onRefusedForMemory()
+{
+    const std::lock_guard lock(m_mutex);
+    ++m_refusedForMemory;
+}
+
+void EntryMetrics::onTurnedAway()
+{
+    const std::lock_guard lock(m_mutex);
+    ++m_turnedAway;
+}
+
 std::string EntryMetrics::toJson() const
 {
     const std::lock_guard lock(m_mutex);
@@ -46,6 +58,8 @@
                            {"unknown", m_unknown},
                            {"badRequests", m_badRequests},
                            {"retries", m_retries},
+                           {"refusedForMemory", m_refusedForMemory},
+                           {"turnedAway", m_turnedAway},
                            {"meanUs", any ? acc::mean(m_median) : 0.0},
                            {"maxUs", any ? acc::max(m_median) : 0.0},
                            {"p50Us", any ? acc::p_square_quantile(m_median) : 0.0},
--- a/src/snipevalve/entry/metrics.hpp
+++ b/src/snipevalve/entry/metrics.hpp
@@ -27,6 +27,12 @@
     void onRequest(Outcome outcome, Duration latency, int retries);
     void onBadRequest();
 
+    /// @brief Counts a request that was refused since too much is held for others.
+    void onRefusedForMemory();
+
+    /// @brief Counts a connection that gave way to others.
+    void onTurnedAway();
+
     /// @brief The metrics as a JSON object; latencies in microseconds.
     std::string toJson() const;
 
@@ -44,6 +50,8 @@
     std::uint64_t m_unknown = 0;
     std::uint64_t m_badRequests = 0;
     std::uint64_t m_retries = 0;
+    std::uint64_t m_refusedForMemory = 0;
+    std::uint64_t m_turnedAway = 0;
 };
 
 } // namespace snipevalve
--- a/src/snipevalve/entry/session.cpp
+++ b/src/snipevalve/entry/session.cpp
@@ -1,9 +1,13 @@
 #include "snipevalve/entry/session.hpp"
 
+#include <algorithm>
+
 #include <spdlog/spdlog.h>
 
+#include "snipevalve/core/log_text.hpp"
 #include "snipevalve/net/lingering_close.hpp"
 #include "snipevalve/net/message_head.hpp"
+#include "snipevalve/net/tcp_options.hpp"
 
 namespace snipevalve {
 
@@ -70,15 +74,25 @@
         if (parser.is_done()) {
             co_return true;
         }
+        m_session.setPhase(HolderPhase::Receiving);
         m_session.m_stream.expires_after(m_session.m_threadState.settings.entryIdleTimeout);
         part.resize(BodyBufferBytes);
         parser.get().body().data = part.data();
         parser.get().body().size = part.size();
-        co_await http::async_read(m_session.m_stream, m_session.m_buffer, parser, awaitInto(error));
-        if (error == http::error::need_buffer) {
-            error = {};
+        while (!error && !parser.is_done() && parser.get().body().size > 0) {
+            const std::size_t before = parser.get().body().size;
+            co_await http::async_read_some(m_session.m_stream, m_session.m_buffer, parser, awaitInto(error));
+            if (error == http::error::need_buffer) {
+                error = {};
+            }
+            m_session.m_holder.onProgress(before - parser.get().body().size, Clock::now());
         }
         part.resize(BodyBufferBytes - parser.get().body().size);
+        if (m_session.m_holder.isTurnedAway()) {
+            error = make_error_code(boost::system::errc::no_buffer_space);
+        } else {
+            m_session.setPhase(HolderPhase::Running);
+        }
         co_return !error;
     }
 
@@ -89,6 +103,9 @@
 Session::Session(TrafficThreadState &threadState, Tcp::socket socket)
     : m_threadState(threadState)
     , m_stream(std::move(socket))
+    , m_holder(threadState.memory, Clock::now(), [this]() {
+        return turnAway();
+    })
 {
     m_threadState.sessions.insert(this);
     ++m_threadState.sessionCount;
@@ -118,6 +135,41 @@
     }
 }
 
+void Session::setPhase(HolderPhase phase)
+{
+    m_phase = phase;
+    m_holder.setPhase(phase, Clock::now());
+}
+
+/// Ends the read or write that the session waits for, to give back its memory. A request whose body is not passed on
+/// yet is refused then, and an answer that is being written is cut.
+bool Session::turnAway()
+{
+    ErrorCode error;
+    const bool hasArrived = m_stream.socket().available(error) > 0;
+    if (m_phase == HolderPhase::Running || (m_phase == HolderPhase::Idle && hasArrived)) {
+        return false;
+    }
+    spdlog::warn("entry: a connection that holds {} of {} bytes is turned away", m_holder.total(),
+                 m_threadState.memory.totalHeld());
+    m_threadState.metrics.onTurnedAway();
+    if (m_phase == HolderPhase::Receiving) {
+        m_stream.cancel();
+    } else {
+        resetOnClose(m_stream.socket()); // what has been written of an answer must not look complete
+        m_stream.close();
+    }
+    return true;
+}
+
+Awaitable<bool> Session::refuseForMemory(const std::string &id)
+{
+    m_holder.set(HeldBytes::Body, 0);
+    m_threadState.metrics.onRefusedForMemory();
+    spdlog::warn("entry: request {}: refused, too much is held for other callers", escapeLogValue(id));
+    co_return co_await reject(http::status::service_unavailable, "too much is held for other callers");
+}
+
 bool Session::mayKeepConnection() const
 {
     return !m_threadState.stopping && m_parser->get().keep_alive() && m_parser->is_done();
@@ -130,21 +182,58 @@
     m_parser->header_limit(static_cast<std::uint32_t>(m_threadState.settings.entryMaxHeaderBytes));
     m_parser->body_limit(UINT64_MAX);
     m_buffer.max_size(m_buffer.size() + m_threadState.settings.entryMaxHeaderBytes + MaxUnparsedBytes);
+    m_holder.set(HeldBytes::Body, 0);
+    m_holder.set(HeldBytes::Answer, 0);
+    if (m_buffer.size() == 0) {
+        m_buffer.shrink_to_fit();
+    }
+    m_holder.set(HeldBytes::Head, m_buffer.capacity());
+    setPhase(HolderPhase::Idle);
     m_stream.expires_after(m_threadState.settings.entryIdleTimeout);
     m_idleSince = Clock::now();
+    if (m_buffer.size() == 0) {
+        constexpr std::size_t InitialReadBytes = 4 << 10;
+        const std::size_t count =
+            co_await m_stream.async_read_some(m_buffer.prepare(InitialReadBytes), awaitInto(error));
+        m_buffer.commit(count);
+        if (error) {
+            m_idleSince.reset();
+            co_return false;
+        }
+    }
+    setPhase(HolderPhase::Receiving);
+    const auto received = m_buffer.cdata();
+    const bool isHeadWhole = findHeadEnd({static_cast<const char *>(received.data()), received.size()}).has_value();
+    if (!isHeadWhole
+        && !m_holder.ask(HeldBytes::Head, m_buffer.capacity() + 2 * m_threadState.settings.entryMaxHeaderBytes,
+                         Clock::now())) {
+        m_idleSince.reset();
+        error = make_error_code(boost::system::errc::no_buffer_space);
+        co_return false;
+    }
     co_await readUntilHeadEnd(m_stream, m_buffer, m_threadState.settings.entryMaxHeaderBytes, error);
     m_idleSince.reset();
+    if (m_holder.isTurnedAway()) {
+        error = make_error_code(boost::system::errc::no_buffer_space);
+    }
     if (error) {
         co_return false;
     }
     const auto data = m_buffer.cdata();
     const std::string_view text(static_cast<const char *>(data.data()), data.size());
-    m_headFault = findHeadFault(text.substr(0, findHeadEnd(text).value_or(0)));
+    const std::size_t headBytes = findHeadEnd(text).value_or(0);
+    m_headFault = findHeadFault(text.substr(0, headBytes));
     if (m_headFault) {
         error = http::error::bad_field;
         co_return false;
     }
     co_await http::async_read_header(m_stream, m_buffer, *m_parser, awaitInto(error));
+    // A chunk's header and the trailers have to fit into what the head leaves of its limit.
+    constexpr std::size_t MinUnparsedBytes = 4 << 10;
+    constexpr std::size_t CopiesOfHead = 2; // the parser's, and that for the server
+    m_buffer.max_size(std::max<std::size_t>(
+        {m_buffer.size(), m_threadState.settings.entryMaxHeaderBytes - headBytes, MinUnparsedBytes}));
+    m_holder.set(HeldBytes::Head, m_buffer.capacity() + CopiesOfHead * headBytes);
     co_return !error;
 }
 
@@ -152,6 +241,9 @@
 {
     ErrorCode error;
     if (!co_await readHead(error)) {
+        if (error == boost::system::errc::no_buffer_space) {
+            co_return co_await refuseForMemory({});
+        }
         const bool closeSilently = error == http::error::end_of_stream || error == beast::error::timeout
             || error.category() != http::make_error_code(http::error::bad_version).category();
         if (closeSilently) {
@@ -177,12 +269,16 @@
     const auto id = m_parser->get()[headers::RequestId];
     request.id = id.empty() ? m_threadState.nextRequestId() : std::string(id);
     if (!co_await readBodyStart(request, error)) {
+        if (error == boost::system::errc::no_buffer_space) {
+            co_return co_await refuseForMemory(request.id);
+        }
         if (isParseError(error)) {
             m_threadState.metrics.onBadRequest();
             co_return co_await reject(http::status::bad_request, "the body can't be read: " + error.message());
         }
         co_return false;
     }
+    setPhase(HolderPhase::Running);
     RequestTraits traits;
     traits.idempotent = request.idempotent;
     traits.deadline = request.deadline;
@@ -205,6 +301,18 @@
         const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
         co_await asio::async_write(m_stream, asio::buffer(interim), awaitInto(error));
     }
+    const std::size_t replayBytes = m_threadState.settings.entryReplayBytes;
+    if (!m_parser->is_done()) {
+        // The body held for a replay, its copy that is sent, and the part that is being read; then trailers.
+        const std::size_t bodyBytes = std::min<std::uint64_t>(request.contentLength.value_or(replayBytes), replayBytes);
+        const std::size_t needed = 2 * bodyBytes + BodyBufferBytes;
+        const std::size_t headBytes = m_holder.held(HeldBytes::Head) + m_buffer.max_size();
+        const TimePoint now = Clock::now();
+        if (!m_holder.ask(HeldBytes::Body, needed, now) || !m_holder.ask(HeldBytes::Head, headBytes, now)) {
+            error = make_error_code(boost::system::errc::no_buffer_space);
+            co_return false;
+        }
+    }
     CallerBody body(*this);
     std::string part;
     while (!error && !m_parser->is_done() && request.body.size() < m_threadState.settings.entryReplayBytes) {
@@ -224,7 +332,7 @@
 Awaitable<Attempt> Session::runRequest(CallerRequest &request, RequestLife &life, Outcome &outcome)
 {
     CallerBody body(*this);
-    Forwarder forwarder(m_threadState, request, body);
+    Forwarder forwarder(m_threadState, request, body, &m_holder);
     RetryBudget &budget = m_threadState.retryBudget(request.route->service);
     budget.earn();
     asio::steady_timer timer(m_threadState.executor);
@@ -248,6 +356,8 @@
 
 Awaitable<bool> Session::sendResponse(const CallerRequest &request, Attempt &attempt)
 {
+    m_holder.set(HeldBytes::Answer, attempt.body.capacity() + BodyBufferBytes + MaxUnparsedBytes);
+    setPhase(HolderPhase::Sending);
     http::response<http::buffer_body> message;
     const auto &header = attempt.parser->get();
     message.result(header.result_int());
@@ -307,7 +417,9 @@
         message.body().size = part.size();
         message.body().more = !part.empty();
         m_stream.expires_after(m_threadState.settings.entryIdleTimeout);
+        setPhase(HolderPhase::Sending);
         co_await http::async_write(m_stream, serializer, awaitInto(error));
+        setPhase(HolderPhase::Running); // waits for the server, not for the caller
         if (error == http::error::need_buffer) {
             error = {};
         }
@@ -353,6 +465,7 @@
 
 Awaitable<bool> Session::send(http::response<http::string_body> response)
 {
+    setPhase(HolderPhase::Sending);
     response.prepare_payload();
     m_stream.expires_after(m_threadState.settings.entryIdleTimeout);
     ErrorCode error;
--- a/src/snipevalve/entry/session.hpp
+++ b/src/snipevalve/entry/session.hpp
@@ -37,10 +37,15 @@
     Awaitable<bool> send(http::response<http::string_body> response);
     void logRequest(const CallerRequest &request, const Attempt &attempt, Outcome outcome, const RequestLife &life);
     bool mayKeepConnection() const;
+    void setPhase(HolderPhase phase);
+    bool turnAway();
+    Awaitable<bool> refuseForMemory(const std::string &id);
 
     TrafficThreadState &m_threadState;
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
+    MemoryHolder m_holder;
+    HolderPhase m_phase = HolderPhase::Idle;
     std::unique_ptr<RequestParser> m_parser;
     std::optional<std::string> m_headFault; ///< why the last message head is malformed
     std::optional<TimePoint> m_idleSince; ///< set while waiting for a request
--- a/src/snipevalve/entry/traffic_thread_state.cpp
+++ b/src/snipevalve/entry/traffic_thread_state.cpp
@@ -1,10 +1,28 @@
 #include "snipevalve/entry/traffic_thread_state.hpp"
 
+#include <algorithm>
+
 namespace snipevalve {
 
 namespace {
 
 constexpr std::size_t MaxIdlePerServer = 16;
+constexpr Milliseconds StalledUploadInterval(250); ///< how often a request that waits looks for stalled uploads
+
+/// The threads share the process's memory equally, since each can only turn away its own connections.
+MemoryAccountOptions shareOf(const Settings &settings)
+{
+    const std::uint64_t memory = (settings.entryMemoryMb << 20) / settings.entryTrafficThreads;
+    const std::uint64_t connections = settings.entryMaxConnections / settings.entryTrafficThreads;
+    return MemoryAccountOptions::forProcess(memory, std::max<std::uint64_t>(1, connections));
+}
+
+void turnAwayStalledUploads(UpstreamState &server)
+{
+    for (MemoryHolder *holder : server.uploads) {
+        holder->turnAwayIfStalled(Clock::now());
+    }
+}
 
 } // namespace
 
@@ -14,6 +32,7 @@
     , settings(threadSettings)
     , routing(std::make_shared<RoutingState>())
     , pool(threadExecutor, threadSettings.hostAddress, MaxIdlePerServer)
+    , memory(shareOf(threadSettings))
     , m_random(seed)
     , m_idPrefix(threadSettings.hostName + "-" + std::to_string(seed) + "-")
 {
@@ -23,13 +42,20 @@
 {
     const std::uint64_t ticket = ++m_lastTicket;
     const Admission admission = server.limiter.admit(ticket, deadline, Clock::now());
+    turnAwayStalledUploads(server);
     if (admission != Admission::Wait) {
         co_return admission == Admission::Enter;
     }
-    PermitWaiter waiter{asio::steady_timer(executor, deadline)};
+    PermitWaiter waiter{asio::steady_timer(executor)};
     server.waiters[ticket] = &waiter;
     ErrorCode error;
-    co_await waiter.timer.async_wait(awaitInto(error));
+    while (!waiter.admitted && Clock::now() < deadline) {
+        waiter.timer.expires_at(std::min(deadline, Clock::now() + StalledUploadInterval));
+        co_await waiter.timer.async_wait(awaitInto(error));
+        if (!waiter.admitted) {
+            turnAwayStalledUploads(server);
+        }
+    }
     server.waiters.erase(ticket);
     if (!waiter.admitted) {
         server.limiter.cancel(ticket);
--- a/src/snipevalve/entry/traffic_thread_state.hpp
+++ b/src/snipevalve/entry/traffic_thread_state.hpp
@@ -9,6 +9,7 @@
 
 #include "snipevalve/entry/metrics.hpp"
 #include "snipevalve/entry/routing_state.hpp"
+#include "snipevalve/net/memory_account.hpp"
 #include "snipevalve/net/upstream_pool.hpp"
 #include "snipevalve/request/concurrency_limiter.hpp"
 #include "snipevalve/request/outlier_detector.hpp"
@@ -33,6 +34,7 @@
     double reportedLoad = 0;
     TimePoint reportedAt;
     std::map<std::uint64_t, PermitWaiter *> waiters;
+    std::set<MemoryHolder *> uploads; ///< of the callers whose bodies are being passed on to it
 };
 
 class Session;
@@ -44,7 +46,8 @@
 public:
     TrafficThreadState(asio::any_io_executor executor, const Settings &settings, std::uint64_t seed);
 
-    /// @brief Waits for a permit to send a request to the server.
+    /// @brief Waits for a permit to send a request to the server. Meanwhile, uploads to it that are stalled are turned
+    /// away, as each takes a permit.
     /// @return false when the queue is full or the deadline would pass while waiting
     Awaitable<bool> acquirePermit(UpstreamState &server, TimePoint deadline);
 
@@ -65,6 +68,7 @@
     std::shared_ptr<const RoutingState> routing;
     UpstreamPool pool;
     EntryMetrics metrics;
+    MemoryAccount memory; ///< this thread's share of what the process holds for callers and servers
     bool stopping = false;
     std::set<Session *> sessions; ///< one per open connection of a caller
     std::atomic<std::size_t> sessionCount = 0;
--- a/src/snipevalve/net/memory_account.cpp
+++ b/src/snipevalve/net/memory_account.cpp
@@ -232,6 +232,11 @@
     return m_isTurnedAway;
 }
 
+std::size_t MemoryHolder::held(HeldBytes kind) const
+{
+    return m_held[indexOf(kind)];
+}
+
 std::size_t MemoryHolder::total() const
 {
     return m_total;
@@ -243,6 +248,13 @@
     return canStall && !m_isTurnedAway && now >= m_creditUntil;
 }
 
+void MemoryHolder::turnAwayIfStalled(TimePoint now)
+{
+    if (isStalled(now)) {
+        turnAway();
+    }
+}
+
 bool MemoryHolder::turnAway()
 {
     if (m_isTurnedAway || !m_turnAway()) {
--- a/src/snipevalve/settings/settings.cpp
+++ b/src/snipevalve/settings/settings.cpp
@@ -222,6 +222,10 @@
         {"entry", "queue_length", &S::entryQueueLength, "requests", 0, 100'000, false,
          "Longest queue of requests that wait for a server, per traffic thread; further requests are refused as not "
          "run."},
+        {"entry", "memory_mb", &S::entryMemoryMb, "MB", 16, 1 << 20, false,
+         "Memory that the process may use; a part of it bounds what is held for callers and servers."},
+        {"entry", "max_connections", &S::entryMaxConnections, "connections", 16, 1'000'000, false,
+         "Most connections of callers; then stalled and idle ones are closed, and others wait to be accepted."},
         {"entry", "idle_timeout_ms", &S::entryIdleTimeout, "ms", 100, MaxTimeMs, false,
          "A caller's connection is closed after this time without progress."},
         {"entry", "drain_delay_ms", &S::entryDrainDelay, "ms", 0, MaxTimeMs, false,
--- a/tests/process/hostile_entry_callers_test.cpp
+++ b/tests/process/hostile_entry_callers_test.cpp
@@ -30,7 +30,10 @@
     for (const CrowdCase &each : crowds(EntryPath)) {
         DYNAMIC_SECTION(each.name)
         {
-            Deployment deployment(entryDeployment(), optionsFor("crowd-" + std::to_string(network), network));
+            DeploymentOptions options = optionsFor("crowd-" + std::to_string(network), network);
+            options.extraSettings = "[entry]\nmemory_mb = " + std::to_string(each.limits.memoryMb)
+                + "\nmax_connections = " + std::to_string(each.limits.descriptors * 3 / 4) + "\n";
+            Deployment deployment(entryDeployment(), options);
             REQUIRE(deployment.start(StartTimeout));
             HostProcesses &host = deployment.hosts().front();
             meetCrowd(*host.entry, deployment.entryOf(host), EntryPath, each);
