--- a/tests/process/hostile_callers_test.cpp
+++ b/tests/process/hostile_callers_test.cpp
@@ -66,4 +66,69 @@
     checkLimits(deployment.node(0), SmallestHost);
 }
 
+// Guards against answers that fill the memory since their callers don't read them.
+TEST_CASE("callers that don't read their answers leave the node within its memory and serving", "[promise-4]")
+{
+    constexpr std::size_t AnswerBytes = 250 * Kilobyte; // buffered whole in calm
+    constexpr int Callers = 400;
+    SmallNode deployment("node-unread", Network + 21, LoweredMemory);
+    const auto answerWith = [&deployment](std::size_t bytes) {
+        deployment.server.setScript([bytes](const std::string &id) {
+            ScriptedReply reply;
+            reply.start = "HTTP/1.1 200 OK\r\nX-Snipevalve-Request-Id: " + id
+                + "\r\nX-Snipevalve-Response-Stamp: s\r\nContent-Length: " + std::to_string(bytes) + "\r\n\r\n"
+                + std::string(bytes, 'a');
+            return reply;
+        });
+    };
+    answerWith(AnswerBytes);
+    CrowdRequest request;
+    request.callers = Callers;
+    // Further requests wait behind the first on each connection, so that the kernel's buffers don't take all answers.
+    request.start = repeat("GET /v1/x HTTP/1.1\r\nHost: h.example\r\nX-Snipevalve-Request-Id: crowd\r\n"
+                           "X-Snipevalve-Request-Deadline: 3000\r\n\r\n",
+                           40);
+    const CallerCrowd crowd(deployment.callers(), request);
+    crowd.waitUntilSent(SendTimeout);
+    std::this_thread::sleep_for(4 * HoldTime);
+    checkLimits(deployment.node(0), LoweredMemory);
+    answerWith(2);
+    CHECK(servesUpload(deployment.callers(), NodePath));
+}
+
+// Guards against requests that fill the memory since their server doesn't read them.
+TEST_CASE("a server that reads no bodies leaves the node within its memory", "[promise-4]")
+{
+    constexpr std::size_t BodyBytes = 2 * Megabyte;
+    SmallNode deployment("node-unsent", Network + 22, LoweredMemory);
+    deployment.server.setAnswersHeads(true);
+    deployment.server.setScript([](const std::string &) {
+        ScriptedReply reply;
+        reply.late = "HTTP/1.1 200 OK\r\n\r\n"; // names no request, after the time limit of the requests
+        reply.lateAfter = Milliseconds(5'000);
+        return reply;
+    });
+    CrowdRequest request;
+    request.callers = 60;
+    request.start = head(NodePath, "crowd", length(BodyBytes));
+    request.part = std::string(BodyBytes, 'p');
+    request.times = 1;
+    const CallerCrowd crowd(deployment.callers(), request);
+    crowd.waitUntilSent(SendTimeout);
+    std::this_thread::sleep_for(4 * HoldTime);
+    checkLimits(deployment.node(0), LoweredMemory);
+    deployment.server.setAnswersHeads(false);
+    deployment.server.setScript([](const std::string &id) {
+        ScriptedReply reply;
+        reply.start = "HTTP/1.1 200 OK\r\nX-Snipevalve-Request-Id: " + id
+            + "\r\nX-Snipevalve-Response-Stamp: s\r\nContent-Length: 2\r\n\r\nok";
+        return reply;
+    });
+    CHECK(deployment.waitUntil(
+        [&deployment]() {
+            return deployment.sendRequest(0, "GET", "/v1/x").status == 200;
+        },
+        StartTimeout));
+}
+
 } // namespace snipevalve::standins
