--- a/src/snipevalve/entry/forwarder.cpp
+++ b/src/snipevalve/entry/forwarder.cpp
@@ -2,6 +2,8 @@
 
 #include <charconv>
 
+#include "snipevalve/net/message_head.hpp"
+
 namespace snipevalve {
 
 namespace {
@@ -28,10 +30,12 @@
 
 } // namespace
 
-Forwarder::Forwarder(TrafficThreadState &threadState, CallerRequest &request, BodySource &bodySource)
+Forwarder::Forwarder(TrafficThreadState &threadState, CallerRequest &request, BodySource &bodySource,
+                     MemoryHolder *holder)
     : m_threadState(threadState)
     , m_request(request)
     , m_bodySource(bodySource)
+    , m_holder(holder)
 {
 }
 
@@ -192,6 +196,19 @@
     }
     attempt.parser.reset();
     attempt.bodySendStarted = true;
+    UpstreamState &server = m_threadState.upstreamState(*attempt.destination.server);
+    if (m_holder != nullptr) {
+        server.uploads.insert(m_holder);
+    }
+    co_await sendParts(attempt, message, serializer, error);
+    server.uploads.erase(m_holder);
+    co_return true;
+}
+
+Awaitable<void> Forwarder::sendParts(Attempt &attempt, http::request<http::buffer_body> &message,
+                                     http::request_serializer<http::buffer_body> &serializer, ErrorCode &error)
+{
+    UpstreamConnection &connection = *attempt.connection;
     std::string part = m_request.body;
     if (part.empty() && !co_await m_bodySource.next(part)) {
         error = http::error::partial_message;
@@ -211,7 +228,6 @@
             error = http::error::partial_message;
         }
     }
-    co_return true;
 }
 
 Awaitable<void> Forwarder::readResponse(Attempt &attempt, ErrorCode &error)
@@ -226,6 +242,10 @@
             co_return;
         }
     }
+    if (!isValidStatus(attempt.parser->get().result_int())) {
+        error = http::error::bad_status;
+        co_return;
+    }
     if (attempt.parser->need_eof() && !attempt.parser->is_done()) {
         // A body delimited by the end of the connection can't be told from a truncated one.
         error = http::error::partial_message;
