--- a/src/snipevalve/dispatch_link/messages.cpp
+++ b/src/snipevalve/dispatch_link/messages.cpp
@@ -335,9 +335,13 @@
     change.limits.headerTimeout = Milliseconds(message.header_timeout_ms());
     change.limits.idleTimeout = Milliseconds(message.idle_timeout_ms());
     for (const proto::Service &service : message.services()) {
-        change.services[service.name()] = {service.name(), service.health_path(), service.max_connections(),
-                                           service.keyed(), Milliseconds(service.warm_ms()),
-                                           Milliseconds(service.warmup_ms()), service.warmup_per_second()};
+        change.services[service.name()] = {service.name(),
+                                           service.health_path(),
+                                           service.max_connections(),
+                                           service.keyed(),
+                                           Milliseconds(service.warm_ms()),
+                                           Milliseconds(service.warmup_ms()),
+                                           service.warmup_per_second()};
     }
     for (const proto::Route &route : message.routes()) {
         change.routes.push_back(fromProto(route));
--- a/src/snipevalve/node/leader_dispatcher.hpp
+++ b/src/snipevalve/node/leader_dispatcher.hpp
@@ -86,7 +86,8 @@
     /// @brief Sets the evacuated zones, which are sent to all hosts. The servers' marks come with setView().
     void setEvacuations(Evacuations evacuations);
 
-    /// @brief Sets the time at which configuration, leaders and evacuations were last known to be up to date with the store.
+    /// @brief Sets the time at which configuration, leaders and evacuations were last known to be up to date with the
+    /// store.
     void setStoreReadTime(TimePoint current);
 
     /// @brief Sets the time at which the store last renewed this host's lease; the clock's epoch without a lease.
