--- a/src/snipevalve/entry/forwarder_test.cpp
+++ b/src/snipevalve/entry/forwarder_test.cpp
@@ -116,7 +116,7 @@
     ScriptedServer server({"127.0.0.1", 0});
     server.setAnswersHeads(true);
     for (const ReplyEnd finish : {ReplyEnd::Reset, ReplyEnd::Close}) {
-        for (const std::string start : {answer, interim + answer, interim}) {
+        for (const std::string &start : {answer, interim + answer, interim}) {
             INFO(start);
             const std::string late = start == interim ? answer : " an answer";
             const AttemptResult result = forward(server, makeReply(start, late, finish), Unread);
