--- a/src/snipevalve/node/control/node_control.hpp
+++ b/src/snipevalve/node/control/node_control.hpp
@@ -325,6 +325,9 @@
         handlers.onEvent = [this](const StoreEvent &event) {
             m_operatorKeys.onEvent(event, m_store.era());
         };
+        handlers.onEventsEnd = [this]() {
+            m_operatorKeys.onEventsEnd();
+        };
         return handlers;
     }
 
--- a/src/snipevalve/node/control/operator_keys.hpp
+++ b/src/snipevalve/node/control/operator_keys.hpp
@@ -1,10 +1,13 @@
 #ifndef SNIPEVALVE_NODE_CONTROL_OPERATOR_KEYS_HPP
 #define SNIPEVALVE_NODE_CONTROL_OPERATOR_KEYS_HPP
 
+#include <algorithm>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
+#include <utility>
 
 #include <spdlog/spdlog.h>
 
@@ -52,6 +55,8 @@
         }
     }
 
+    /// @brief Handles one event of an answer; evacuations take effect with onEventsEnd(), since one transaction can
+    /// write several zones at the same revision.
     /// @param era of the store that told of the event
     void onEvent(const StoreEvent &event, std::uint64_t era)
     {
@@ -60,14 +65,29 @@
         if (!zone) {
             return;
         }
-        Evacuations next{era, event.value.revision, m_evacuations.zones};
+        const Evacuations at{era, event.value.revision, {}};
+        if (!at.isNewerThan(m_evacuations)) {
+            return;
+        }
+        if (!m_next) {
+            m_next = m_evacuations;
+        }
+        m_next->era = era;
+        m_next->revision = std::max(m_next->revision, event.value.revision);
         if (event.removed) {
-            next.zones.erase(*zone);
+            m_next->zones.erase(*zone);
             m_ignoredKeys.erase(event.value.key);
         } else {
-            addZone(event.value, next);
+            addZone(event.value, *m_next);
+        }
+    }
+
+    /// @brief Puts the evacuations of the last events in force.
+    void onEventsEnd()
+    {
+        if (const auto next = std::exchange(m_next, std::nullopt)) {
+            adopt(*next);
         }
-        adopt(next);
     }
 
     /// @brief Takes evacuations that were read from the store or that a leader has relayed, unless they are older than
@@ -138,6 +158,7 @@
 
     Outputs m_outputs;
     Evacuations m_evacuations;
+    std::optional<Evacuations> m_next; ///< with the events of the answer that is being handled
     std::set<std::string> m_findings; ///< of the newest configuration that was read
     std::set<std::string> m_ignoredKeys; ///< keys that name no zone
 };
--- a/src/snipevalve/node/control/operator_keys_test.cpp
+++ b/src/snipevalve/node/control/operator_keys_test.cpp
@@ -18,6 +18,14 @@
     }
 
     int changes = 0;
+    void onEvents(const std::vector<StoreEvent> &events)
+    {
+        for (const StoreEvent &event : events) {
+            keys.onEvent(event, 1);
+        }
+        keys.onEventsEnd();
+    }
+
     OperatorKeys<platform::Platform> keys{{[](const auto &, std::uint64_t) {},
                                            [this](const Evacuations &) {
                                                ++changes;
@@ -41,11 +49,11 @@
     CHECK(fixture.keys.evacuations() == Evacuations{1, 10, {"a", longest}});
     CHECK(fixture.changes == 1);
 
-    fixture.keys.onEvent({{"op/evacuate/b", "{}", 12}, false}, 1);
+    fixture.onEvents({{{"op/evacuate/b", "{}", 12}, false}});
     CHECK(fixture.keys.evacuations() == Evacuations{1, 12, {"a", "b", longest}});
-    fixture.keys.onEvent({{"op/evacuate/a", "", 11}, true}, 1); // older than what is known
+    fixture.onEvents({{{"op/evacuate/a", "", 11}, true}}); // older than what is known
     CHECK(fixture.keys.evacuations().revision == 12);
-    fixture.keys.onEvent({{"op/evacuate/a", "", 13}, true}, 1);
+    fixture.onEvents({{{"op/evacuate/a", "", 13}, true}});
     CHECK(fixture.keys.evacuations() == Evacuations{1, 13, {"b", longest}});
     fixture.keys.adopt({1, 9, {"c"}}); // a leader that is behind
     CHECK(fixture.keys.evacuations().revision == 13);
@@ -56,6 +64,18 @@
     CHECK(fixture.changes == 4);
 }
 
+TEST_CASE("all zones of one transaction are evacuated and taken back")
+{
+    Fixture fixture;
+    StoredList list;
+    list.revision = 10;
+    fixture.keys.onList(list, 1);
+    fixture.onEvents({{{"op/evacuate/a", "{}", 12}, false}, {{"op/evacuate/b", "{}", 12}, false}});
+    CHECK(fixture.keys.evacuations() == Evacuations{1, 12, {"a", "b"}});
+    fixture.onEvents({{{"op/evacuate/a", "", 13}, true}, {{"op/evacuate/b", "", 13}, true}});
+    CHECK(fixture.keys.evacuations() == Evacuations{1, 13, {}});
+}
+
 TEST_CASE("the number of zones that are kept and relayed is limited")
 {
     Fixture fixture;
--- a/src/snipevalve/node/control/prefix_watcher.hpp
+++ b/src/snipevalve/node/control/prefix_watcher.hpp
@@ -27,6 +27,7 @@
 {
     std::function<void(const StoredList &)> onList; ///< a snapshot of all values below the prefix
     std::function<void(const StoreEvent &)> onEvent;
+    std::function<void()> onEventsEnd; ///< all events of one answer have been passed to onEvent; empty: not told
     std::function<void(Duration)> onRecovery; ///< the store answers again; receives the length of the outage
     std::function<void()> onRestored; ///< the next list comes from a store restored from a copy; empty: not told
     std::function<bool()> isNeeded; ///< false pauses the watch; empty: always needed
@@ -142,6 +143,9 @@
             for (const StoreEvent &event : events->events) {
                 m_handlers.onEvent(event);
             }
+            if (m_handlers.onEventsEnd) {
+                m_handlers.onEventsEnd();
+            }
         }
         co_return events.status();
     }
--- a/src/snipevalve/node/placements.cpp
+++ b/src/snipevalve/node/placements.cpp
@@ -144,6 +144,7 @@
                 }
                 continue;
             }
+            item.avoid.push_back(placement->server.id); // the known view may lack a server that has just registered
             avoidEvacuated(service, item);
             ++returned;
             continue;
