--- a/include/snipevalve/net/memory_account.hpp
+++ b/include/snipevalve/net/memory_account.hpp
@@ -78,6 +78,7 @@
     friend class MemoryHolder;
 
     bool makeRoom(const MemoryHolder &asker, std::size_t bytes, TimePoint now);
+    bool idleMakeRoom(const MemoryHolder &asker, std::size_t bytes, TimePoint now) const;
     bool hasRoom(const MemoryHolder &asker, std::size_t bytes) const;
     bool isSmall(std::size_t bytes) const;
     MemoryHolder *findVictim(const MemoryHolder &asker, std::size_t bytes, TimePoint now) const;
--- a/src/snipevalve/entry/entry_process.cpp
+++ b/src/snipevalve/entry/entry_process.cpp
@@ -46,6 +46,7 @@
     if (m_thread.joinable()) {
         m_thread.join();
     }
+    m_context.destroyPending(); // sessions refer to m_threadState
 }
 
 void TrafficThread::start()
--- a/src/snipevalve/entry/entry_process.hpp
+++ b/src/snipevalve/entry/entry_process.hpp
@@ -11,6 +11,7 @@
 #include "snipevalve/hosts/host_list_poller.hpp"
 #include "snipevalve/link/reporter.hpp"
 #include "snipevalve/net/http_server.hpp"
+#include "snipevalve/net/owned_context.hpp"
 #include "snipevalve/supervisor/supervisor.hpp"
 
 namespace snipevalve {
@@ -43,7 +44,7 @@
 private:
     void startSession(Tcp::socket socket);
 
-    asio::io_context m_context{1};
+    OwnedContext m_context{1};
     TrafficThreadState m_threadState;
     Tcp::acceptor m_acceptor;
     std::atomic<bool> m_isListening = true;
--- a/src/snipevalve/entry/forwarder_test.cpp
+++ b/src/snipevalve/entry/forwarder_test.cpp
@@ -1,3 +1,4 @@
+#include "snipevalve/entry/entry_process.hpp"
 #include "snipevalve/entry/forwarder.hpp"
 
 #include <catch2/catch.hpp>
@@ -143,4 +144,54 @@
     }
 }
 
+// Guards against uploads that are cut although no request waits for their server.
+TEST_CASE("a request that gets a permit at once turns no stalled upload away", "[promise-4]")
+{
+    asio::io_context context{1};
+    Settings settings;
+    settings.hostAddress = "127.0.0.1";
+    TrafficThreadState state(context.get_executor(), settings, 1);
+    Server target;
+    target.name = "free";
+    target.concurrency = 100;
+    UpstreamState &server = state.upstreamState(target);
+    int turnedAway = 0;
+    MemoryHolder upload(state.memory, Clock::now() - std::chrono::seconds(10), [&turnedAway]() {
+        ++turnedAway;
+        return true;
+    });
+    upload.setPhase(HolderPhase::Receiving, Clock::now() - std::chrono::seconds(10));
+    server.uploads.insert(&upload);
+    bool isAdmitted = false;
+    const auto acquire = [&]() -> Awaitable<void> {
+        isAdmitted = co_await state.acquirePermit(server, Clock::now() + std::chrono::seconds(1));
+    };
+    asio::co_spawn(context, acquire(), asio::detached);
+    context.run();
+    CHECK(isAdmitted);
+    CHECK(turnedAway == 0);
+    server.uploads.clear();
+}
+
+// Guards against sessions that outlive the state that they refer to.
+TEST_CASE("a traffic thread can be destroyed while callers are connected", "[promise-4]")
+{
+    Settings settings;
+    settings.hostAddress = "127.44.0.2";
+    settings.entryPort = 18082;
+    settings.entryTrafficThreads = 1;
+    asio::io_context context;
+    std::vector<Tcp::socket> callers;
+    TrafficThread thread(settings, 1);
+    thread.start();
+    for (int caller = 0; caller < 3; ++caller) {
+        callers.emplace_back(context).connect(toTcp({settings.hostAddress, 18082}));
+    }
+    const TimePoint end = Clock::now() + std::chrono::seconds(5);
+    while (thread.sessions() < callers.size() && Clock::now() < end) {
+        std::this_thread::sleep_for(Milliseconds(5));
+    }
+    CHECK(thread.sessions() == callers.size());
+}
+
 } // namespace snipevalve
--- a/src/snipevalve/entry/session.cpp
+++ b/src/snipevalve/entry/session.cpp
@@ -156,7 +156,9 @@
     if (m_phase == HolderPhase::Receiving) {
         m_stream.cancel();
     } else {
-        resetOnClose(m_stream.socket()); // what has been written of an answer must not look complete
+        if (m_phase == HolderPhase::Sending && !m_hasAnswered) {
+            resetOnClose(m_stream.socket()); // what has been written of an answer must not look complete
+        }
         m_stream.close();
     }
     return true;
@@ -165,6 +167,11 @@
 Awaitable<bool> Session::refuseForMemory(const std::string &id)
 {
     m_holder.set(HeldBytes::Body, 0);
+    if (!m_parser->is_header_done() || !mayKeepConnection()) { // the rest of the request is not read
+        m_buffer.clear();
+        m_buffer.shrink_to_fit();
+        m_holder.set(HeldBytes::Head, 0);
+    }
     m_threadState.metrics.onRefusedForMemory();
     spdlog::warn("entry: request {}: refused, too much is held for other callers", escapeLogValue(id));
     co_return co_await reject(http::status::service_unavailable, "too much is held for other callers");
--- a/src/snipevalve/entry/traffic_thread_state.cpp
+++ b/src/snipevalve/entry/traffic_thread_state.cpp
@@ -42,9 +42,12 @@
 {
     const std::uint64_t ticket = ++m_lastTicket;
     const Admission admission = server.limiter.admit(ticket, deadline, Clock::now());
+    if (admission == Admission::Enter) {
+        co_return true;
+    }
     turnAwayStalledUploads(server);
     if (admission != Admission::Wait) {
-        co_return admission == Admission::Enter;
+        co_return false;
     }
     PermitWaiter waiter{asio::steady_timer(executor)};
     server.waiters[ticket] = &waiter;
--- a/src/snipevalve/net/memory_account.cpp
+++ b/src/snipevalve/net/memory_account.cpp
@@ -142,10 +142,25 @@
     return longest;
 }
 
+/// Whether there is room without the connections that can be closed since they are idle.
+bool MemoryAccount::idleMakeRoom(const MemoryHolder &asker, std::size_t bytes, TimePoint now) const
+{
+    std::size_t idle = 0;
+    for (const MemoryHolder *holder : m_holders) {
+        const bool isIdle = holder->m_phase == HolderPhase::Idle && !holder->m_isTurnedAway
+            && now - holder->m_phaseSince >= m_options.stallTime;
+        idle += isIdle && holder != &asker ? holder->m_total : 0;
+    }
+    return m_total - m_leaving - asker.m_total - idle + bytes <= m_options.limit;
+}
+
 bool MemoryAccount::makeRoom(const MemoryHolder &asker, std::size_t bytes, TimePoint now)
 {
     while (!hasRoom(asker, bytes)) {
         MemoryHolder *victim = findVictim(asker, bytes, now);
+        if (victim == nullptr && idleMakeRoom(asker, bytes, now)) {
+            victim = findLongestIdle(now);
+        }
         if (victim == nullptr || !victim->turnAway()) {
             return false;
         }
@@ -205,9 +220,8 @@
 
 void MemoryHolder::setPhase(HolderPhase phase, TimePoint now)
 {
-    const bool beginsRequest = phase == HolderPhase::Idle || phase == HolderPhase::Receiving;
-    if (beginsRequest) {
-        clearTurnedAway(); // not when the refusal is being sent: the connection still leaves
+    if (phase != HolderPhase::Running) {
+        clearTurnedAway(); // what is still held while the refusal is sent counts again
     }
     m_phase = phase;
     m_phaseSince = now;
--- a/src/snipevalve/net/memory_account_test.cpp
+++ b/src/snipevalve/net/memory_account_test.cpp
@@ -61,6 +61,19 @@
     CHECK(second.ask(HeldBytes::Body, 500 * Kilobyte - MemoryHolder::ConnectionBytes, connections.now));
 }
 
+// Guards against idle connections that keep the largest allowed body out on the smallest host.
+TEST_CASE("idle connections give way to a body of the largest size")
+{
+    constexpr std::size_t AllCallers = 3'075 / 4 * 3;
+    Connections connections(SmallestMemory, AllCallers);
+    for (std::size_t idle = 1; idle < AllCallers; ++idle) {
+        connections.open(HolderPhase::Idle);
+    }
+    connections.now += Stalled;
+    MemoryHolder &upload = connections.open(HolderPhase::Receiving);
+    CHECK(upload.ask(HeldBytes::Body, LargestBody + 64 * Kilobyte, connections.now));
+}
+
 // Guards against stalled requests that take the memory from others until their time limit.
 TEST_CASE("room is made by turning away stalled connections, the largest first, and never requests that run")
 {
--- a/src/snipevalve/node/gateway_session.cpp
+++ b/src/snipevalve/node/gateway_session.cpp
@@ -88,7 +88,9 @@
     if (m_phase == HolderPhase::Receiving) {
         m_stream.cancel();
     } else {
-        resetOnClose(m_stream.socket()); // what has been written of an answer must not look complete
+        if (m_phase == HolderPhase::Sending && !m_hasAnswered) {
+            resetOnClose(m_stream.socket()); // what has been written of an answer must not look complete
+        }
         m_stream.close();
     }
     return true;
@@ -359,6 +361,11 @@
         m_parser->get().body().clear();
         m_holder.set(HeldBytes::Body, 0);
     }
+    if (!mayKeepConnection()) { // nothing more is read, but the connection may stay for WriteTimeout
+        m_buffer.clear();
+        m_buffer.shrink_to_fit();
+        m_holder.set(HeldBytes::Head, m_parser ? m_headBytes : 0);
+    }
     m_traffic.metrics.count("refused_" + std::to_string(static_cast<unsigned>(status)));
     http::response<http::string_body> response(status, 11);
     if (!id.empty()) {
@@ -380,7 +387,11 @@
     response.keep_alive(mayKeepConnection());
     m_stream.expires_after(WriteTimeout);
     ErrorCode error;
-    co_await http::async_write(m_stream, response, awaitInto(error));
+    http::response_serializer<http::string_body> serializer(response);
+    while (!error && !serializer.is_done()) {
+        const std::size_t count = co_await http::async_write_some(m_stream, serializer, awaitInto(error));
+        m_holder.onProgress(count, Clock::now());
+    }
     m_hasAnswered = !error;
     co_return !error && response.keep_alive();
 }
--- a/src/snipevalve/node/gateway_thread.cpp
+++ b/src/snipevalve/node/gateway_thread.cpp
@@ -42,6 +42,7 @@
 GatewayThread::~GatewayThread()
 {
     stop();
+    m_context.destroyPending(); // sessions refer to m_traffic
 }
 
 void GatewayThread::stop()
--- a/src/snipevalve/node/gateway_thread.hpp
+++ b/src/snipevalve/node/gateway_thread.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <thread>
 
+#include "snipevalve/net/owned_context.hpp"
 #include "snipevalve/node/gateway_traffic.hpp"
 
 namespace snipevalve {
@@ -66,7 +67,7 @@
     void startSession(Tcp::socket socket);
     Awaitable<void> advance();
 
-    asio::io_context m_context{1};
+    OwnedContext m_context{1};
     GatewayTraffic m_traffic;
     Tcp::acceptor m_acceptor;
     std::atomic<bool> m_isListening = true;
