Sum up a queue's servers once for all its waiting requests

Change: QueueCapacity is summed up once a pass, and a waiting request keeps the expected work of its submission.

--- a/include/snipevalve/dispatch/dispatcher.hpp
+++ b/include/snipevalve/dispatch/dispatcher.hpp
@@ -170,6 +170,14 @@
         double bestBusyFactor = 1e9; ///< lowest time factor of a busy server, including the wait for a slot
     };
 
+    /// What a queue's servers offer now. Summing it up takes a pass over all servers.
+    struct QueueCapacity
+    {
+        double slots = 0; ///< weighted by the servers' speeds
+        bool isAnyFree = false;
+        Seconds paceWait{0}; ///< until the pace of a cold server allows a request
+    };
+
     /// The predicted wait of a request, and whether it would meet its target time and its deadline.
     struct Forecast
     {
@@ -210,8 +218,9 @@
     double capacityOf(const ServerState &state, double slots, TimePoint now) const;
     double freeSlots(const std::string &name, TimePoint now) const;
     Seconds paceWait(const std::string &name, TimePoint now) const;
-    Forecast forecast(const WorkItem &item, const WorkAhead &ahead, bool isSubmission, const ServerQueue &queue,
-                      const std::string &name, TimePoint now) const;
+    QueueCapacity capacityNow(const std::string &name, TimePoint now) const;
+    Forecast forecast(const WorkItem &item, const WorkAhead &ahead, bool isSubmission, const QueueCapacity &present,
+                      const ServerQueue &queue, const std::string &name, TimePoint now) const;
     Forecast forecast(const WorkItem &item, const ServerQueue &queue, const std::string &name, TimePoint now) const;
     bool canMeetTarget(const WorkItem &item, TimePoint now) const;
     std::optional<TimePoint> orphanedUntil(const WorkItem &item) const;
--- a/include/snipevalve/dispatch/work.hpp
+++ b/include/snipevalve/dispatch/work.hpp
@@ -38,6 +38,7 @@
     TimePoint targetBy; ///< an answer by then has full value
     TimePoint deadline; ///< an answer after this has no value
     std::vector<std::string> avoid; ///< ids of servers that have failed this request
+    std::chrono::duration<double> expectedWork{0}; ///< as of its submission; zero: not known yet
 };
 
 inline WorkTraits traitsOf(const WorkItem &item)
--- a/src/snipevalve/dispatch/dispatcher.cpp
+++ b/src/snipevalve/dispatch/dispatcher.cpp
@@ -147,6 +147,7 @@
     if (prediction.meetsTarget) {
         queue.onTimeDemand += expectedWork(item) / DemandTimeConstant;
     }
+    item.expectedWork = expectedWork(item);
     queue.items.push_back(std::move(item));
     serveQueue(name, queue, now);
 }
@@ -289,8 +290,9 @@
 {
     WorkAhead ahead;
     std::set<Ticket> unmeetable;
+    const QueueCapacity present = capacityNow(name, now);
     for (const WorkItem *item : orderedItems(queue, name, now)) {
-        const Forecast prediction = forecast(*item, ahead, false, queue, name, now);
+        const Forecast prediction = forecast(*item, ahead, false, present, queue, name, now);
         if (!prediction.meetsDeadline) {
             reject(*item, m_isEvacuated ? RejectReason::NoServer : RejectReason::TooLate, prediction.retryAfter, now);
             unmeetable.insert(item->ticket);
--- a/src/snipevalve/dispatch/dispatcher_choice.cpp
+++ b/src/snipevalve/dispatch/dispatcher_choice.cpp
@@ -121,7 +121,7 @@
 
 Seconds Dispatcher::expectedWork(const WorkItem &item) const
 {
-    return m_work.expected(traitsOf(item));
+    return item.expectedWork.count() > 0 ? item.expectedWork : m_work.expected(traitsOf(item));
 }
 
 /// The server's slots, weighted by its speed, as far as its pace allows to use them.
@@ -252,10 +252,16 @@
     m_shares.advance(now);
 }
 
+Dispatcher::QueueCapacity Dispatcher::capacityNow(const std::string &name, TimePoint now) const
+{
+    return {capacityOfQueue(name, now), freeSlots(name, now) > 0, paceWait(name, now)};
+}
+
 /// @param ahead work queued ahead of the item
 /// @param isSubmission whether the item is new; false: it has been waiting
 Dispatcher::Forecast Dispatcher::forecast(const WorkItem &item, const WorkAhead &ahead, bool isSubmission,
-                                          const ServerQueue &queue, const std::string &name, TimePoint now) const
+                                          const QueueCapacity &present, const ServerQueue &queue,
+                                          const std::string &name, TimePoint now) const
 {
     Forecast result;
     if (m_isEvacuated) {
@@ -266,7 +272,7 @@
     const Seconds work = expectedWork(item);
     const SlotShares::Outlook outlook =
         m_options.reservesSlots ? m_shares.outlook(name, item.priority, work) : SlotShares::Outlook();
-    const double capacity = capacityOfQueue(name, now) * outlook.capacityShare;
+    const double capacity = present.slots * outlook.capacityShare;
     if (capacity <= 0) {
         // It is unknown when a key without an owner gets one; its request waits for that.
         result.meetsTarget = canMeetTarget(item, now);
@@ -274,8 +280,8 @@
         return result;
     }
     const double unit = std::max(1.0, capacity);
-    const Seconds untilAnySlot = freeSlots(name, now) > 0 ? Seconds(0) : timeUntilSlot(name, work / (2 * unit), now);
-    const Seconds untilSlot = std::max(outlook.untilSlot.value_or(untilAnySlot), paceWait(name, now));
+    const Seconds untilAnySlot = present.isAnyFree ? Seconds(0) : timeUntilSlot(name, work / (2 * unit), now);
+    const Seconds untilSlot = std::max(outlook.untilSlot.value_or(untilAnySlot), present.paceWait);
     const double margin = isSubmission && outlook.isLimited ? LimitedWaitMargin : 1.0;
     const Seconds onTimeWait = (untilSlot + ahead.onTime(outlook.competesFrom) / capacity) * margin;
     result.meetsTarget = now + toDuration(onTimeWait + work * WorkMargin) <= item.targetBy;
@@ -301,7 +307,7 @@
             ahead.add(each);
         }
     }
-    return forecast(item, ahead, true, queue, name, now);
+    return forecast(item, ahead, true, capacityNow(name, now), queue, name, now);
 }
 
 WorkEstimate Dispatcher::estimate(const WorkItem &item, TimePoint now) const
