--- a/include/snipevalve/dispatch/dispatcher.hpp
+++ b/include/snipevalve/dispatch/dispatcher.hpp
@@ -202,8 +202,8 @@
     };
 
     unsigned runningOn(const std::string &server) const;
-    Suitability suitability(const ServerState &state, const WorkItem &item, Seconds time, bool isLightlyLoaded,
-                            TimePoint now) const;
+    Suitability suitability(const ServerState &state, const WorkItem &item, Seconds work, Seconds time,
+                            bool isLightlyLoaded, TimePoint now) const;
     bool isLightlyLoaded() const;
     void releaseStaleSlots(TimePoint now);
     unsigned limitOf(const ServerState &state) const;
@@ -227,7 +227,6 @@
     double shareForLateWork(const ServerQueue &queue, const std::string &name, TimePoint now) const;
     double shareForLateUrgentWork(int priority, TimePoint now) const;
     void decayDemand(ServerQueue &queue, TimePoint now) const;
-    void normaliseSlowness();
     void updateTotals(TimePoint now);
     WorkEstimate estimate(const WorkItem &item, TimePoint now) const;
     WorkOrder orderOf(const ServerQueue &queue, const std::string &name, TimePoint now) const;
@@ -267,6 +266,9 @@
     double m_serviceCapacity = 0; ///< of all servers, as of the last advance()
     double m_serviceDemand = 0; ///< of all queues, as of the last advance()
     std::map<Ticket, Running> m_running;
+    /// The last answer of capacityOfQueue() for all servers; asked for each waiting request at the same time.
+    mutable double m_capacity = 0;
+    mutable TimePoint m_capacityAt;
     /// The last answer of timeUntilSlot() for a service without keys; asked for each waiting request at the same time.
     mutable std::optional<Seconds> m_untilAnySlot;
     mutable TimePoint m_untilAnySlotAt;
--- a/include/snipevalve/dispatch/warmup_pace.hpp
+++ b/include/snipevalve/dispatch/warmup_pace.hpp
@@ -86,7 +86,8 @@
     void onSent(const std::string &server, Seconds work, TimePoint now);
 
     /// @param isSent false if the request has certainly not reached the server, so that it doesn't count
-    void onFailure(const std::string &server, bool isSent, TimePoint now);
+    /// @param placedAt when the request was placed; a token comes back only if it took one
+    void onFailure(const std::string &server, bool isSent, TimePoint placedAt, TimePoint now);
     void onAnswer(const std::string &server);
 
     /// @brief Counts a request that was refused because of the server's pace.
@@ -107,6 +108,7 @@
         TimePoint assumedAt; ///< an entry that is current as of a heartbeat and EntryLag later tells whether it is cold
         double tokens = 0;
         TimePoint tokensAt;
+        TimePoint pacedSince;
         unsigned failures = 0; ///< consecutive
         bool wasCold = false; ///< as of the last event
         std::uint64_t refused = 0;
--- a/include/snipevalve/ownership/first_keys.hpp
+++ b/include/snipevalve/ownership/first_keys.hpp
@@ -42,9 +42,10 @@
     static constexpr std::size_t Parts = 2;
 
     /// @param loads by key: busy slots
+    /// @param keys the number of keys that servers own
     /// @param servers the number of servers that may own keys, with those that have none
     /// @param requestLoad what one request adds to the load of its key
-    FirstKeysSearch(const std::vector<float> &loads, std::size_t servers, double requestLoad);
+    FirstKeysSearch(const std::vector<float> &loads, std::uint32_t keys, std::size_t servers, double requestLoad);
 
     /// @brief Whether a server with these keys gets no more than a token part of the requests.
     bool isNeeded(std::uint32_t keys, double load) const;
--- a/src/snipevalve/dispatch/dispatcher.cpp
+++ b/src/snipevalve/dispatch/dispatcher.cpp
@@ -69,6 +69,7 @@
         return entry.second.busy == 0 && !listedIds.contains(entry.first);
     });
     m_isEvacuated = isEvacuated();
+    m_capacityAt = TimePoint();
     requeueAll(now);
 }
 
@@ -367,7 +368,7 @@
     case WorkEnd::Unreachable:
     case WorkEnd::Lost:
         state.outliers.onFailure(now);
-        m_pace.onFailure(ended.server, end == WorkEnd::Lost, now);
+        m_pace.onFailure(ended.server, end == WorkEnd::Lost, ended.startedAt, now);
         break;
     case WorkEnd::Refused:
         // A refusal comes back at once, so trying costs little; servers that refuse less are preferred.
--- a/src/snipevalve/dispatch/dispatcher_choice.cpp
+++ b/src/snipevalve/dispatch/dispatcher_choice.cpp
@@ -83,7 +83,7 @@
 bool Dispatcher::admits(const ServerState &state, const WorkItem &item, TimePoint now) const
 {
     const bool mustWait = state.busy >= limitOf(state);
-    const bool isWithinShare = !m_options.reservesSlots
+    const bool isWithinShare = !m_options.reservesSlots || !m_shares.isAnyActive()
         || m_shares.admits(poolOf(state.server.id), item.priority, expectedWork(item), mustWait);
     return isWithinShare && m_pace.admits(state.server.id, now);
 }
@@ -145,11 +145,14 @@
         const auto owner = m_servers.find(name);
         return owner == m_servers.end() ? 0 : capacityOf(owner->second, limitOf(owner->second), now);
     }
-    double capacity = 0;
-    for (const auto &[id, state] : m_servers) {
-        capacity += state.isLeaving ? 0 : capacityOf(state, limitOf(state), now);
+    if (m_capacityAt != now) {
+        m_capacityAt = now;
+        m_capacity = 0;
+        for (const auto &[id, state] : m_servers) {
+            m_capacity += state.isLeaving ? 0 : capacityOf(state, limitOf(state), now);
+        }
     }
-    return capacity;
+    return m_capacity;
 }
 
 double Dispatcher::freeSlots(const std::string &name, TimePoint now) const
@@ -213,28 +216,8 @@
     return m_serviceCapacity <= 0 ? MinShareForLateWork : std::max(MinShareForLateWork, 1.0 - work / m_serviceCapacity);
 }
 
-/// The service times and the servers' slowness are learned from one another, so both may drift apart: with 136 servers
-/// and widely spread work, the expected work grew to five times the true one within 14 s, and long requests were
-/// refused for it. So the servers' mean speed defines the normal one.
-void Dispatcher::normaliseSlowness()
-{
-    constexpr std::size_t MinServers = 8; ///< of fewer, a slow one would count as normal
-    if (m_servers.size() < MinServers || !m_options.reservesSlots || !m_shares.isAnyActive()) {
-        return;
-    }
-    double speeds = 0;
-    for (const auto &[id, state] : m_servers) {
-        speeds += 1.0 / state.slowness.factor();
-    }
-    const double meanSpeed = speeds / static_cast<double>(m_servers.size());
-    for (auto &[id, state] : m_servers) {
-        state.slowness = Slowness(state.slowness.factor() * meanSpeed);
-    }
-}
-
 void Dispatcher::updateTotals(TimePoint now)
 {
-    normaliseSlowness();
     m_serviceCapacity = capacityOfQueue({}, now);
     m_serviceDemand = 0;
     for (auto &[name, queue] : m_queues) {
@@ -340,8 +323,8 @@
 /// servers nearly every request opened a connection, mostly to another zone. While utilisation is low, servers that
 /// meet the target are preferred if they are in the host's zone, then if they don't report to be slow, then if the host
 /// still has a connection to them.
-Dispatcher::Suitability Dispatcher::suitability(const ServerState &state, const WorkItem &item, Seconds time,
-                                                bool isLightlyLoaded, TimePoint now) const
+Dispatcher::Suitability Dispatcher::suitability(const ServerState &state, const WorkItem &item, Seconds work,
+                                                Seconds time, bool isLightlyLoaded, TimePoint now) const
 {
     const bool isInOtherZone = state.server.zone != item.zone;
     const double busyShare = static_cast<double>(state.busy) / std::max(1U, state.server.slots);
@@ -358,7 +341,7 @@
     if (!isLightlyLoaded) {
         return {false, joinRank, false, false, false, time * (isInOtherZone ? OtherZonePenalty : 1.0), busyShare};
     }
-    const bool isSlowNow = time > expectedWork(item) * timeFactor(state) * SlowNowFactor;
+    const bool isSlowNow = time > work * timeFactor(state) * SlowNowFactor;
     return {isLate, joinRank, isInOtherZone, isSlowNow, needsConnection, time, busyShare};
 }
 
@@ -379,6 +362,9 @@
         return candidates;
     }
     for (auto &[id, state] : m_servers) {
+        if (isAvailable(state) && !m_pace.admits(id, now)) {
+            continue; // to ask it for each waiting request would cost ten times as much as all else
+        }
         if (isAvailable(state)) {
             candidates.available.push_back(&state);
         } else if (isUsable(state, now)) {
@@ -422,7 +408,7 @@
         if ((isAvoided && !item.key) || !admits(*state, item, now)) {
             continue;
         }
-        const Suitability fit = suitability(*state, item, timeOn(*state, work, now), lightlyLoaded, now);
+        const Suitability fit = suitability(*state, item, work, timeOn(*state, work, now), lightlyLoaded, now);
         if (best == nullptr || fit < bestFit) {
             best = state;
             bestFit = fit;
--- a/src/snipevalve/dispatch/slot_shares.cpp
+++ b/src/snipevalve/dispatch/slot_shares.cpp
@@ -92,6 +92,9 @@
 {
     const auto position = m_kinds.size() < 2 ? m_pools.end() : m_pools.find(pool);
     if (position != m_pools.end()) {
+        if (slots < position->second.slots) {
+            position->second.reserves.clear(); // may be all slots that are left; computed anew by advance()
+        }
         position->second.slots = slots;
         position->second.slowness = slowness;
     }
--- a/src/snipevalve/dispatch/warmup_pace.cpp
+++ b/src/snipevalve/dispatch/warmup_pace.cpp
@@ -45,6 +45,7 @@
     // The first token comes after a second, unless the server was quiet.
     server.tokens = isQuiet ? m_burst : 1.0 - m_rate;
     server.tokensAt = now;
+    server.pacedSince = now;
 }
 
 void WarmupPace::report(Server &server, const UpstreamServer &entry, bool isQuiet, TimePoint now)
@@ -180,10 +181,11 @@
 
 /// A server that fails several requests in a row may have restarted. Only a dispatcher that counts for all hosts
 /// assumes so: a host whose own link was cut sees the same, and its reads of the store tell it nothing sooner.
-void WarmupPace::onFailure(const std::string &server, bool isSent, TimePoint now)
+void WarmupPace::onFailure(const std::string &server, bool isSent, TimePoint placedAt, TimePoint now)
 {
     const auto known = m_servers.find(server);
-    if (known != m_servers.end() && !isSent && now < known->second.coldUntil()) {
+    if (known != m_servers.end() && !isSent && placedAt >= known->second.pacedSince
+        && now < known->second.coldUntil()) {
         known->second.tokens = tokensOf(known->second, now) + 1;
         known->second.tokensAt = now;
     }
--- a/src/snipevalve/node/control/node_control.hpp
+++ b/src/snipevalve/node/control/node_control.hpp
@@ -431,6 +431,8 @@
             return m_ledServices.empty();
         };
         handlers.onList = [this](const StoredList &list) {
+            m_isRestored = m_isRestored || isAfterKnownLeaders(m_store.era());
+            m_leaders.era = m_store.era(); // names the keys that applyLeader() removes
             std::erase_if(m_leaders.leaders, [](const auto &entry) {
                 return entry.second.revision != 0;
             });
@@ -439,8 +441,6 @@
             }
             m_leadersKnown = true;
             m_isEraDoubtful = false;
-            m_isRestored = m_isRestored || isAfterKnownLeaders(m_store.era());
-            m_leaders.era = m_store.era();
             m_leaders.revision = std::max(m_leaders.revision, list.revision);
             announceLeaders();
         };
--- a/src/snipevalve/node/placements.cpp
+++ b/src/snipevalve/node/placements.cpp
@@ -649,8 +649,7 @@
 
 void Placements::onFrame(LeaderLink &link, const proto::LeaderFrame &frame)
 {
-    m_isHostCountKnown = m_isHostCountKnown || frame.hosts() > 0;
-    m_hostCount = std::max<std::uint32_t>(1, frame.hosts());
+    setHostCount(frame.hosts());
     if (frame.has_evacuations()) {
         setEvacuations(fromProto(frame.evacuations()));
     }
@@ -713,6 +712,23 @@
     forwardStoreUpdate(link, frame);
 }
 
+/// A new leader's first frames, which bring its views, count only the hosts that have connected so far.
+void Placements::setHostCount(std::uint32_t hosts)
+{
+    const bool isNew = m_hostCount != std::max<std::uint32_t>(1, hosts) || (hosts > 0 && !m_isHostCountKnown);
+    m_isHostCountKnown = m_isHostCountKnown || hosts > 0;
+    m_hostCount = std::max<std::uint32_t>(1, hosts);
+    if (!isNew) {
+        return;
+    }
+    for (const auto &[service, dispatcher] : m_localDispatchers) {
+        if (m_views.find(service) != nullptr) {
+            dispatcher->setSlotShare(std::min(1.0, LocalShareFactor / m_hostCount));
+        }
+        setWarmupLimits(service, *dispatcher);
+    }
+}
+
 void Placements::setView(const ServiceView &view)
 {
     m_services.insert(view.service);
--- a/src/snipevalve/node/placements.hpp
+++ b/src/snipevalve/node/placements.hpp
@@ -169,6 +169,7 @@
     void onLinkOpen(LeaderLink &link);
     void onLinkLost(LeaderLink &link);
     void onFrame(LeaderLink &link, const proto::LeaderFrame &frame);
+    void setHostCount(std::uint32_t hosts);
     void forwardStoreUpdate(LeaderLink &link, const proto::LeaderFrame &frame);
     void setView(const ServiceView &view);
     DeputyAsk toDeputyAsk(const proto::DeputyConsent &ask, const Endpoint &leader) const;
--- a/src/snipevalve/ownership/first_keys.cpp
+++ b/src/snipevalve/ownership/first_keys.cpp
@@ -24,7 +24,8 @@
 
 } // namespace
 
-FirstKeysSearch::FirstKeysSearch(const std::vector<float> &loads, std::size_t servers, double requestLoad)
+FirstKeysSearch::FirstKeysSearch(const std::vector<float> &loads, std::uint32_t keys, std::size_t servers,
+                                 double requestLoad)
     : m_loadBefore(loads.size() + 1, 0.0)
     , m_hotBefore(loads.size() + 1, 0)
 {
@@ -35,7 +36,7 @@
     }
     const auto count = static_cast<double>(std::max<std::size_t>(1, servers));
     m_meanLoad = sum / count;
-    m_meanWidth = std::max(1U, static_cast<std::uint32_t>(KeyCount / count));
+    m_meanWidth = std::max(1U, static_cast<std::uint32_t>(keys / count));
     const double hotLoad = std::max(HotLoadShare * m_meanLoad, HotRequests * requestLoad);
     for (std::size_t key = 0; key < loads.size(); ++key) {
         m_hotBefore[key + 1] = m_hotBefore[key] + (loads[key] >= hotLoad ? 1 : 0);
--- a/src/snipevalve/ownership/key_balance.cpp
+++ b/src/snipevalve/ownership/key_balance.cpp
@@ -294,7 +294,11 @@
 {
     std::vector<KeyMove> moves;
     const double requestLoad = options.meanWork / options.window;
-    const FirstKeysSearch search(loads, servers.size(), requestLoad);
+    std::uint32_t keys = 0; // all of them, unless some have no owner
+    for (const ServerLoad &server : servers) {
+        keys += server.keys;
+    }
+    const FirstKeysSearch search(loads, keys, servers.size(), requestLoad);
     const auto byUtilisation = [](const ServerLoad *left, const ServerLoad *right) {
         return left->utilisation() > right->utilisation();
     };
--- a/tests/process/node_test.cpp
+++ b/tests/process/node_test.cpp
@@ -75,6 +75,7 @@
         },
         Lease));
     CHECK(deployment.logContains(0, "event=stray_removed service=ledger"));
+    CHECK_FALSE(deployment.logContains(0, "removed=false"));
     CHECK(deployment.platform.ownershipBreaches() == 0);
 }
 
