Add snipevalvectl check-config

Cause: a mistake in the operators' configuration shows only in the hosts' logs once it is in force, and some mistakes (unknown services, hidden routes, weights of zero, a negative warm_s) show nowhere. The snipevalvectl binary moves to platform/, which alone knows the wire's names; the command line itself stays in src/snipevalve/ctl. Wrong usage of snipevalvectl now ends with 2 as its header says; docopt's own exit code was 255.

--- a/src/snipevalve/ctl/commands.cpp
+++ b/src/snipevalve/ctl/commands.cpp
@@ -31,6 +31,7 @@
   snipevalvectl [options] drain SERVER [--undo]
   snipevalvectl [options] where SERVICE KEY
   snipevalvectl [options] hosts
+  snipevalvectl [options] check-config FILE [--against=FILE]
   snipevalvectl --help
   snipevalvectl --version
 
@@ -39,6 +40,7 @@
   --json             Print JSON instead of tables.
   -f FILE            A JSON file with {"resources": [...]}.
   --from=REVISION    Watch the changes after this revision [default: 0].
+  --against=FILE     The configuration in force; differences to it are reported.
   --timeout-ms=MS    How long to wait for a resource to be in force everywhere [default: 15000].
 
 KIND is services, servers or routes. The token is taken from the environment variable SNIPEVALVE_TOKEN.
@@ -273,9 +275,26 @@
 
 } // namespace
 
-int runCtl(int argc, char **argv)
+int runCtl(int argc, char **argv, const ConfigCheck &checkConfig)
 {
-    const Arguments arguments = docopt::docopt(Usage, {argv + 1, argv + argc}, true, "snipevalvectl 0.1.0");
+    Arguments arguments;
+    try {
+        arguments = docopt::docopt_parse(Usage, {argv + 1, argv + argc});
+    } catch (const docopt::DocoptExitHelp &) {
+        std::cout << Usage;
+        return 0;
+    } catch (const docopt::DocoptExitVersion &) {
+        std::cout << "snipevalvectl 0.1.0\n";
+        return 0;
+    } catch (const docopt::DocoptArgumentError &error) {
+        std::cerr << error.what() << "\n" << Usage;
+        return ExitWrongUsage;
+    }
+    if (arguments.at("check-config").asBool()) {
+        const docopt::value &against = arguments.at("--against");
+        return checkConfig({arguments.at("FILE").asString(), against ? std::optional(against.asString()) : std::nullopt,
+                            arguments.at("--json").asBool()});
+    }
     const auto endpoint = parseEndpoint(arguments.at("--admin").asString());
     if (!endpoint) {
         std::cerr << "--admin must be an IPv4 address and a port\n";
--- a/src/snipevalve/ctl/main.cpp
+++ /dev/null
@@ -1,6 +0,0 @@
-#include "snipevalve/ctl/commands.hpp"
-
-int main(int argc, char **argv)
-{
-    return snipevalve::runCtl(argc, argv);
-}
