Take first keys from the busiest server that can give some

Cause: recent_owners_test expects the next server in that order when the busiest has just lost them; the new search took the lightest window of all. Change: among windows with hot keys, those of the first donor count.

--- a/src/snipevalve/ownership/first_keys.cpp
+++ b/src/snipevalve/ownership/first_keys.cpp
@@ -53,7 +53,7 @@
     return m_loadBefore[end] - m_loadBefore[from];
 }
 
-/// Narrows the parts until one fits, or else takes the lightest one.
+/// Narrows the parts until one fits, or else takes the lightest one of the first donor that has any.
 std::optional<FirstKeys> FirstKeysSearch::find(const std::vector<KeyDonor> &donors, const std::string &server,
                                                double room, const RecentOwners &recent) const
 {
@@ -68,7 +68,7 @@
 }
 
 /// The window without hot keys that has the most load within the limit, of the first donor that has one.
-/// @param lightest the lightest window that was found so far, with or without hot keys
+/// @param lightest the lightest window of the first donor that has a bearable one, with or without hot keys
 std::optional<FirstKeys> FirstKeysSearch::findFitting(const std::vector<KeyDonor> &donors, const std::string &server,
                                                       std::uint32_t wanted, double room, const RecentOwners &recent,
                                                       std::optional<FirstKeys> &lightest) const
@@ -96,7 +96,8 @@
                     best = window;
                 }
                 const bool isBearable = load > 0 && load <= std::max(room, (1.0 - KeptShare) * donor.load);
-                if (isBearable && (!lightest || load < lightest->load)) {
+                const bool isLighter = lightest && lightest->from == donor.id && load < lightest->load;
+                if (isBearable && (!lightest || isLighter)) {
                     lightest = window;
                 }
             }
