--- a/include/snipevalve/dispatch/remaining_work.hpp
+++ b/include/snipevalve/dispatch/remaining_work.hpp
@@ -23,9 +23,6 @@
     /// @brief Removes a request that has ended. Unknown tickets are ignored.
     void remove(Ticket ticket);
 
-    /// @brief The expected rests of all requests.
-    Seconds sum(TimePoint now) const;
-
     /// @brief When one more request would get a slot.
     /// @param slots of the server
     /// @return empty when fewer requests are known here than the server has slots
--- a/src/snipevalve/dispatch/remaining_work.cpp
+++ b/src/snipevalve/dispatch/remaining_work.cpp
@@ -41,15 +41,6 @@
     return std::max(entry.expected - done, entry.expected * MinRestShare);
 }
 
-Seconds RemainingWork::sum(TimePoint now) const
-{
-    Seconds total(0);
-    for (const Entry &entry : m_entries) {
-        total += restOf(entry, now);
-    }
-    return total;
-}
-
 /// The waiting requests get the slots in their order, each the one that is free first.
 std::optional<Seconds> RemainingWork::untilSlot(unsigned slots, TimePoint now) const
 {
--- a/src/snipevalve/dispatch/uneven_work_test.cpp
+++ b/src/snipevalve/dispatch/uneven_work_test.cpp
@@ -57,14 +57,13 @@
     work.add(2, Seconds(0.2), true, Start);
     const TimePoint later = Start + Milliseconds(100);
     CHECK(work.untilSlot(2, later)->count() == Approx(0.1));
-    CHECK(work.sum(later).count() == Approx(0.8));
     work.add(3, Seconds(0.3), false, later);
     CHECK(work.untilSlot(2, later)->count() == Approx(0.4)); // the waiting one gets the slot of the second first
     const TimePoint overdue = Start + Milliseconds(1'000);
     CHECK(work.untilSlot(2, overdue)->count() > 0.1); // long runners may run on
     work.remove(2);
     work.start(3, overdue);
-    CHECK(work.sum(overdue).count() == Approx(0.8 * 0.15 + 0.3));
+    CHECK(work.untilSlot(2, overdue)->count() == Approx(0.8 * 0.15));
     work.remove(1);
     work.remove(1);
     CHECK_FALSE(work.untilSlot(2, overdue));
