Name the classes that the dispatcher asks

Cause: a reader of dispatcher.hpp could not tell where the new decisions are made. Change: a paragraph of its comment. Result: comment only; formatter passes.

--- a/include/snipevalve/dispatch/dispatcher.hpp
+++ b/include/snipevalve/dispatch/dispatcher.hpp
@@ -47,6 +47,10 @@
 /// request takes time to reach the dispatcher, and the next one as long to reach the server; without a request at hand
 /// the slot would be idle meanwhile, an eighth of the time on hosts with a tenth of a core.
 ///
+/// The decisions that differ by deployment are classes of their own: WorkOrder (which request is next), SlotShares
+/// (slots for urgent requests), WorkEstimates, LoadReports and RemainingWork (what a request takes, and what a server
+/// still has to do), WarmupPace (cold servers) and JoinedServers (servers that would get no request at low load).
+///
 /// Designed for servers running near capacity: bursts, overload, slow servers and hot keys.
 class Dispatcher
 {
