Review case 7: one lost answer of the store leaves a service without a leader

Cause: while takeOver() waits for the answer to the write of the leader key, the host learns of its own key from the watch, and removeStaleLeaderKeys() passes over the service that is being taken over. takeOver() gives up after 1 s without a repeat, as one call may take as long, and nothing looks for the stale key afterwards. The host renews its lease for another service, so the key stays, and no host leads the keyed service any more.

Change: the case. Nothing of the product changes.

--- a/review/standins-2/src/cases.hpp
+++ b/review/standins-2/src/cases.hpp
@@ -8,6 +8,9 @@
 /// @brief Case 6: uploads with a transfer coding other than `chunked`.
 Verdict playSmuggledRequest(Record &record);
 
+/// @brief Case 7: an answer of the store is lost while a host takes a service over.
+Verdict playLostAnswer(Record &record);
+
 } // namespace review
 
 #endif // REVIEW_CASES_HPP
