Review case 8: a node keeps the connections to all servers that have left

Cause: UpstreamPool and HttpClient look at idle connections only when they need one to the same address, so those of servers that have left stay open until the process ends. With 4,100 descriptors a node accepts no connection any more after about 800 servers were replaced by others at new addresses.

Change: the case. Nothing of the product changes.

--- a/review/standins-2/src/cases.hpp
+++ b/review/standins-2/src/cases.hpp
@@ -11,6 +11,9 @@
 /// @brief Case 7: an answer of the store is lost while a host takes a service over.
 Verdict playLostAnswer(Record &record);
 
+/// @brief Case 8: servers are replaced by others at new addresses.
+Verdict playReplacedServers(Record &record);
+
 } // namespace review
 
 #endif // REVIEW_CASES_HPP
--- a/review/standins-2/src/main.cpp
+++ b/review/standins-2/src/main.cpp
@@ -11,7 +11,7 @@
 
 using namespace review;
 
-constexpr const char *Usage = "usage: review-2 CASE RECORD, from the repository's root; CASE is 6 to 7\n";
+constexpr const char *Usage = "usage: review-2 CASE RECORD, from the repository's root; CASE is 6 to 8\n";
 constexpr std::chrono::seconds LongestRun(115);
 
 [[noreturn]] void endNow(Record &record, const std::string &reason)
@@ -23,8 +23,8 @@
 
 Verdict play(const std::string &name, Record &record)
 {
-    const std::map<std::string, std::function<Verdict(Record &)>> cases = {{"6", playSmuggledRequest},
-                                                                           {"7", playLostAnswer}};
+    const std::map<std::string, std::function<Verdict(Record &)>> cases = {
+        {"6", playSmuggledRequest}, {"7", playLostAnswer}, {"8", playReplacedServers}};
     try {
         return cases.at(name)(record);
     } catch (const std::exception &error) {
