Review case 9: one host does not lead again after an outage without history

Cause: when the history of the store is gone, the list of the leaders' keys replaces the table, but services whose own keys are missing in it are not stopped. The host counts them as led, does not take them over again, and has no lease, so it grants no keys.

Change: the case. Nothing of the product changes.

--- a/review/standins-2/src/cases.hpp
+++ b/review/standins-2/src/cases.hpp
@@ -14,6 +14,9 @@
 /// @brief Case 8: servers are replaced by others at new addresses.
 Verdict playReplacedServers(Record &record);
 
+/// @brief Case 9: the store returns from an outage without its history.
+Verdict playLostHistory(Record &record);
+
 } // namespace review
 
 #endif // REVIEW_CASES_HPP
--- a/review/standins-2/src/main.cpp
+++ b/review/standins-2/src/main.cpp
@@ -11,7 +11,7 @@
 
 using namespace review;
 
-constexpr const char *Usage = "usage: review-2 CASE RECORD, from the repository's root; CASE is 6 to 8\n";
+constexpr const char *Usage = "usage: review-2 CASE RECORD, from the repository's root; CASE is 6 to 9\n";
 constexpr std::chrono::seconds LongestRun(115);
 
 [[noreturn]] void endNow(Record &record, const std::string &reason)
@@ -24,7 +24,7 @@
 Verdict play(const std::string &name, Record &record)
 {
     const std::map<std::string, std::function<Verdict(Record &)>> cases = {
-        {"6", playSmuggledRequest}, {"7", playLostAnswer}, {"8", playReplacedServers}};
+        {"6", playSmuggledRequest}, {"7", playLostAnswer}, {"8", playReplacedServers}, {"9", playLostHistory}};
     try {
         return cases.at(name)(record);
     } catch (const std::exception &error) {
