--- a/tests/process/caller_crowd.hpp
+++ b/tests/process/caller_crowd.hpp
@@ -56,12 +56,19 @@
         return m_ended >= m_request.callers;
     }
 
+    /// @return the number of callers whose connection was opened
+    int connected() const
+    {
+        return m_connected;
+    }
+
 private:
     Awaitable<void> send(Tcp::socket &socket, Endpoint target)
     {
         ErrorCode error;
         asio::steady_timer timer(m_context);
         co_await socket.async_connect(toTcp(target), awaitInto(error));
+        m_connected += error ? 0 : 1;
         if (!error) {
             co_await asio::async_write(socket, asio::buffer(m_request.start), awaitInto(error));
         }
@@ -79,6 +86,7 @@
     asio::io_context m_context{1};
     std::list<Tcp::socket> m_sockets;
     std::atomic<int> m_ended = 0;
+    std::atomic<int> m_connected = 0;
     std::thread m_thread;
 };
 
--- a/tests/process/hostile_callers_test.cpp
+++ b/tests/process/hostile_callers_test.cpp
@@ -2,6 +2,9 @@
 #include "process/node_deployment.hpp"
 #include "standins/scripted_server.hpp"
 
+#include <mutex>
+#include <set>
+
 namespace snipevalve::standins {
 
 namespace {
@@ -66,6 +69,66 @@
     checkLimits(deployment.node(0), SmallestHost);
 }
 
+// Guards against refusals that don't say what the caller may rely on, and against requests that run although they were
+// refused.
+TEST_CASE("requests refused while a crowd holds the memory have not run and say when to come back", "[promise-4]")
+{
+    constexpr std::size_t BodyBytes = 30 * Megabyte;
+    constexpr int Requests = 12;
+    SmallNode deployment("node-refusals", Network + 23, SmallestHost);
+    std::mutex mutex;
+    std::set<std::string> arrived;
+    deployment.server.setScript([&](const std::string &id) {
+        const std::lock_guard lock(mutex);
+        arrived.insert(id);
+        ScriptedReply reply;
+        reply.start = "HTTP/1.1 200 OK\r\nX-Snipevalve-Request-Id: " + id
+            + "\r\nX-Snipevalve-Response-Stamp: s\r\nContent-Length: 2\r\n\r\nok";
+        return reply;
+    });
+    std::atomic<int> answered = 0;
+    std::atomic<int> refused = 0;
+    std::atomic<int> broken = 0;
+    std::vector<std::thread> callers;
+    for (int number = 0; number < Requests; ++number) {
+        callers.emplace_back([&, number]() {
+            const std::string id = "large-" + std::to_string(number);
+            const std::string start = head(NodePath, id, length(BodyBytes));
+            const std::string body(BodyBytes, 'o');
+            asio::io_context context;
+            Tcp::socket socket(context);
+            ErrorCode error;
+            socket.connect(toTcp(deployment.callers()), error);
+            asio::write(socket, std::array{asio::buffer(start), asio::buffer(body)}, error);
+            error = {}; // an early refusal may precede the end of the body
+            beast::flat_buffer buffer;
+            http::response_parser<http::string_body> parser;
+            http::read(socket, buffer, parser, error);
+            if (error) {
+                return; // closed without an answer, which promises nothing
+            }
+            const auto &response = parser.get();
+            const bool isOwn = response["X-Snipevalve-Request-Id"] == id;
+            const std::lock_guard lock(mutex);
+            if (response.result_int() == 200) {
+                ++answered;
+                broken += isOwn && arrived.contains(id) ? 0 : 1;
+            } else {
+                ++refused;
+                const bool isPromise = response.result_int() == 503 && !response[http::field::retry_after].empty();
+                broken += isPromise && isOwn && !arrived.contains(id) ? 0 : 1;
+            }
+        });
+    }
+    for (std::thread &caller : callers) {
+        caller.join();
+    }
+    INFO("answered " << answered << ", refused " << refused);
+    CHECK(refused > 0); // all bodies together are larger than the memory
+    CHECK(broken == 0);
+    checkLimits(deployment.node(0), SmallestHost);
+}
+
 // Guards against answers that fill the memory since their callers don't read them.
 TEST_CASE("callers that don't read their answers leave the node within its memory and serving", "[promise-4]")
 {
