Bound the connections to the addresses for readiness and operations

What callers saw: 400 connections to the node's readiness address, or to the operations page of the entry process, took 400 of 200 descriptors; at the limit no caller and no readiness check gets a connection for as long as they stay. 100 bodies of 2 MB at the operations page took 137 of 120 MB. Cause: serveHttp() accepted without a limit, and took bodies of 2 MB where no request has one. Evidence: process_hostile_listeners_test (5 of 5 crowds at the readiness address failed), process_hostile_entry_callers_test "a crowd at the operations address*" (3 of 3 failed). Change: ConnectionLimiter bounds what a listener has accepted. If there are too many, the connection that has waited longest for its peer is closed, never one whose request is being handled; so a probe that comes while a crowd stays is accepted at once. The pages of the node, the entry and the placement process take no bodies. The stand-in stores, whose watches hold connections, take 10,000.

--- a/include/snipevalve/net/http_server.hpp
+++ b/include/snipevalve/net/http_server.hpp
@@ -14,12 +14,14 @@
 using HttpRequest = http::request<ReceivedBody>;
 using HttpResponse = http::response<http::string_body>;
 
-/// @brief Limits of a control server. A request that exceeds them gets no response, and its connection is closed.
+/// @brief Limits of a control server. A request that exceeds them gets no response, and its connection is closed. If
+/// there are too many connections, those that have waited longest for their peer are closed.
 struct HttpServerLimits
 {
     std::uint32_t headerBytes = 16 << 10;
     std::uint64_t bodyBytes = 2 << 20;
     Milliseconds idleTimeout{60'000};
+    std::size_t maxConnections = 64;
 };
 
 /// @brief Handles one request. A result with `http::status::unknown` closes the connection without a response.
--- a/src/snipevalve/entry/entry_process.cpp
+++ b/src/snipevalve/entry/entry_process.cpp
@@ -165,9 +165,12 @@
         return reportLoads();
     });
     m_supervisor.add("status", [this]() {
-        return serveHttp(m_opsAcceptor, [this](const HttpRequest &request) {
-            return handleOpsRequest(request);
-        });
+        return serveHttp(
+            m_opsAcceptor,
+            [this](const HttpRequest &request) {
+                return handleOpsRequest(request);
+            },
+            HttpServerLimits{.bodyBytes = 0});
     });
     m_supervisor.start();
     for (TrafficThread &thread : m_threads) {
--- a/src/snipevalve/net/http_server.cpp
+++ b/src/snipevalve/net/http_server.cpp
@@ -1,6 +1,7 @@
 #include "snipevalve/net/http_server.hpp"
 
 #include "snipevalve/net/accept.hpp"
+#include "snipevalve/net/connection_limiter.hpp"
 #include "snipevalve/net/log_failure.hpp"
 
 #include <algorithm>
@@ -14,10 +15,23 @@
 
 namespace {
 
-Awaitable<void> serveConnection(Tcp::socket socket, std::shared_ptr<HttpHandler> handler, HttpServerLimits limits)
+/// What the connections of one listener share.
+struct ServerState
 {
+    HttpHandler handler;
+    HttpServerLimits limits;
+    ConnectionLimiter connections;
+};
+
+Awaitable<void> serveConnection(Tcp::socket socket, std::shared_ptr<ServerState> server)
+{
+    const HttpServerLimits &limits = server->limits;
     beast::tcp_stream stream(std::move(socket));
-    beast::flat_buffer buffer(std::max<std::size_t>(limits.headerBytes, MaxUnparsedBytes));
+    LimitedConnection connection(server->connections, Clock::now(), [&stream]() {
+        stream.close();
+    });
+    beast::flat_buffer buffer(limits.bodyBytes == 0 ? limits.headerBytes
+                                                    : std::max<std::size_t>(limits.headerBytes, MaxUnparsedBytes));
     ErrorCode error;
     stream.socket().set_option(Tcp::no_delay(true), error);
     while (true) {
@@ -30,7 +44,9 @@
             co_return;
         }
         const HttpRequest request = parser.release();
-        HttpResponse response = co_await (*handler)(request);
+        connection.work();
+        HttpResponse response = co_await server->handler(request);
+        connection.waitForPeer(Clock::now());
         if (response.result() == http::status::unknown) {
             co_return;
         }
@@ -65,12 +81,16 @@
 
 Awaitable<void> serveHttp(Tcp::acceptor &acceptor, HttpHandler handler, HttpServerLimits limits)
 {
-    const auto sharedHandler = std::make_shared<HttpHandler>(std::move(handler));
+    const auto server = std::make_shared<ServerState>(
+        ServerState{std::move(handler), limits, ConnectionLimiter(limits.maxConnections)});
     const auto executor = co_await asio::this_coro::executor;
-    const auto onConnection = [executor, sharedHandler, limits](Tcp::socket socket) {
-        asio::co_spawn(executor, serveConnection(std::move(socket), sharedHandler, limits), LogFailure("http"));
+    const auto onConnection = [executor, server](Tcp::socket socket) {
+        asio::co_spawn(executor, serveConnection(std::move(socket), server), LogFailure("http"));
+    };
+    const auto mayAccept = [server]() {
+        return server->connections.makeRoom(Clock::now());
     };
-    co_await acceptConnections(acceptor, onConnection);
+    co_await acceptConnections(acceptor, onConnection, mayAccept);
 }
 
 HttpResponse jsonResponse(http::status status, std::string body)
--- a/src/snipevalve/node/control/node_process.hpp
+++ b/src/snipevalve/node/control/node_process.hpp
@@ -6,6 +6,7 @@
 #include "snipevalve/app/program.hpp"
 #include "snipevalve/net/http_server.hpp"
 #include "snipevalve/node/control/node_control.hpp"
+#include "snipevalve/node/descriptor_shares.hpp"
 #include "snipevalve/node/gateway_thread.hpp"
 
 namespace snipevalve {
@@ -42,7 +43,10 @@
                 [this](const HttpRequest &request) {
                     return handleReadinessRequest(request);
                 },
-                HttpServerLimits{.bodyBytes = 0});
+                HttpServerLimits{
+                    .bodyBytes = 0,
+                    .maxConnections = DescriptorShares(m_settings.maxDescriptors).readiness(),
+                });
         });
         m_traffic.onStoreUpdate([this](StoreUpdate news) {
             asio::post(m_context, [this, news = std::move(news)]() {
--- a/src/snipevalve/node/gateway_traffic.hpp
+++ b/src/snipevalve/node/gateway_traffic.hpp
@@ -9,6 +9,7 @@
 #include "snipevalve/gateway/logged_headers.hpp"
 #include "snipevalve/net/memory_account.hpp"
 #include "snipevalve/net/upstream_pool.hpp"
+#include "snipevalve/node/descriptor_shares.hpp"
 #include "snipevalve/node/gateway_request.hpp"
 #include "snipevalve/node/node_metrics.hpp"
 #include "snipevalve/node/placements.hpp"
@@ -58,12 +59,6 @@
     /// Idle connections kept open to each server; servers run 2 to 4 requests at once.
     static constexpr std::size_t IdleConnectionsPerServer = 4;
 
-    /// Descriptors that connections of callers may take; the rest is for servers, other hosts and the store.
-    static constexpr std::size_t callersOf(std::size_t descriptors)
-    {
-        return descriptors / 4 * 3;
-    }
-
     GatewayTraffic(asio::any_io_executor traffic, const NodeSettings &nodeSettings, const HeaderNames &headerNames,
                    ServerNoticeParser noticeParser, std::uint64_t seed)
         : executor(traffic)
@@ -73,7 +68,8 @@
         , pool(traffic, nodeSettings.address, IdleConnectionsPerServer)
         , placements(traffic, nodeSettings, seed)
         , random(seed)
-        , memory(MemoryAccountOptions::forProcess(nodeSettings.memoryBytes, callersOf(nodeSettings.maxDescriptors)))
+        , memory(MemoryAccountOptions::forProcess(nodeSettings.memoryBytes,
+                                                  DescriptorShares(nodeSettings.maxDescriptors).callers(0)))
     {
     }
 
--- a/src/snipevalve/placement_app/placement_process.cpp
+++ b/src/snipevalve/placement_app/placement_process.cpp
@@ -86,9 +86,12 @@
         return collectLoads();
     });
     m_supervisor.add("status", [this]() {
-        return serveHttp(m_acceptor, [this](const HttpRequest &request) {
-            return handle(request);
-        });
+        return serveHttp(
+            m_acceptor,
+            [this](const HttpRequest &request) {
+                return handle(request);
+            },
+            HttpServerLimits{.bodyBytes = 0});
     });
     m_supervisor.start();
     const StopSignals signals(m_context.get_executor(), [this]() {
--- a/tests/standins/platform_standin.cpp
+++ b/tests/standins/platform_standin.cpp
@@ -33,15 +33,20 @@
 
 } // namespace
 
+/// A watch keeps its connection; a few hundred nodes have several each.
+constexpr std::size_t MaxStoreConnections = 10'000;
+
 PlatformStandin::PlatformStandin(std::uint8_t network)
     : m_network(network)
 {
     m_acceptor = std::make_unique<Tcp::acceptor>(listenOn(m_context.get_executor(), storeEndpoint()));
     asio::co_spawn(m_context,
-                   serveHttp(*m_acceptor,
-                             [this](const HttpRequest &request) {
-                                 return answerStore(request);
-                             }),
+                   serveHttp(
+                       *m_acceptor,
+                       [this](const HttpRequest &request) {
+                           return answerStore(request);
+                       },
+                       HttpServerLimits{.maxConnections = MaxStoreConnections}),
                    asio::detached);
     asio::co_spawn(m_context, expireLeases(), asio::detached);
     m_thread = std::thread([this]() {
--- a/tests/standins/store_main.cpp
+++ b/tests/standins/store_main.cpp
@@ -224,7 +224,7 @@
     const auto handler = [&store](const HttpRequest &request) {
         return store.handle(request);
     };
-    asio::co_spawn(context, serveHttp(acceptor, handler), asio::detached);
+    asio::co_spawn(context, serveHttp(acceptor, handler, HttpServerLimits{.maxConnections = 10'000}), asio::detached);
     asio::co_spawn(context, store.expireLeases(), asio::detached);
     asio::signal_set signals(context, SIGTERM, SIGINT);
     signals.async_wait([&context](const ErrorCode &, int) {
