Bound connections and unfinished frames at the address for hosts

What callers saw: 400 silent connections to the node's address for hosts took 400 of 200 descriptors, so that no caller got one; 40 frames short of their end took 172 of 120 MB. Cause: LeaderDispatcher::serve() accepted without a limit, counted each connection as a host, and held a frame of up to 4 MB for each. Evidence: process_hostile_listeners_test, 4 of 4 crowds at that address failed. Change: a connection is a host once its first frame names one, within 10 s and 4 kB. Those that have not are 1/32 of the descriptors at most, hosts a quarter; hosts beyond a sixteenth of the descriptors take from the callers' share, so that an eighth is always left for servers and the store. Unfinished frames of all connections share a sixteenth of the memory; the largest gives way. Connections without a first frame get no views and do not count in the number of hosts.

--- a/include/snipevalve/net/memory_account.hpp
+++ b/include/snipevalve/net/memory_account.hpp
@@ -68,6 +68,10 @@
     /// idle the longest, if there is no room; that takes effect later.
     bool mayConnect(TimePoint now);
 
+    /// @brief Changes the largest number of connections; those that are open beyond it stay until others want to
+    /// connect.
+    void setMaxConnections(std::size_t maxConnections);
+
     /// @return bytes held at present; may be called by any thread
     std::size_t held(HeldBytes kind) const;
 
--- a/src/snipevalve/dispatch_link/frame_channel.cpp
+++ b/src/snipevalve/dispatch_link/frame_channel.cpp
@@ -1,5 +1,7 @@
 #include "snipevalve/dispatch_link/frame_channel.hpp"
 
+#include <algorithm>
+
 #include <boost/endian/conversion.hpp>
 #include <spdlog/spdlog.h>
 
@@ -11,12 +13,11 @@
 namespace {
 
 constexpr std::size_t LengthPrefixBytes = 4;
-/// A longer frame can only be corrupt: the largest view, with 300 servers and 2,000 ranges, takes about 60 KB.
-constexpr std::uint32_t MaxFrameBytes = 4 << 20;
 /// Maximum number of bytes queued for one host. A host that lets more accumulate has stopped reading, and its
 /// connection is closed.
 constexpr std::size_t MaxOutboxBytes = 4 << 20;
 constexpr std::size_t ReadChunkBytes = 16 << 10;
+constexpr std::size_t UncountedBytes = 4 * ReadChunkBytes; ///< of each connection's buffer
 /// A connection on which sent data stays unacknowledged for this long is considered dead.
 constexpr Milliseconds TcpUserTimeout(3'000);
 
@@ -29,13 +30,19 @@
 
 } // namespace
 
-FrameChannel::FrameChannel(Tcp::socket socket)
+FrameChannel::FrameChannel(Tcp::socket socket, std::shared_ptr<FrameMemory> memory)
     : m_stream(std::move(socket))
+    , m_memory(std::move(memory))
     , m_receivedAt(Clock::now())
 {
     setOptions(m_stream.socket());
 }
 
+FrameChannel::~FrameChannel()
+{
+    releaseReadMemory();
+}
+
 void FrameChannel::send(const google::protobuf::MessageLite &message)
 {
     if (!m_isOpen) {
@@ -72,23 +79,53 @@
     }
 }
 
-Awaitable<bool> FrameChannel::receive(std::string &frame)
+/// Whether there is memory for what the next read needs.
+bool FrameChannel::askForRead()
+{
+    // flat_buffer doubles its size when it grows.
+    const std::size_t bytes = std::max(m_buffer.capacity(), 2 * m_buffer.size() + ReadChunkBytes);
+    if (!m_memory || bytes <= UncountedBytes) {
+        return true;
+    }
+    return m_memory->ask(this, bytes, [this]() {
+        spdlog::warn("link: event=closed reason=\"its unfinished frame took the memory of others\" held_bytes={}",
+                     m_buffer.size());
+        close();
+    });
+}
+
+void FrameChannel::releaseReadMemory()
+{
+    if (m_memory) {
+        m_memory->release(this);
+    }
+}
+
+Awaitable<bool> FrameChannel::receive(std::string &frame, std::uint32_t maxBytes)
 {
     const auto self = shared_from_this();
     while (m_isOpen) {
         const auto data = m_buffer.cdata();
         if (data.size() >= LengthPrefixBytes) {
             const std::uint32_t length = boost::endian::load_big_u32(static_cast<const unsigned char *>(data.data()));
-            if (length > MaxFrameBytes) {
+            if (length > maxBytes) {
                 spdlog::warn("link: event=closed reason=\"a frame of {} bytes exceeds the maximum length\"", length);
                 break;
             }
             if (data.size() >= LengthPrefixBytes + length) {
                 frame.assign(static_cast<const char *>(data.data()) + LengthPrefixBytes, length);
                 m_buffer.consume(LengthPrefixBytes + length);
+                if (m_buffer.size() == 0 && m_buffer.capacity() > UncountedBytes) {
+                    m_buffer.shrink_to_fit();
+                    releaseReadMemory();
+                }
                 co_return true;
             }
         }
+        if (!askForRead()) {
+            spdlog::warn("link: event=closed reason=\"no memory for a frame\" held_bytes={}", m_buffer.size());
+            break;
+        }
         ErrorCode error;
         const std::size_t count =
             co_await m_stream.socket().async_read_some(m_buffer.prepare(ReadChunkBytes), awaitInto(error));
@@ -105,6 +142,7 @@
 void FrameChannel::close()
 {
     m_isOpen = false;
+    releaseReadMemory();
     m_stream.close();
 }
 
--- a/src/snipevalve/dispatch_link/frame_channel.hpp
+++ b/src/snipevalve/dispatch_link/frame_channel.hpp
@@ -7,6 +7,7 @@
 #include <google/protobuf/message_lite.h>
 
 #include "snipevalve/core/time.hpp"
+#include "snipevalve/dispatch_link/frame_memory.hpp"
 #include "snipevalve/net/asio.hpp"
 
 namespace snipevalve {
@@ -18,7 +19,14 @@
 class FrameChannel : public std::enable_shared_from_this<FrameChannel>
 {
 public:
-    explicit FrameChannel(Tcp::socket socket);
+    /// A longer frame can only be corrupt: the largest view, with 300 servers and 2,000 ranges, takes about 60 KB.
+    static constexpr std::uint32_t MaxFrameBytes = 4 << 20;
+
+    /// @param memory bounds what is held of unfinished frames; null for a peer that is trusted to end them
+    explicit FrameChannel(Tcp::socket socket, std::shared_ptr<FrameMemory> memory = nullptr);
+    ~FrameChannel();
+    FrameChannel(const FrameChannel &) = delete;
+    FrameChannel &operator=(const FrameChannel &) = delete;
 
     /// @brief Queues a message for sending. Closes the connection when too many bytes are queued because the peer reads
     /// too slowly.
@@ -26,8 +34,9 @@
 
     /// @brief Waits for the next message.
     /// @param frame receives the serialized message, without its length
+    /// @param maxBytes a longer frame closes the connection
     /// @return false when the connection is closed
-    Awaitable<bool> receive(std::string &frame);
+    Awaitable<bool> receive(std::string &frame, std::uint32_t maxBytes = MaxFrameBytes);
 
     void close();
     bool isOpen() const;
@@ -37,9 +46,12 @@
 
 private:
     Awaitable<void> writeAll();
+    bool askForRead();
+    void releaseReadMemory();
 
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
+    std::shared_ptr<FrameMemory> m_memory;
     std::string m_outbox;
     std::string m_writing;
     bool m_isWriting = false;
--- a/src/snipevalve/net/memory_account.cpp
+++ b/src/snipevalve/net/memory_account.cpp
@@ -77,6 +77,11 @@
     return false;
 }
 
+void MemoryAccount::setMaxConnections(std::size_t maxConnections)
+{
+    m_options.maxConnections = maxConnections;
+}
+
 std::size_t MemoryAccount::held(HeldBytes kind) const
 {
     return m_held[indexOf(kind)];
--- a/src/snipevalve/node/control/node_control.hpp
+++ b/src/snipevalve/node/control/node_control.hpp
@@ -43,6 +43,7 @@
         std::function<void(KnownView)> knownView; ///< a view that another host has passed on
         /// Passes the views that the traffic thread knows to the second argument, on the control thread.
         std::function<void(std::vector<std::string>, LeaderDispatcher::KnownViewsReply)> readKnownViews;
+        std::function<void(std::size_t)> hostCount; ///< the number of hosts connected to this one
         std::function<bool()> needsViews; ///< whether some service has no reachable leader
     };
 
@@ -78,6 +79,7 @@
         };
         m_desk.onViewsWanted = m_outputs.readKnownViews;
         m_desk.onKnownView = m_outputs.knownView;
+        m_desk.onHostCount = m_outputs.hostCount;
     }
 
     /// @brief Notes the services whose leaders have named this host as deputy: it takes them over first.
--- a/src/snipevalve/node/control/node_process.hpp
+++ b/src/snipevalve/node/control/node_process.hpp
@@ -128,6 +128,9 @@
                 });
             });
         };
+        outputs.hostCount = [this](std::size_t hosts) {
+            m_traffic.setHostCount(hosts);
+        };
         outputs.needsViews = [this]() {
             return m_traffic.needsStoreViews();
         };
--- a/src/snipevalve/node/gateway_thread.cpp
+++ b/src/snipevalve/node/gateway_thread.cpp
@@ -6,6 +6,7 @@
 
 #include "snipevalve/net/accept.hpp"
 #include "snipevalve/net/log_failure.hpp"
+#include "snipevalve/node/descriptor_shares.hpp"
 #include "snipevalve/node/gateway_session.hpp"
 
 namespace snipevalve {
@@ -137,6 +138,13 @@
     });
 }
 
+void GatewayThread::setHostCount(std::size_t hosts)
+{
+    asio::post(m_context, [this, hosts]() {
+        m_traffic.memory.setMaxConnections(DescriptorShares(m_traffic.settings.maxDescriptors).callers(hosts));
+    });
+}
+
 void GatewayThread::onStoreUpdate(std::function<void(StoreUpdate)> handler)
 {
     asio::post(m_context, [this, handler = std::move(handler)]() {
--- a/src/snipevalve/node/gateway_thread.hpp
+++ b/src/snipevalve/node/gateway_thread.hpp
@@ -27,6 +27,9 @@
     void setLeaders(std::map<std::string, Endpoint> leaders);
     void setEvacuations(Evacuations evacuations);
     void setStoreView(ServiceView view);
+
+    /// @brief Sets the number of hosts connected to this one: many leave fewer descriptors for callers.
+    void setHostCount(std::size_t hosts);
     void onStoreUpdate(std::function<void(StoreUpdate)> handler);
     void requestConfig(std::uint64_t base);
     void onDeputyAsk(std::function<void(DeputyAsk)> handler);
--- a/src/snipevalve/node/leader_dispatcher.cpp
+++ b/src/snipevalve/node/leader_dispatcher.cpp
@@ -6,6 +6,7 @@
 #include "snipevalve/gateway/server_notice_log.hpp"
 #include "snipevalve/net/accept.hpp"
 #include "snipevalve/net/log_failure.hpp"
+#include "snipevalve/node/descriptor_shares.hpp"
 #include "snipevalve/node/link_silence.hpp"
 #include "snipevalve/node/warmup_limits.hpp"
 
@@ -26,6 +27,15 @@
 /// Number of configuration versions kept as bases for deltas; a host that is further behind gets a whole configuration.
 constexpr std::size_t KeptConfigs = 8;
 
+/// The first frame names the host and asks for nothing.
+constexpr std::uint32_t MaxFirstFrameBytes = 4 << 10;
+constexpr Milliseconds FirstFrameTimeout(10'000);
+/// A new connection keeps its place this long, so that hosts that all connect at once don't close each other's.
+constexpr Milliseconds NewConnectionTime(100);
+constexpr Milliseconds SilentHostTime(1'000);
+/// Part of the memory that unfinished frames of all hosts may take. Whole ones are handled at once.
+constexpr std::size_t FrameMemoryDivisor = 16;
+
 Ticket ticketOf(const DispatchDecision &decision)
 {
     return std::visit(
@@ -41,57 +51,106 @@
     : m_executor(std::move(executor))
     , m_settings(settings)
     , m_seed(seed)
+    , m_newConnections(DescriptorShares(settings.maxDescriptors).newHosts(), NewConnectionTime)
+    , m_hostConnections(DescriptorShares(settings.maxDescriptors).hosts(), SilentHostTime)
+    , m_frameMemory(std::make_shared<FrameMemory>(settings.memoryBytes / FrameMemoryDivisor))
 {
 }
 
 Awaitable<void> LeaderDispatcher::serve(Tcp::acceptor &acceptor)
 {
     const auto onConnection = [this](Tcp::socket socket) {
-        asio::co_spawn(m_executor, serveHost(std::make_shared<FrameChannel>(std::move(socket))), LogFailure("link"));
+        asio::co_spawn(m_executor, serveHost(std::make_shared<FrameChannel>(std::move(socket), m_frameMemory)),
+                       LogFailure("link"));
+    };
+    const auto mayAccept = [this]() {
+        return m_newConnections.makeRoom(Clock::now());
     };
-    co_await acceptConnections(acceptor, onConnection);
+    co_await acceptConnections(acceptor, onConnection, mayAccept);
 }
 
 Awaitable<void> LeaderDispatcher::serveHost(std::shared_ptr<FrameChannel> channel)
 {
-    const auto host = std::make_shared<Host>();
-    host->channel = channel;
-    host->number = ++m_lastHostNumber;
+    const std::shared_ptr<Host> host = co_await awaitFirstFrame(channel);
+    if (!host || !m_hostConnections.makeRoom(Clock::now())) {
+        channel->close();
+        co_return;
+    }
+    LimitedConnection connection(m_hostConnections, Clock::now(), [channel]() {
+        spdlog::warn("link: event=closed reason=\"too many hosts are connected, and this one is silent\"");
+        channel->close();
+    });
     m_hosts.insert(host);
+    spdlog::info("link: event=host_joined host={} hosts={}", escapeLogValue(host->name), m_hosts.size());
+    if (onHostCount) {
+        onHostCount(m_hosts.size());
+    }
     for (const auto &[service, led] : m_ledServices) {
         if (led.isViewSent) {
             *host->pending.add_views() = toProto(led.sentView); // base of the deltas that follow
         }
     }
+    flush();
     std::string bytes;
-    while (co_await channel->receive(bytes)) {
-        proto::HostFrame frame;
-        if (!frame.ParseFromString(bytes)) {
-            spdlog::warn("link: event=closed host={} reason=\"a frame can't be read\"", host->name);
-            break;
-        }
-        try {
-            onFrame(host, frame);
-        } catch (const std::exception &error) {
-            spdlog::error("link: event=closed host={} reason=\"{}\"", escapeLogValue(host->name),
-                          escapeQuotedText(error.what()));
-            break;
-        }
+    while (co_await channel->receive(bytes) && handleFrame(host, bytes)) {
+        connection.waitForPeer(Clock::now());
     }
     channel->close();
     onHostGone(host);
 }
 
+/// @return null if the connection has ended, or has been closed since it did not name its host
+Awaitable<std::shared_ptr<LeaderDispatcher::Host>>
+LeaderDispatcher::awaitFirstFrame(std::shared_ptr<FrameChannel> channel)
+{
+    const LimitedConnection connection(m_newConnections, Clock::now(), [channel]() {
+        channel->close();
+    });
+    asio::steady_timer timer(m_executor, FirstFrameTimeout);
+    timer.async_wait([channel = std::weak_ptr(channel)](const ErrorCode &error) {
+        const auto open = channel.lock();
+        if (!error && open) {
+            open->close();
+        }
+    });
+    std::string bytes;
+    proto::HostFrame frame;
+    const bool isReceived = co_await channel->receive(bytes, MaxFirstFrameBytes);
+    timer.cancel();
+    if (!isReceived || !frame.ParseFromString(bytes) || frame.host().empty()) {
+        co_return nullptr;
+    }
+    auto host = std::make_shared<Host>();
+    host->channel = channel;
+    host->number = ++m_lastHostNumber;
+    host->name = frame.host();
+    host->zone = frame.zone();
+    host->run = frame.run();
+    host->processorPermille = frame.processor_permille();
+    co_return host;
+}
+
+/// @return false if the connection must be closed
+bool LeaderDispatcher::handleFrame(const std::shared_ptr<Host> &host, const std::string &bytes)
+{
+    proto::HostFrame frame;
+    if (!frame.ParseFromString(bytes)) {
+        spdlog::warn("link: event=closed host={} reason=\"a frame can't be read\"", escapeLogValue(host->name));
+        return false;
+    }
+    try {
+        onFrame(host, frame);
+    } catch (const std::exception &error) {
+        spdlog::error("link: event=closed host={} reason=\"{}\"", escapeLogValue(host->name),
+                      escapeQuotedText(error.what()));
+        return false;
+    }
+    return true;
+}
+
 void LeaderDispatcher::onFrame(const std::shared_ptr<Host> &host, const proto::HostFrame &frame)
 {
     const TimePoint now = Clock::now();
-    if (!frame.host().empty()) {
-        host->name = frame.host();
-        host->zone = frame.zone();
-        host->run = frame.run();
-        host->processorPermille = frame.processor_permille();
-        spdlog::info("link: event=host_joined host={} hosts={}", host->name, m_hosts.size());
-    }
     if (frame.has_config_base()) {
         addConfigChange(*host, frame.config_base());
     }
@@ -280,6 +339,9 @@
 {
     spdlog::info("link: event=host_left host={} tickets={}", host->name, host->tickets.size());
     m_hosts.erase(host);
+    if (onHostCount) {
+        onHostCount(m_hosts.size());
+    }
     const TimePoint now = Clock::now();
     // Decisions made below may concern other requests of this host and would modify its tickets.
     std::map<Ticket, Ticket> tickets;
--- a/src/snipevalve/node/leader_dispatcher.hpp
+++ b/src/snipevalve/node/leader_dispatcher.hpp
@@ -12,6 +12,7 @@
 #include "snipevalve/dispatch_link/frame_channel.hpp"
 #include "snipevalve/dispatch_link/messages.hpp"
 #include "snipevalve/gateway/leaving_servers.hpp"
+#include "snipevalve/net/connection_limiter.hpp"
 #include "snipevalve/node/estimate_log.hpp"
 #include "snipevalve/node/node_settings.hpp"
 #include "snipevalve/node/slot_reserve_log.hpp"
@@ -39,6 +40,9 @@
     /// @brief Called when a host consents, as a leader's deputy, to long holds.
     std::function<void(const std::string &service, std::uint64_t term, std::uint64_t epoch)> onDeputyConsent;
 
+    /// @brief Called with the number of connected hosts when it changes.
+    std::function<void(std::size_t hosts)> onHostCount;
+
     /// @brief Called when leavingServers() has a new record.
     std::function<void()> onServerLeaving;
 
@@ -145,6 +149,8 @@
     };
 
     Awaitable<void> serveHost(std::shared_ptr<FrameChannel> channel);
+    Awaitable<std::shared_ptr<Host>> awaitFirstFrame(std::shared_ptr<FrameChannel> channel);
+    bool handleFrame(const std::shared_ptr<Host> &host, const std::string &bytes);
     void onFrame(const std::shared_ptr<Host> &host, const proto::HostFrame &frame);
     void onAsk(const std::shared_ptr<Host> &host, const proto::Ask &ask, TimePoint now);
     void refuseAsFollower(Host &host, const proto::Ask &ask, TimePoint now);
@@ -164,7 +170,10 @@
     asio::any_io_executor m_executor;
     const NodeSettings &m_settings;
     std::uint64_t m_seed;
-    std::set<std::shared_ptr<Host>> m_hosts;
+    ConnectionLimiter m_newConnections; ///< those whose host is not known yet
+    ConnectionLimiter m_hostConnections;
+    std::shared_ptr<FrameMemory> m_frameMemory;
+    std::set<std::shared_ptr<Host>> m_hosts; ///< those that have sent their first frame
     std::map<std::string, LedService> m_ledServices;
     std::map<std::string, RepeatWindow> m_formerRepeats; ///< of services that were led here and are not any more
     LeavingServers m_leaving;
