Keep the limiter of connections as long as their coroutines

Change: connections share their limiter; a first frame has to say something of its host, not its name.

--- a/include/snipevalve/net/connection_limiter.hpp
+++ b/include/snipevalve/net/connection_limiter.hpp
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <memory>
 #include <set>
 
 #include "snipevalve/core/time.hpp"
@@ -44,7 +45,7 @@
 {
 public:
     /// @param close closes the connection; it then does not count any more
-    LimitedConnection(ConnectionLimiter &limiter, TimePoint now, std::function<void()> close);
+    LimitedConnection(std::shared_ptr<ConnectionLimiter> limiter, TimePoint now, std::function<void()> close);
     ~LimitedConnection();
     LimitedConnection(const LimitedConnection &) = delete;
     LimitedConnection &operator=(const LimitedConnection &) = delete;
@@ -58,7 +59,7 @@
 private:
     friend class ConnectionLimiter;
 
-    ConnectionLimiter &m_limiter;
+    std::shared_ptr<ConnectionLimiter> m_limiter; ///< may outlive its listener, with the coroutine of the connection
     std::function<void()> m_close;
     TimePoint m_waitsSince;
     bool m_isWorking = false;
--- a/src/snipevalve/net/connection_limiter.cpp
+++ b/src/snipevalve/net/connection_limiter.cpp
@@ -38,17 +38,18 @@
     return longest;
 }
 
-LimitedConnection::LimitedConnection(ConnectionLimiter &limiter, TimePoint now, std::function<void()> close)
-    : m_limiter(limiter)
+LimitedConnection::LimitedConnection(std::shared_ptr<ConnectionLimiter> limiter, TimePoint now,
+                                     std::function<void()> close)
+    : m_limiter(std::move(limiter))
     , m_close(std::move(close))
     , m_waitsSince(now)
 {
-    m_limiter.m_connections.insert(this);
+    m_limiter->m_connections.insert(this);
 }
 
 LimitedConnection::~LimitedConnection()
 {
-    m_limiter.m_connections.erase(this);
+    m_limiter->m_connections.erase(this);
 }
 
 void LimitedConnection::waitForPeer(TimePoint now)
--- a/src/snipevalve/net/http_server.cpp
+++ b/src/snipevalve/net/http_server.cpp
@@ -20,7 +20,7 @@
 {
     HttpHandler handler;
     HttpServerLimits limits;
-    ConnectionLimiter connections;
+    std::shared_ptr<ConnectionLimiter> connections;
 };
 
 Awaitable<void> serveConnection(Tcp::socket socket, std::shared_ptr<ServerState> server)
@@ -82,13 +82,13 @@
 Awaitable<void> serveHttp(Tcp::acceptor &acceptor, HttpHandler handler, HttpServerLimits limits)
 {
     const auto server = std::make_shared<ServerState>(
-        ServerState{std::move(handler), limits, ConnectionLimiter(limits.maxConnections)});
+        ServerState{std::move(handler), limits, std::make_shared<ConnectionLimiter>(limits.maxConnections)});
     const auto executor = co_await asio::this_coro::executor;
     const auto onConnection = [executor, server](Tcp::socket socket) {
         asio::co_spawn(executor, serveConnection(std::move(socket), server), LogFailure("http"));
     };
     const auto mayAccept = [server]() {
-        return server->connections.makeRoom(Clock::now());
+        return server->connections->makeRoom(Clock::now());
     };
     co_await acceptConnections(acceptor, onConnection, mayAccept);
 }
--- a/src/snipevalve/node/leader_dispatcher.cpp
+++ b/src/snipevalve/node/leader_dispatcher.cpp
@@ -51,8 +51,10 @@
     : m_executor(std::move(executor))
     , m_settings(settings)
     , m_seed(seed)
-    , m_newConnections(DescriptorShares(settings.maxDescriptors).newHosts(), NewConnectionTime)
-    , m_hostConnections(DescriptorShares(settings.maxDescriptors).hosts(), SilentHostTime)
+    , m_newConnections(
+          std::make_shared<ConnectionLimiter>(DescriptorShares(settings.maxDescriptors).newHosts(), NewConnectionTime))
+    , m_hostConnections(
+          std::make_shared<ConnectionLimiter>(DescriptorShares(settings.maxDescriptors).hosts(), SilentHostTime))
     , m_frameMemory(std::make_shared<FrameMemory>(settings.memoryBytes / FrameMemoryDivisor))
 {
 }
@@ -64,7 +66,7 @@
                        LogFailure("link"));
     };
     const auto mayAccept = [this]() {
-        return m_newConnections.makeRoom(Clock::now());
+        return m_newConnections->makeRoom(Clock::now());
     };
     co_await acceptConnections(acceptor, onConnection, mayAccept);
 }
@@ -72,7 +74,7 @@
 Awaitable<void> LeaderDispatcher::serveHost(std::shared_ptr<FrameChannel> channel)
 {
     const std::shared_ptr<Host> host = co_await awaitFirstFrame(channel);
-    if (!host || !m_hostConnections.makeRoom(Clock::now())) {
+    if (!host || !m_hostConnections->makeRoom(Clock::now())) {
         channel->close();
         co_return;
     }
@@ -99,7 +101,7 @@
     onHostGone(host);
 }
 
-/// @return null if the connection has ended, or has been closed since it did not name its host
+/// @return null if the connection has ended, or must be closed since its first frame says nothing of a host
 Awaitable<std::shared_ptr<LeaderDispatcher::Host>>
 LeaderDispatcher::awaitFirstFrame(std::shared_ptr<FrameChannel> channel)
 {
@@ -117,7 +119,7 @@
     proto::HostFrame frame;
     const bool isReceived = co_await channel->receive(bytes, MaxFirstFrameBytes);
     timer.cancel();
-    if (!isReceived || !frame.ParseFromString(bytes) || frame.host().empty()) {
+    if (!isReceived || bytes.empty() || !frame.ParseFromString(bytes)) {
         co_return nullptr;
     }
     auto host = std::make_shared<Host>();
--- a/src/snipevalve/node/leader_dispatcher.hpp
+++ b/src/snipevalve/node/leader_dispatcher.hpp
@@ -170,8 +170,8 @@
     asio::any_io_executor m_executor;
     const NodeSettings &m_settings;
     std::uint64_t m_seed;
-    ConnectionLimiter m_newConnections; ///< those whose host is not known yet
-    ConnectionLimiter m_hostConnections;
+    std::shared_ptr<ConnectionLimiter> m_newConnections; ///< those whose host is not known yet
+    std::shared_ptr<ConnectionLimiter> m_hostConnections;
     std::shared_ptr<FrameMemory> m_frameMemory;
     std::set<std::shared_ptr<Host>> m_hosts; ///< those that have sent their first frame
     std::map<std::string, LedService> m_ledServices;
