Refuse requests whose end is ambiguous

Cause: findHeadFault() counted lengths and codings and did not read their values. Beast takes a body whose coding is not chunked for empty, and the node read what followed as the next request. Change: the only coding is chunked, a length is a number, and a request of HTTP/1.0 has no coding; others get 400, and the connection is closed. Both the node and the entry process check heads by this function. RFC 9112, 6.1 advises 501 for codings that are not known; 400 is sent for all. The entry process was not played with these shapes.

--- a/src/snipevalve/net/message_head.cpp
+++ b/src/snipevalve/net/message_head.cpp
@@ -1,5 +1,6 @@
 #include "snipevalve/net/message_head.hpp"
 
+#include <algorithm>
 #include <cctype>
 #include <vector>
 
@@ -19,6 +20,21 @@
     int transferEncodings = 0;
 };
 
+std::string_view trimmed(std::string_view value)
+{
+    constexpr std::string_view OptionalSpace = " \t";
+    const auto first = value.find_first_not_of(OptionalSpace);
+    return first == std::string_view::npos ? std::string_view()
+                                           : value.substr(first, value.find_last_not_of(OptionalSpace) - first + 1);
+}
+
+bool isNumber(std::string_view text)
+{
+    return !text.empty() && std::all_of(text.begin(), text.end(), [](char character) {
+        return character >= '0' && character <= '9';
+    });
+}
+
 std::optional<std::string> checkLine(std::string_view line, HeaderCounts &counts)
 {
     if (line.front() == ' ' || line.front() == '\t') {
@@ -36,9 +52,19 @@
         return "a header's name contains a space";
     }
     const beast::string_view beastName(name.data(), name.size());
+    const std::string_view value = trimmed(line.substr(colon + 1));
+    const bool isLength = beast::iequals(beastName, "content-length");
+    const bool isEncoding = beast::iequals(beastName, "transfer-encoding");
     counts.hostHeaders += beast::iequals(beastName, "host") ? 1 : 0;
-    counts.contentLengths += beast::iequals(beastName, "content-length") ? 1 : 0;
-    counts.transferEncodings += beast::iequals(beastName, "transfer-encoding") ? 1 : 0;
+    counts.contentLengths += isLength ? 1 : 0;
+    counts.transferEncodings += isEncoding ? 1 : 0;
+    if (isLength && !isNumber(value)) {
+        return "the length of the body is not a number";
+    }
+    // Beast takes the body for empty if another coding is named, and what follows for the next request.
+    if (isEncoding && !beast::iequals({value.data(), value.size()}, "chunked")) {
+        return "the body has a transfer coding other than chunked";
+    }
     return std::nullopt;
 }
 
@@ -108,6 +134,9 @@
     if (counts.hostHeaders != 1) {
         return counts.hostHeaders == 0 ? "there is no Host header" : "there is more than one Host header";
     }
+    if (counts.transferEncodings > 0 && head.substr(0, head.find(LineEnd)).ends_with("HTTP/1.0")) {
+        return "a request of HTTP/1.0 has a transfer coding";
+    }
     if (counts.contentLengths > 1 || counts.transferEncodings > 1
         || counts.contentLengths + counts.transferEncodings > 1) {
         return "the body has more than one length";
--- a/src/snipevalve/net/message_head_test.cpp
+++ b/src/snipevalve/net/message_head_test.cpp
@@ -31,6 +31,15 @@
         {"a NUL", std::string("Host: a\r\nx: a") + '\0' + "\r\n", false},
         {"two lengths (6.3)", "Host: a\r\nContent-Length: 3\r\nContent-Length: 3\r\n", false},
         {"a length and a coding (6.3)", "Host: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n", false},
+        {"an empty length (6.3)", "Host: a\r\nContent-Length:\r\n", false},
+        {"a length that is no number (6.3)", "Host: a\r\nContent-Length: +3\r\n", false},
+        {"a length in spaces", "Host: a\r\nContent-Length: \t3 \r\n", true},
+        {"chunked", "Host: a\r\nTransfer-Encoding: Chunked\r\n", true},
+        {"chunked in spaces", "Host: a\r\nTransfer-Encoding: \tchunked \r\n", true},
+        {"another coding (6.1)", "Host: a\r\nTransfer-Encoding: gzip\r\n", false},
+        {"another coding before chunked (6.1)", "Host: a\r\nTransfer-Encoding: gzip, chunked\r\n", false},
+        {"another coding after chunked (6.3)", "Host: a\r\nTransfer-Encoding: chunked, gzip\r\n", false},
+        {"an empty coding (6.1)", "Host: a\r\nTransfer-Encoding:\r\n", false},
         {"two codings (6.3)", "Host: a\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", false},
     };
     for (const Case &each : cases) {
@@ -39,6 +48,12 @@
     }
 }
 
+TEST_CASE("a request of HTTP/1.0 has no transfer coding (RFC 9112, 6.1)")
+{
+    CHECK(findHeadFault("POST / HTTP/1.0\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n").has_value());
+    CHECK_FALSE(findHeadFault("POST / HTTP/1.0\r\nHost: a\r\nContent-Length: 2\r\n\r\n").has_value());
+}
+
 TEST_CASE("the end of a head is found only after its empty line")
 {
     CHECK_FALSE(findHeadEnd("GET / HTTP/1.1\r\nHost: a\r\n").has_value());
